--- /dev/null
+++ b/sloeferry/decide.py
@@ -0,0 +1,646 @@
+"""All decisions of one proxy.  A host makes one Proxy an instance and calls it as Front in ports.py
+says; it acts on Host there.  Words, times and the meaning of every call are defined in that file.
+
+A txn passes a chain of stages, each of which passes it on, keeps it or ends it:
+  Ledger (one answer, expiry) -> Shares (fairness) -> Ask (fresh reports) -> Gate (hold or decline)
+  -> Reposting (further postings, rule 2) -> Board.choose (the estimate).
+What comes back runs through the chain the other way.  Rules holds the four rules: every posting and
+every decline goes through it.
+"""
+from collections import deque
+from math import log2
+from random import Random
+
+from sloeferry import ports
+
+NEVER_RAN = (ports.TURNED_AWAY, ports.UNREACHED, ports.NEVER_SENT)
+OUT, MAYBE, NEVER = range(3)         # a posting: no word yet, may have run, known not to have run
+
+
+class Histogram:
+    """A few coarse bins, two to a doubling, halved now and then so that the past fades."""
+    BINS, BELOW = 18, 6              # from an eighth of the unit to some 45 times it
+
+    def __init__(self, unit, keep, guesses=()):
+        self.unit, self.keep, self.count = unit, keep, 0.0
+        self.bins = [0.0] * self.BINS
+        for guess in guesses:
+            self.add(guess)
+
+    def add(self, figure):
+        if self.count >= self.keep:
+            self.bins = [n / 2 for n in self.bins]
+            self.count /= 2
+        at = int(2 * log2(max(figure, 1e-6) / self.unit) + self.BELOW) if figure > 0 else 0
+        self.bins[max(0, min(self.BINS - 1, at))] += 1
+        self.count += 1
+
+    def at(self, part):
+        """The figure that this part of all lie under."""
+        want = self.count * part
+        for at, n in enumerate(self.bins):
+            if n and want <= n:
+                return self.unit * 2 ** ((at + want / n - self.BELOW) / 2)
+            want -= n
+        return self.unit * 2 ** ((self.BINS - self.BELOW) / 2)
+
+    def under(self, figure):
+        """The part of all that lies under this figure."""
+        if figure <= 0:
+            return 0.0
+        at = 2 * log2(figure / self.unit) + self.BELOW
+        full = max(0, min(self.BINS, int(at)))
+        more = self.bins[full] * (at - full) if 0 <= at < self.BINS else 0
+        return (sum(self.bins[:full]) + more) / max(self.count, 1)
+
+
+class Scheme:
+    """What the operators promise for one scheme of txns, and how long its postings take."""
+
+    def __init__(self, terms, at):
+        def term(name, default):
+            return terms.get(f"schemes.{at}.{name}", default)
+        self.expiry = term("expiry", 1000.0)
+        self.sla = term("sla_time", self.expiry)
+        self.gain = term("gain", 1.0)
+        self.overdue = term("overdue_gain", 0.0)
+        self.kind = {"retryable": "repeatable", "dedup": "referenced"}.get(
+            term("idempotency", ""), "once-only")
+        self.group, self.window = term("group", "all"), term("dedup_window", 0.0)
+        self.took = Histogram(self.sla, 200, [self.sla / 4] * 4)    # of sends to a backend found idle
+        self.most_left = 0.0                                         # the longest patience seen
+
+    def typical(self):
+        return self.took.at(0.5)
+
+
+class Posting:
+    def __init__(self, backend, now, figure, expected):
+        self.backend, self.sent, self.figure, self.expected = backend, now, figure, expected
+        self.state, self.report = OUT, backend.reports
+
+
+class Txn:
+    """A txn taken; `now` to `ends` is all the time there is, `due` is its SLA time."""
+
+    def __init__(self, ref, scheme, tenant, now, left, repeat):
+        self.ref, self.scheme, self.tenant, self.born, self.repeat = ref, scheme, tenant, now, repeat
+        self.ends, self.due, self.gain = now + left, now + scheme.sla, scheme.gain
+        self.postings, self.answered, self.held, self.asked = [], False, False, 0.0
+
+    def out(self):
+        return [p for p in self.postings if p.state == OUT]
+
+    def maybe(self):
+        """The postings that may have run: out, or ended without proof that they didn't."""
+        return [p for p in self.postings if p.state != NEVER]
+
+
+class Backend:
+    """What this proxy knows of one backend."""
+
+    def __init__(self, ident):
+        self.ident, self.zone, self.cell, self.standing, self.launched = ident, 0, 0, ports.READY, 0.0
+        self.told, self.gone_since = 0.0, None
+        self.fresh_start()
+
+    def fresh_start(self):
+        """A process just started (or first heard of) has no past."""
+        self.inflight, self.heard, self.reports, self.since = None, None, 0, 0
+        self.own, self.ghosts = 0, 0
+        self.fails, self.rest_until, self.waits_since, self.probes_out = 0, 0.0, None, []
+        self.slow = Histogram(1.0, 12, [1.0, 1.0])
+        self.sent = deque()          # (when, work) of late, for the cold budget
+
+
+class Rules:
+    """The four rules.  Nothing is posted or declined but through here."""
+
+    def __init__(self, proxy):
+        self.p = proxy
+        self.grace, self.patience = proxy.term("obligations.drain_grace", 0.0), proxy.term(
+            "obligations.must_ask_in", 0.0)
+        self.cold, self.cold_from = proxy.term("obligations.cold", 0.0), proxy.term("obligations.cold_from", 1.0)
+        self.fall = max(proxy.term("obligations.fall", 1000.0), 1.0)
+        # Rule 4: half of this proxy's part, the rest is slack for chance and for what it forgot at a restart.
+        self.part = proxy.term("obligations.fall_multiple", 1.0) * self.fall / proxy.instances / 2
+        self.most = int(proxy.term("limits.most_postings", 1))
+        self.copies = proxy.term("limits.second_copies", False)
+
+    def warmth(self, b, now):
+        """The least part of its capacity that a backend has by now; 1 once it is warm."""
+        age = now - b.launched
+        if not b.launched or age >= self.cold or not self.cold:
+            return 1.0
+        return self.cold_from + (1 - self.cold_from) * max(age, 0) / self.cold
+
+    def cold_room(self, b, now, work):
+        """Rule 4: may this proxy send so much work to this backend now?"""
+        warmth = self.warmth(b, now)
+        if warmth >= 1:
+            return True
+        allowed = self.part * warmth
+        span = max(self.fall, self.fall * work / allowed)    # a txn over the budget waits longer for its turn
+        while b.sent and b.sent[0][0] <= now - span:
+            b.sent.popleft()
+        return not b.sent or sum(w for _, w in b.sent) + work <= allowed
+
+    def in_use(self, b, now):
+        """Rule 3: known to run, not draining, and the list no older than it may be."""
+        return b.standing == ports.READY and now <= self.p.discovery.deemed_old
+
+    def group_of(self, txn):
+        """Rule 2: None = anywhere; else a test of the backends that drop this txn's repeats."""
+        maybe, scheme = txn.maybe(), txn.scheme
+        if not maybe or scheme.kind == "repeatable" or scheme.group == "all":
+            return None
+        first = maybe[0].backend
+        if scheme.group == "zone":
+            return lambda b: b.zone == first.zone
+        return lambda b: b.cell == first.cell
+
+    def may_post(self, txn, now):
+        """Rules 1 and 2, as far as they don't depend on the backend."""
+        if txn.answered or now >= txn.ends or len(txn.postings) >= self.most:
+            return False
+        if txn.out() and not (self.copies and len(txn.out()) < 2):
+            return False
+        maybe = txn.maybe()
+        if not maybe or txn.scheme.kind == "repeatable":
+            return True
+        return txn.scheme.kind == "referenced" and now < maybe[0].sent + txn.scheme.window - self.p.step
+
+    def may_decline(self, txn):
+        """Rule 2: a decline says that trying again is harmless."""
+        kind, group = txn.scheme.kind, txn.scheme.group
+        return not txn.maybe() or kind == "repeatable" or (kind == "referenced" and group == "all")
+
+    def post(self, txn, b, now, expected):
+        group = self.group_of(txn)
+        work = txn.scheme.typical()
+        assert self.may_post(txn, now) and self.in_use(b, now) and (group is None or group(b)), "rules 1 to 3"
+        assert self.cold_room(b, now, work), "rule 4"
+        posting = Posting(b, now, b.figure, expected)
+        txn.postings.append(posting)
+        b.own += 1
+        b.since += 1
+        if self.warmth(b, now) < 1:
+            b.sent.append((now, work))
+        if b.waits_since is None:
+            b.waits_since = now
+        self.p.host.post(txn.ref, b.ident, 0.0)
+        return posting
+
+    def finish(self, txn, pause=0.0):
+        """Rule 1: the one final answer of a txn that no backend settled."""
+        if txn.answered:
+            return
+        txn.answered = True
+        if self.may_decline(txn):
+            self.p.host.decline(txn.ref, pause)
+        else:
+            self.p.host.reverse(txn.ref)
+
+
+class Discovery:
+    """The list where it must be asked for: shared and of limited capacity, so calls are spread out."""
+
+    def __init__(self, proxy, now):
+        self.p, self.fails, self.waiting = proxy, 0, 0
+        self.asks = proxy.term("discovery", "automatic") == "subscribe"
+        self.deemed_old = float("inf")
+        if self.asks:
+            self.patience = proxy.term("obligations.must_ask_in", 10000.0)
+            self.deemed_old = now + self.patience
+            turn = (proxy.ordinal + proxy.rng.random()) / proxy.instances
+            proxy.later(now + turn * self.patience / 4, self.ask)
+
+    def ask(self, now):
+        self.waiting += 1
+        self.deemed_old = now + self.patience
+        self.p.host.watch()
+        self.p.later(now + self.patience / 2, self.unanswered, self.waiting)
+
+    def unanswered(self, now, number):
+        if number == self.waiting:
+            self.ask(now)
+
+    def answer(self, now, failed):
+        """Any list answers the call, or shows that the subscription stands; a failure starts anew."""
+        if not self.asks:
+            return
+        self.waiting += 1
+        if not failed:
+            self.fails, self.deemed_old = 0, float("inf")
+            return
+        self.fails = min(self.fails + 1, 3)
+        self.deemed_old = now + 4 * self.patience
+        wait = self.patience / 16 * 2 ** self.fails * (0.5 + self.p.rng.random())
+        self.p.later(now + wait, self.ask)
+
+
+class Board:
+    """The backends: list, reports, own sends, health.  Every pick is made here."""
+
+    def __init__(self, proxy, now):
+        self.p, self.all, self.order = proxy, {}, []
+        fields = str(proxy.term("load_info.fields", "")).split(",")
+        self.field = fields.index("inflight") if "inflight" in fields else None
+        self.by_probe = proxy.term("load_info.via", "none") == "probe"
+        self.age_limit, self.probe_every = 2000.0, 1000.0      # the design's own figures
+        self.probing = proxy.term("limits.probing", False)
+        self.curve = [Histogram(1.0, 60, [1.0 + f] * 2) for f in (0, 1, 2, 3, 5, 8, 13)]
+        self.spread = Histogram(1.0, 400, [0.5, 0.7, 1.0, 1.4, 2.0])
+        self.cross = proxy.term("tariffs.cross_zone", 0.0)
+
+    def listed(self, now, scope, lines):
+        seen = set()
+        for ident, zone, _, cell, standing, _, launched in lines:
+            b = self.all.get(ident)
+            if b is None:
+                b = self.all[ident] = Backend(ident)
+                self.order.append(b)
+                if self.probing:
+                    self.p.later(now + self.p.rng.random() * self.probe_every, self.probe_in_turn, b)
+            elif launched != b.launched and launched:
+                b.fresh_start()
+            b.zone, b.cell, b.standing, b.launched = zone, cell, standing, launched
+            seen.add(ident)
+        if scope != ports.CHANGES:
+            for b in self.order:
+                if b.ident not in seen:
+                    b.standing = ports.GONE
+
+    # Reports and probes
+
+    def probe_in_turn(self, now, b):
+        self.p.later(now + self.probe_every, self.probe_in_turn, b)
+        if self.by_probe or b.fails or self.silent(b, now):
+            self.probe(b, now)
+
+    def probe(self, b, now):
+        if b.standing == ports.READY and self.probing and len(b.probes_out) < 3:
+            b.probes_out.append(now)
+            self.p.host.probe(b.ident)
+
+    def report(self, b, now, report):
+        b.waits_since = now if b.own else None
+        if self.field is None or len(report) <= self.field:
+            return
+        b.inflight, b.heard, b.since = float(round(report[self.field])), now, 0
+        b.reports += 1
+
+    # Health
+
+    def good(self, b):
+        b.fails, b.rest_until = 0, 0.0
+
+    def bad(self, b, now):
+        """A backend that errs, refuses connections or is silent rests, longer each time."""
+        b.fails += 1
+        if b.fails >= 2:
+            rest = self.probe_every / 2 * 2 ** min(b.fails - 2, 4)
+            b.rest_until = now + rest * (0.75 + self.p.rng.random() / 2)
+
+    def silent(self, b, now):
+        """Nothing heard since the oldest open send or probe, for longer than nearly all answers take."""
+        if b.probes_out and now - b.probes_out[0] > self.p.ask.patience and not self.by_probe:
+            return True
+        return b.waits_since is not None and now - b.waits_since > self.p.longest()
+
+    # The estimate
+
+    def usable(self, now):
+        """The backends in use, without the sick as long as more than half are well."""
+        listed = [b for b in self.order if self.p.rules.in_use(b, now)]
+        well = [b for b in listed if b.rest_until <= now and not self.silent(b, now)]
+        return well if 2 * len(well) > len(listed) else listed
+
+    def estimate(self, now, among):
+        fresh = [b.inflight for b in among if b.heard is not None and now - b.heard <= self.age_limit]
+        mean = sum(fresh) / len(fresh) if fresh else sum(b.own for b in among) / max(len(among), 1)
+        for b in among:
+            if b.heard is not None and now - b.heard <= self.age_limit:
+                b.figure = b.inflight + b.since + b.ghosts
+            else:
+                b.figure = mean + b.own + b.ghosts
+
+    def level(self, figure):
+        return 0 if figure < 0.5 else 1 if figure < 1.5 else 2 if figure < 2.5 else min(
+            6, 2 + int(2 * log2(figure / 2) + 0.5))
+
+    def slowness(self, b, now):
+        warmth = self.p.rules.warmth(b, now)
+        return max(b.slow.at(0.5), 1 / warmth if b.slow.count < 4 else 0)
+
+    def expected(self, b, scheme, now):
+        return scheme.typical() * self.curve[self.level(b.figure)].at(0.5) * self.slowness(b, now)
+
+    def choose(self, txn, now, leave_out=()):
+        """The lowest estimate wins, ties at random; another zone only where the gain beats the tariff.
+
+        Returns the backend, the odds that it answers within the SLA time, and how long is expected.
+        """
+        usable = self.usable(now)
+        self.estimate(now, usable)
+        group, work, best = self.p.rules.group_of(txn), txn.scheme.typical(), {}
+        for b in usable:
+            if b in leave_out or (group and not group(b)) or not self.p.rules.cold_room(b, now, work):
+                continue
+            slow = self.slowness(b, now)
+            # Reports that don't track real work: a backend at half speed or less counts for more.
+            weight = b.figure if slow < 1.6 else (b.figure + 1) * slow - 1
+            here = b.zone == self.p.zone
+            if here not in best or weight < best[here][0]:
+                best[here] = (weight, [b])
+            elif weight == best[here][0]:
+                best[here][1].append(b)
+        found = None
+        for here in (True, False):
+            if here not in best:
+                continue
+            b = self.p.rng.choice(best[here][1])
+            takes = self.expected(b, txn.scheme, now)
+            odds = self.spread.under((txn.due - now) / takes)
+            if found is None or (odds - found[1]) * txn.gain > self.cross * self.p.mean_gain:
+                found = (b, odds, takes)
+        return found or (None, 0.0, 0.0)
+
+    def learn(self, txn, posting, took, now):
+        """What a settled (or given up) posting tells of its scheme, its backend and the fleet."""
+        typical, level = txn.scheme.typical(), self.level(posting.figure)
+        if level == 0:
+            txn.scheme.took.add(took)
+        self.curve[level].add(took / typical)
+        posting.backend.slow.add(took / (typical * self.curve[level].at(0.5)))
+        self.spread.add(took / posting.expected)
+
+
+class Ledger:
+    """First stage: each txn taken has one answer, and before its expiry."""
+
+    def __init__(self, proxy, after):
+        self.p, self.after, self.txns = proxy, after, {}
+
+    def take(self, txn, now):
+        self.txns[txn.ref] = txn
+        self.p.later(txn.ends - 2 * self.p.step, self.expire, txn)
+        self.after.take(txn, now)
+
+    def expire(self, now, txn):
+        if not txn.answered and not txn.out():
+            self.end(txn)
+
+    def end(self, txn, pause=0.0):
+        self.p.rules.finish(txn, pause)
+        self.forget(txn)
+
+    def forget(self, txn):
+        txn.answered = True
+        if not txn.out():
+            self.txns.pop(txn.ref, None)
+
+
+class Shares:
+    """Second stage: what a customer sends beyond its share here is worth only a part."""
+
+    def __init__(self, proxy, after):
+        self.p, self.after, self.used = proxy, after, {}
+
+    def take(self, txn, now):
+        quota = self.p.term(f"tenants.{txn.tenant}.quota_per_s", 0.0) / self.p.instances / 1000
+        if quota and not txn.repeat:
+            level, at = self.used.get(txn.tenant, (0.0, now))
+            level = max(0.0, level - (now - at) * quota) + 1
+            if level > 2000 * quota + 1:             # two seconds of the share in hand
+                txn.gain *= self.p.term("beyond_share_gain", 1.0)
+                level -= 1
+            self.used[txn.tenant] = (level, now)
+        self.after.take(txn, now)
+
+
+class Ask:
+    """Third stage: where a probe costs next to nothing, the lowest few are asked before the pick."""
+
+    def __init__(self, proxy, after):
+        self.p, self.after, self.waiting = proxy, after, []
+        tariff = proxy.term("tariffs.probe", 0.0)
+        by_answers = proxy.term("load_info.via", "none") == "answers" and proxy.term("limits.probing", False)
+        self.few = 0 if not by_answers else min(12, int(0.01 / tariff)) if tariff else 6
+        self.patience = 4 * proxy.step
+
+    def take(self, txn, now):
+        board = self.p.board
+        usable = board.usable(now) if self.few > 1 else ()
+        if not usable:
+            return self.after.take(txn, now)
+        board.estimate(now, usable)
+        lowest = sorted(usable, key=lambda b: (b.figure, self.p.rng.random()))[:self.few]
+        for b in lowest:
+            if not b.probes_out:
+                board.probe(b, now)
+        txn.asked = now
+        self.waiting.append((txn, lowest))
+        self.p.later(now + self.patience, self.give_up, txn)
+
+    def heard(self, now):
+        """Go on with what waits once all that was asked has answered."""
+        for entry in list(self.waiting):
+            txn, lowest = entry
+            if all(not b.probes_out or b.probes_out[0] > txn.asked for b in lowest):
+                self.waiting.remove(entry)
+                self.go_on(txn, now)
+
+    def give_up(self, now, txn):
+        for entry in list(self.waiting):
+            if entry[0] is txn:
+                self.waiting.remove(entry)
+                self.go_on(txn, now)
+
+    def go_on(self, txn, now):
+        if not txn.answered:
+            self.after.take(txn, now)
+
+
+class Gate:
+    """Fourth stage: what can't meet its SLA time is held for a short while, then declined."""
+
+    def __init__(self, proxy, after):
+        self.p, self.after, self.held = proxy, after, []
+
+    def take(self, txn, now):
+        left = txn.due - now
+        b, odds, takes = self.p.board.choose(txn, now)
+        if b is not None and odds >= 0.3:
+            return self.after.post(txn, b, now, takes)
+        if left < txn.scheme.typical() * 0.7 or now - txn.born > txn.scheme.sla / 3:
+            return self.p.ledger.end(txn, self.pause(txn))
+        if not txn.held:
+            txn.held = True
+            self.held.append(txn)
+        self.p.later(now + txn.scheme.sla / 20, self.again, txn)
+
+    def again(self, now, txn):
+        if txn.held and not txn.answered:
+            txn.held = False
+            self.held.remove(txn)
+            self.p.ask.take(txn, now)
+
+    def pause(self, txn):
+        return txn.scheme.typical() if self.p.term("limits.retry_after", False) else 0.0
+
+
+class Reposting:
+    """Last stage: the posting itself, a second look while it is out, and a further one after it."""
+
+    def __init__(self, proxy):
+        self.p = proxy
+
+    def post(self, txn, b, now, takes):
+        posting = self.p.rules.post(txn, b, now, takes)
+        if txn.scheme.kind != "once-only":
+            self.p.later(now + takes * self.p.board.spread.at(0.8), self.review, txn, posting)
+
+    def review(self, now, txn, posting):
+        """A posting that takes long: would another one do better by more than its work costs?"""
+        p = self.p
+        if txn.answered or posting.state != OUT or now >= txn.due or len(txn.out()) > 1:
+            return
+        spread, gone = p.board.spread, now - posting.sent
+        passed = spread.under(gone / posting.expected)
+        by_due = spread.under((txn.due - posting.sent) / posting.expected)
+        odds = 0.0 if p.board.silent(posting.backend, now) else (by_due - passed) / max(1 - passed, 0.02)
+        b, new_odds, takes = p.board.choose(txn, now, [x.backend for x in txn.postings])
+        more = new_odds * (1 - odds) if p.rules.copies else new_odds - odds
+        waste = p.term("tariffs.waste", 0.0) * p.mean_gain + 0.1 * txn.gain
+        state, posting.state = posting.state, MAYBE
+        allowed = p.rules.may_post(txn, now)
+        posting.state = state
+        if b is not None and allowed and more * txn.gain > waste:
+            if p.rules.copies:
+                return self.post(txn, b, now, takes)
+            if p.term("limits.cancel", False):
+                return p.host.withdraw(txn.ref, txn.postings.index(posting))
+        p.later(now + txn.scheme.typical() / 2, self.review, txn, posting)
+
+    def back(self, txn, posting, how, now):
+        """A posting ended without an answer: another one, or the end."""
+        if txn.answered or txn.out():
+            return
+        if self.p.rules.may_post(txn, now) and now < txn.due - txn.scheme.typical() / 2:
+            b, odds, takes = self.p.board.choose(txn, now, [x.backend for x in txn.postings])
+            if b is not None and odds > 0.1:
+                return self.post(txn, b, now, takes)
+            if not txn.maybe():
+                return self.p.gate.take(txn, now)
+        self.p.ledger.end(txn)
+
+
+class Proxy:
+    """One instance: takes the host's calls, keeps the timers and the chain."""
+
+    def __init__(self, host, now, seed, terms):
+        self.host, self.terms, self.rng = host, terms, Random(seed)
+        self.timers, self.token = {}, 0
+        self.step = self.term("step", 1.0)
+        self.instances, self.ordinal = int(self.term("instances", 1)), int(self.term("ordinal", 0))
+        self.zone = self.term("zone", 0)
+        if "schemes.count" not in terms:
+            raise ValueError("setting schemes.count is missing")
+        self.schemes = [Scheme(terms, at) for at in range(int(terms["schemes.count"]))]
+        self.mean_gain = sum(s.gain for s in self.schemes) / max(len(self.schemes), 1)
+        self.rules, self.discovery, self.board = Rules(self), Discovery(self, now), Board(self, now)
+        self.reposting = Reposting(self)
+        self.gate = Gate(self, self.reposting)
+        self.ask = Ask(self, self.gate)
+        self.shares = Shares(self, self.ask)
+        self.ledger = Ledger(self, self.shares)
+
+    def term(self, name, default):
+        return self.terms.get(name, default)
+
+    def longest(self):
+        """Longer than nearly every posting takes at a backend that works."""
+        return max(s.typical() for s in self.schemes) * self.board.spread.at(0.98)
+
+    def later(self, at, do, *what):
+        self.token += 1
+        self.timers[self.token] = (do, what)
+        self.host.wake(at, self.token)
+
+    def woken(self, now, token):
+        do, what = self.timers.pop(token, (None, ()))
+        if do:
+            do(now, *what)
+
+    def listed(self, now, scope, lines):
+        if scope != ports.FAILED:
+            self.board.listed(now, scope, lines)
+        if scope != ports.CACHED:
+            self.discovery.answer(now, scope == ports.FAILED)
+
+    def take(self, now, ref, scheme, tenant, key, left, work, repeat):
+        scheme = self.schemes[scheme]
+        txn = Txn(ref, scheme, tenant, now, left, repeat)
+        self.mean_gain += (scheme.gain - self.mean_gain) / 100
+        scheme.most_left = max(scheme.most_left, left)
+        if repeat and left < scheme.most_left - 2 * self.step:
+            txn.due = now + left - (scheme.expiry - scheme.sla)    # its first try began that much earlier
+        self.ledger.take(txn, now)
+
+    def started(self, now, ref, seq):
+        txn = self.ledger.txns.get(ref)
+        if txn:
+            txn.answered = True      # the stream is the client's now
+
+    def ended(self, now, ref, seq, how, answered, took, report):
+        txn = self.ledger.txns.get(ref)
+        if txn is None or seq >= len(txn.postings) or txn.postings[seq].state != OUT:
+            return
+        posting = txn.postings[seq]
+        b, posting.state = posting.backend, NEVER if how in NEVER_RAN else MAYBE
+        b.own = max(0, b.own - 1)
+        if posting.report == b.reports:
+            b.since = max(0, b.since - 1)
+        if report:
+            self.board.report(b, now, report)
+        if how == ports.SETTLED:
+            self.board.good(b)
+            self.board.learn(txn, posting, took, now)
+        elif how in (ports.LATE, ports.WITHDRAWN):
+            if took > posting.expected:
+                self.board.learn(txn, posting, took * 1.5, now)
+            if self.board.silent(b, now):
+                self.board.bad(b, now)
+        elif how != ports.NEVER_SENT:
+            # A quick error must not make a backend look empty: its send stays counted for a while.
+            b.ghosts += 1
+            self.later(now + 4 * txn.scheme.typical(), self.lay, b)
+            if how != ports.TURNED_AWAY:
+                self.board.bad(b, now)
+        if how != ports.LATE and not b.own:
+            b.waits_since = None
+        if answered or txn.answered:
+            self.ledger.forget(txn)
+        else:
+            self.reposting.back(txn, posting, how, now)
+
+    def lay(self, now, b):
+        b.ghosts = max(0, b.ghosts - 1)
+
+    def probed(self, now, backend, how, took, report):
+        b = self.board.all.get(backend)
+        if b is None:
+            return
+        if b.probes_out:
+            b.probes_out.pop(0)
+        if how == ports.SETTLED:
+            self.board.report(b, now, report)
+        else:
+            self.board.bad(b, now)
+        self.ask.heard(now)
+
+    def left(self, now, ref):
+        txn = self.ledger.txns.get(ref)
+        if txn:
+            self.ledger.forget(txn)
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,78 @@
+"""The four rules and the estimate, each where the wrong action would be tempting."""
+import unittest
+
+from sloeferry import ports
+from tests.trace import Printer, compare
+
+
+class Rules(unittest.TestCase):
+
+    def test_rule_1_one_answer_before_expiry(self):
+        """Nobody is there to serve: the answer still comes, once, and a late end of a posting adds none."""
+        host = Printer()
+        host.take(1)
+        host.until(1100.0)
+        host.list(("a",))
+        host.take(2, scheme=2)
+        host.until(2100.0)
+        host.end(2, 0, ports.LATE, answered=False, took=1000.0)
+        host.end(2, 0, ports.LATE, answered=False, took=1000.0)
+        host.proxy.left(host.now, 2)
+        host.until(3000.0)
+        compare(self, host, "rule_1")
+
+    def test_rule_2_no_effect_twice(self):
+        """Errors at an idle fleet tempt to post again: allowed anywhere, in the zone, or not at all."""
+        host = Printer(limits__second_copies=False)
+        host.list(("a", 0), ("b", 0), ("c", 1), ("d", 1))
+        for ref, scheme in ((1, 0), (2, 1), (3, 2)):
+            host.take(ref, scheme)
+            host.end(ref, 0, ports.ERRED)
+            host.until(host.now + 5)
+        host.take(4, scheme=2)                  # a refused connection proves that it never ran
+        host.end(4, 0, ports.UNREACHED)
+        host.until(host.now + 20)
+        host.take(5, scheme=1)                  # its window of 300 ms is over when the error comes
+        host.until(host.now + 310)
+        host.end(5, 0, ports.ERRED)
+        compare(self, host, "rule_2")
+
+    def test_rule_3_drains(self):
+        """The draining backend is the emptiest one, and the last one too."""
+        host = Printer()
+        host.list(("a",), ("b",))
+        host.take(1)
+        host.list(("a", 0, ports.DRAINING), scope=ports.CHANGES)
+        for ref in (2, 3):
+            host.take(ref)
+        host.list(("b", 0, ports.GONE), scope=ports.CHANGES)
+        host.take(4)
+        host.until(host.now + 400)
+        compare(self, host, "rule_3")
+
+    def test_rule_4_cold_backend(self):
+        """A cold backend reports itself empty; it still gets no more than half of this proxy's part."""
+        host = Printer(obligations__cold=8000.0, obligations__cold_from=0.2, obligations__fall=1000.0,
+                       obligations__fall_multiple=3.0, instances=2)
+        host.until(50000.0)
+        host.list(("warm",), ("cold", 0, ports.READY, 50000.0))
+        for ref in range(6):
+            host.take(ref)
+            host.until(host.now + 20)
+        compare(self, host, "rule_4")
+
+    def test_estimate(self):
+        """Latest report plus own sends begun after it; stale or new = mean of fresh reports + own open sends."""
+        host = Printer()
+        host.list(("a",), ("b",), ("c",))
+        board = host.proxy.board
+        for name, inflight in (("a", 4), ("b", 2)):
+            board.report(board.all[name], host.now, (inflight,))
+        for ref in range(5):
+            host.take(ref, scheme=2)
+        board.estimate(host.now, board.order)
+        host.say(" ".join(f"{b.ident}={b.figure:g}" for b in board.order))
+        host.until(2001.0)
+        board.estimate(host.now, board.order)
+        host.say(" ".join(f"{b.ident}={b.figure:g}" for b in board.order))
+        compare(self, host, "estimate")
