--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -31,7 +31,7 @@
         if self.count >= self.keep:
             self.bins = [n / 2 for n in self.bins]
             self.count /= 2
-        at = int(2 * log2(max(figure, 1e-6) / self.unit) + self.BELOW) if figure > 0 else 0
+        at = int(2 * log2(max(figure, 1e-6) / self.unit) + self.BELOW + 0.5)
         self.bins[max(0, min(self.BINS - 1, at))] += 1
         self.count += 1
 
@@ -40,7 +40,7 @@
         want = self.count * part
         for at, n in enumerate(self.bins):
             if n and want <= n:
-                return self.unit * 2 ** ((at + want / n - self.BELOW) / 2)
+                return self.unit * 2 ** ((at + want / n - self.BELOW - 0.5) / 2)
             want -= n
         return self.unit * 2 ** ((self.BINS - self.BELOW) / 2)
 
@@ -48,7 +48,7 @@
         """The part of all that lies under this figure."""
         if figure <= 0:
             return 0.0
-        at = 2 * log2(figure / self.unit) + self.BELOW
+        at = 2 * log2(figure / self.unit) + self.BELOW + 0.5
         full = max(0, min(self.BINS, int(at)))
         more = self.bins[full] * (at - full) if 0 <= at < self.BINS else 0
         return (sum(self.bins[:full]) + more) / max(self.count, 1)
@@ -68,10 +68,13 @@
             term("idempotency", ""), "once-only")
         self.group, self.window = term("group", "all"), term("dedup_window", 0.0)
         self.took = Histogram(self.sla, 200, [self.sla / 4] * 4)    # of sends to a backend found idle
+        self.known, self.middle = -1.0, 0.0
         self.most_left = 0.0                                         # the longest patience seen
 
     def typical(self):
-        return self.took.at(0.5)
+        if self.known != self.took.count:            # the reading is kept until the next figure comes in
+            self.known, self.middle = self.took.count, self.took.at(0.5)
+        return self.middle
 
 
 class Posting:
@@ -86,7 +89,7 @@
     def __init__(self, ref, scheme, tenant, now, left, repeat):
         self.ref, self.scheme, self.tenant, self.born, self.repeat = ref, scheme, tenant, now, repeat
         self.ends, self.due, self.gain = now + left, now + scheme.sla, scheme.gain
-        self.postings, self.answered, self.held, self.asked = [], False, False, 0.0
+        self.postings, self.answered = [], False
 
     def out(self):
         return [p for p in self.postings if p.state == OUT]
@@ -101,15 +104,14 @@
 
     def __init__(self, ident):
         self.ident, self.zone, self.cell, self.standing, self.launched = ident, 0, 0, ports.READY, 0.0
-        self.told, self.gone_since = 0.0, None
         self.fresh_start()
 
     def fresh_start(self):
         """A process just started (or first heard of) has no past."""
-        self.inflight, self.heard, self.reports, self.since = None, None, 0, 0
+        self.inflight, self.heard, self.reports, self.since = 0.0, float("-inf"), 0, 0
         self.own, self.ghosts = 0, 0
         self.fails, self.rest_until, self.waits_since, self.probes_out = 0, 0.0, None, []
-        self.slow = Histogram(1.0, 12, [1.0, 1.0])
+        self.slow, self.pace = Histogram(1.0, 12, [1.0, 1.0]), 1.0
         self.sent = deque()          # (when, work) of late, for the cold budget
 
 
@@ -180,7 +182,7 @@
         work = txn.scheme.typical()
         assert self.may_post(txn, now) and self.in_use(b, now) and (group is None or group(b)), "rules 1 to 3"
         assert self.cold_room(b, now, work), "rule 4"
-        posting = Posting(b, now, b.figure, expected)
+        posting = Posting(b, now, self.p.board.figure(b, now), expected)
         txn.postings.append(posting)
         b.own += 1
         b.since += 1
@@ -248,8 +250,10 @@
         self.field = fields.index("inflight") if "inflight" in fields else None
         self.by_probe = proxy.term("load_info.via", "none") == "probe"
         self.age_limit, self.probe_every = 2000.0, 1000.0      # the design's own figures
+        self.tariff = proxy.term("tariffs.probe", 0.0)
         self.probing = proxy.term("limits.probing", False)
         self.curve = [Histogram(1.0, 60, [1.0 + f] * 2) for f in (0, 1, 2, 3, 5, 8, 13)]
+        self.fit, self.mean, self.looked, self.fresh_for = [], 0.0, float("-inf"), 4 * proxy.step
         self.spread = Histogram(1.0, 400, [0.5, 0.7, 1.0, 1.4, 2.0])
         self.cross = proxy.term("tariffs.cross_zone", 0.0)
 
@@ -266,6 +270,7 @@
                 b.fresh_start()
             b.zone, b.cell, b.standing, b.launched = zone, cell, standing, launched
             seen.add(ident)
+        self.looked = float("-inf")
         if scope != ports.CHANGES:
             for b in self.order:
                 if b.ident not in seen:
@@ -274,7 +279,11 @@
     # Reports and probes
 
     def probe_in_turn(self, now, b):
-        self.p.later(now + self.probe_every, self.probe_in_turn, b)
+        # Once a second, more often where half a point in a hundred pays for it.
+        every = self.probe_every
+        if self.by_probe:
+            every = min(every, max(every / 5, len(self.order) * self.tariff / 0.005 * self.p.gap))
+        self.p.later(now + every, self.probe_in_turn, b)
         if self.by_probe or b.fails or self.silent(b, now):
             self.probe(b, now)
 
@@ -302,69 +311,72 @@
             rest = self.probe_every / 2 * 2 ** min(b.fails - 2, 4)
             b.rest_until = now + rest * (0.75 + self.p.rng.random() / 2)
 
-    def silent(self, b, now):
+    def silent(self, b, now, longest=None):
         """Nothing heard since the oldest open send or probe, for longer than nearly all answers take."""
         if b.probes_out and now - b.probes_out[0] > self.p.ask.patience and not self.by_probe:
             return True
-        return b.waits_since is not None and now - b.waits_since > self.p.longest()
+        return b.waits_since is not None and now - b.waits_since > (longest or self.p.longest())
 
     # The estimate
 
     def usable(self, now):
-        """The backends in use, without the sick as long as more than half are well."""
-        listed = [b for b in self.order if self.p.rules.in_use(b, now)]
-        well = [b for b in listed if b.rest_until <= now and not self.silent(b, now)]
-        return well if 2 * len(well) > len(listed) else listed
-
-    def estimate(self, now, among):
-        fresh = [b.inflight for b in among if b.heard is not None and now - b.heard <= self.age_limit]
-        mean = sum(fresh) / len(fresh) if fresh else sum(b.own for b in among) / max(len(among), 1)
-        for b in among:
-            if b.heard is not None and now - b.heard <= self.age_limit:
-                b.figure = b.inflight + b.since + b.ghosts
-            else:
-                b.figure = mean + b.own + b.ghosts
+        """The backends in use, without the sick as long as more than half are well; anew every few steps."""
+        if now >= self.looked + self.fresh_for:
+            self.looked = now
+            longest, rules = self.p.longest(), self.p.rules
+            listed = [b for b in self.order if rules.in_use(b, now)]
+            well = [b for b in listed if b.rest_until <= now and not self.silent(b, now, longest)]
+            self.fit = well if 2 * len(well) > len(listed) else listed
+            fresh = [b.inflight for b in self.fit if now - b.heard <= self.age_limit]
+            self.mean = sum(fresh) / len(fresh) if fresh else sum(b.own for b in self.fit) / max(len(self.fit), 1)
+        return self.fit
+
+    def figure(self, b, now):
+        """Latest report + own sends begun after it; the mean of fresh reports + own open sends without one."""
+        if now - b.heard <= self.age_limit:
+            return b.inflight + b.since + b.ghosts
+        return self.mean + b.own + b.ghosts
 
     def level(self, figure):
         return 0 if figure < 0.5 else 1 if figure < 1.5 else 2 if figure < 2.5 else min(
             6, 2 + int(2 * log2(figure / 2) + 0.5))
 
-    def slowness(self, b, now):
-        warmth = self.p.rules.warmth(b, now)
-        return max(b.slow.at(0.5), 1 / warmth if b.slow.count < 4 else 0)
-
-    def expected(self, b, scheme, now):
-        return scheme.typical() * self.curve[self.level(b.figure)].at(0.5) * self.slowness(b, now)
+    def pace(self, b, now):
+        """How much longer than usual a posting takes here, as measured, or as a cold backend's least warmth says."""
+        if now < b.launched + self.p.rules.cold and b.slow.count < 6:
+            return max(b.pace, 1 / self.p.rules.warmth(b, now))
+        return b.pace
 
     def choose(self, txn, now, leave_out=()):
         """The lowest estimate wins, ties at random; another zone only where the gain beats the tariff.
 
         Returns the backend, the odds that it answers within the SLA time, and how long is expected.
         """
-        usable = self.usable(now)
-        self.estimate(now, usable)
-        group, work, best = self.p.rules.group_of(txn), txn.scheme.typical(), {}
-        for b in usable:
-            if b in leave_out or (group and not group(b)) or not self.p.rules.cold_room(b, now, work):
+        rules, work = self.p.rules, txn.scheme.typical()
+        group, best, home = rules.group_of(txn), {}, self.p.zone
+        for b in self.usable(now):
+            if b in leave_out or (group and not group(b)):
                 continue
-            slow = self.slowness(b, now)
-            # Reports that don't track real work: a backend at half speed or less counts for more.
-            weight = b.figure if slow < 1.6 else (b.figure + 1) * slow - 1
-            here = b.zone == self.p.zone
-            if here not in best or weight < best[here][0]:
-                best[here] = (weight, [b])
-            elif weight == best[here][0]:
-                best[here][1].append(b)
-        found = None
-        for here in (True, False):
-            if here not in best:
+            if now < b.launched + rules.cold and not rules.cold_room(b, now, work):
                 continue
-            b = self.p.rng.choice(best[here][1])
-            takes = self.expected(b, txn.scheme, now)
-            odds = self.spread.under((txn.due - now) / takes)
-            if found is None or (odds - found[1]) * txn.gain > self.cross * self.p.mean_gain:
-                found = (b, odds, takes)
-        return found or (None, 0.0, 0.0)
+            weight, pace = self.figure(b, now), self.pace(b, now)
+            if pace > 1.6:
+                # Reports that don't track real work: a backend this slow counts for more than it holds.
+                weight = (weight + 1) * pace - 1
+            least = best.get(b.zone == home)
+            if least is None or weight < least[0]:
+                best[b.zone == home] = (weight, [b])
+            elif weight == least[0]:
+                least[1].append(b)
+        found = (None, 0.0, 0.0)
+        for here in (True, False):
+            if here in best:
+                b = self.p.rng.choice(best[here][1])
+                takes = work * self.curve[self.level(self.figure(b, now))].at(0.5) * self.pace(b, now)
+                odds = self.spread.under((txn.due - now) / takes)
+                if found[0] is None or (odds - found[1]) * txn.gain > self.cross * self.p.mean_gain:
+                    found = (b, odds, takes)
+        return found
 
     def learn(self, txn, posting, took, now):
         """What a settled (or given up) posting tells of its scheme, its backend and the fleet."""
@@ -372,7 +384,9 @@
         if level == 0:
             txn.scheme.took.add(took)
         self.curve[level].add(took / typical)
-        posting.backend.slow.add(took / (typical * self.curve[level].at(0.5)))
+        b = posting.backend
+        b.slow.add(took / (typical * self.curve[level].at(0.5)))
+        b.pace = b.slow.at(0.5)
         self.spread.add(took / posting.expected)
 
 
@@ -423,33 +437,39 @@
     """Third stage: where a probe costs next to nothing, the lowest few are asked before the pick."""
 
     def __init__(self, proxy, after):
-        self.p, self.after, self.waiting = proxy, after, []
+        self.p, self.after, self.waiting, self.purse = proxy, after, [], 0.0
         tariff = proxy.term("tariffs.probe", 0.0)
         by_answers = proxy.term("load_info.via", "none") == "answers" and proxy.term("limits.probing", False)
         self.few = 0 if not by_answers else min(12, int(0.01 / tariff)) if tariff else 6
         self.patience = 4 * proxy.step
 
     def take(self, txn, now):
-        board = self.p.board
-        usable = board.usable(now) if self.few > 1 else ()
-        if not usable:
+        self.purse = min(self.purse + self.few, 2.0 * self.few)
+        asked = self.refresh(now)
+        if not asked:
             return self.after.take(txn, now)
-        board.estimate(now, usable)
-        lowest = sorted(usable, key=lambda b: (b.figure, self.p.rng.random()))[:self.few]
+        self.waiting.append((txn, asked))
+        self.p.later(now + self.patience, self.give_up, txn)
+
+    def refresh(self, now):
+        """Ask those that look lowest, as far as the probes of the txns taken so far go."""
+        board = self.p.board
+        usable = board.usable(now) if self.purse >= 1 else ()
+        lowest = sorted(usable, key=lambda b: (board.figure(b, now), self.p.rng.random()))[:self.few]
         for b in lowest:
-            if not b.probes_out:
+            if not b.probes_out and self.purse >= 1:
+                self.purse -= 1
                 board.probe(b, now)
-        txn.asked = now
-        self.waiting.append((txn, lowest))
-        self.p.later(now + self.patience, self.give_up, txn)
+        return [(b, now) for b in lowest if b.probes_out]
 
     def heard(self, now):
         """Go on with what waits once all that was asked has answered."""
         for entry in list(self.waiting):
-            txn, lowest = entry
-            if all(not b.probes_out or b.probes_out[0] > txn.asked for b in lowest):
+            if all(not b.probes_out or b.probes_out[0] > at for b, at in entry[1]):
                 self.waiting.remove(entry)
-                self.go_on(txn, now)
+                self.go_on(entry[0], now)
+        if self.p.gate.held:
+            self.p.gate.drain(now)
 
     def give_up(self, now, txn):
         for entry in list(self.waiting):
@@ -463,28 +483,54 @@
 
 
 class Gate:
-    """Fourth stage: what can't meet its SLA time is held for a short while, then declined."""
+    """Fourth stage: what can't meet its SLA time is held for a short while, best gain first, or declined."""
+    NEAR = 0.75                      # of the odds at an idle backend: less than that is a queue too long
 
     def __init__(self, proxy, after):
-        self.p, self.after, self.held = proxy, after, []
+        self.p, self.after, self.held, self.ticking = proxy, after, [], False
+        self.by_work = proxy.term("gain_per", "request") == "work"
+
+    def rank(self, txn):
+        return (-txn.gain if self.by_work else -txn.gain / txn.scheme.typical(), txn.due)
 
     def take(self, txn, now):
-        left = txn.due - now
-        b, odds, takes = self.p.board.choose(txn, now)
-        if b is not None and odds >= 0.3:
-            return self.after.post(txn, b, now, takes)
-        if left < txn.scheme.typical() * 0.7 or now - txn.born > txn.scheme.sla / 3:
-            return self.p.ledger.end(txn, self.pause(txn))
-        if not txn.held:
-            txn.held = True
-            self.held.append(txn)
-        self.p.later(now + txn.scheme.sla / 20, self.again, txn)
-
-    def again(self, now, txn):
-        if txn.held and not txn.answered:
-            txn.held = False
-            self.held.remove(txn)
-            self.p.ask.take(txn, now)
+        self.held.append(txn)
+        self.drain(now)
+
+    def drain(self, now):
+        """Post what has good odds, best gain first; decline what has waited in vain or has no room."""
+        board, kept, misses = self.p.board, [], 0
+        for txn in sorted(self.held, key=self.rank):
+            if txn.answered:
+                continue
+            if misses > 2 and now - txn.born <= txn.scheme.sla / 4:
+                kept.append(txn)         # the proxy has little time to spare: the next event looks further
+                continue
+            b, odds, takes = board.choose(txn, now)
+            pace = txn.scheme.typical() * board.curve[0].at(0.5) * (board.pace(b, now) if b else 1.0)
+            bar = self.NEAR * board.spread.under(txn.scheme.sla / pace)
+            if b is not None and odds >= bar and odds > 0.05:
+                self.after.post(txn, b, now, takes)
+            elif now - txn.born > txn.scheme.sla / 4 or board.spread.under((txn.due - now) / pace) < bar:
+                self.p.ledger.end(txn, self.pause(txn))
+            else:
+                misses += 1
+                kept.append(txn)
+        # No more are held than can hope for a place: what ends here in the time that a txn may wait.
+        out = sum(b.own for b in board.order)
+        while kept and len(kept) > 1 + out * kept[-1].scheme.sla / 4 / kept[-1].scheme.typical():
+            txn = kept.pop()
+            self.p.ledger.end(txn, self.pause(txn))
+        self.held = kept
+        if kept and not self.ticking:
+            self.ticking = True
+            self.p.later(now + kept[0].scheme.sla / 20, self.tick)
+
+    def tick(self, now):
+        self.ticking = False
+        if self.held:
+            self.p.ask.refresh(now)
+            self.drain(now)
 
     def pause(self, txn):
         return txn.scheme.typical() if self.p.term("limits.retry_after", False) else 0.0
@@ -542,6 +588,7 @@
     def __init__(self, host, now, seed, terms):
         self.host, self.terms, self.rng = host, terms, Random(seed)
         self.timers, self.token = {}, 0
+        self.gap, self.last = 50.0, now          # between txns taken, on the mean
         self.step = self.term("step", 1.0)
         self.instances, self.ordinal = int(self.term("instances", 1)), int(self.term("ordinal", 0))
         self.zone = self.term("zone", 0)
@@ -583,6 +630,8 @@
         scheme = self.schemes[scheme]
         txn = Txn(ref, scheme, tenant, now, left, repeat)
         self.mean_gain += (scheme.gain - self.mean_gain) / 100
+        self.gap += (min(now - self.last, 1000.0) - self.gap) / 100
+        self.last = now
         scheme.most_left = max(scheme.most_left, left)
         if repeat and left < scheme.most_left - 2 * self.step:
             txn.due = now + left - (scheme.expiry - scheme.sla)    # its first try began that much earlier
@@ -602,6 +651,8 @@
         b.own = max(0, b.own - 1)
         if posting.report == b.reports:
             b.since = max(0, b.since - 1)
+        elif b.inflight:             # the report counted it
+            b.inflight -= 1
         if report:
             self.board.report(b, now, report)
         if how == ports.SETTLED:
@@ -624,6 +675,8 @@
             self.ledger.forget(txn)
         else:
             self.reposting.back(txn, posting, how, now)
+        if self.gate.held:
+            self.gate.drain(now)
 
     def lay(self, now, b):
         b.ghosts = max(0, b.ghosts - 1)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -70,9 +70,9 @@
             board.report(board.all[name], host.now, (inflight,))
         for ref in range(5):
             host.take(ref, scheme=2)
-        board.estimate(host.now, board.order)
-        host.say(" ".join(f"{b.ident}={b.figure:g}" for b in board.order))
+        board.usable(host.now)
+        host.say(" ".join(f"{b.ident}={board.figure(b, host.now):g}" for b in board.order))
         host.until(2001.0)
-        board.estimate(host.now, board.order)
-        host.say(" ".join(f"{b.ident}={b.figure:g}" for b in board.order))
+        board.usable(host.now)
+        host.say(" ".join(f"{b.ident}={board.figure(b, host.now):g}" for b in board.order))
         compare(self, host, "estimate")
