Reports fade into the fleet's mean as they age; own open sends always count

Cause (flood-warning incident, enlargement): eight proxies flocked to whichever backend had last reported empty; busiest/mean 3.5, servers overdriven.

--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -80,7 +80,7 @@
 class Posting:
     def __init__(self, backend, now, figure, expected):
         self.backend, self.sent, self.figure, self.expected = backend, now, figure, expected
-        self.state, self.report = OUT, backend.reports
+        self.state = OUT
 
 
 class Txn:
@@ -108,7 +108,7 @@
 
     def fresh_start(self):
         """A process just started (or first heard of) has no past."""
-        self.inflight, self.heard, self.reports, self.since = 0.0, float("-inf"), 0, 0
+        self.others, self.heard = 0.0, float("-inf")     # what other proxies hold here, and as of when
         self.own, self.ghosts = 0, 0
         self.fails, self.rest_until, self.waits_since, self.probes_out = 0, 0.0, None, []
         self.slow, self.pace = Histogram(1.0, 12, [1.0, 1.0]), 1.0
@@ -122,7 +122,8 @@
         self.p = proxy
         self.grace, self.patience = proxy.term("obligations.drain_grace", 0.0), proxy.term(
             "obligations.must_ask_in", 0.0)
-        self.cold, self.cold_from = proxy.term("obligations.cold", 0.0), proxy.term("obligations.cold_from", 1.0)
+        self.cold = proxy.term("obligations.cold", 0.0)
+        self.cold_from = proxy.term("obligations.cold_from", 1.0)
         self.fall = max(proxy.term("obligations.fall", 1000.0), 1.0)
         # Rule 4: half of this proxy's part, the rest is slack for chance and for what it forgot at a restart.
         self.part = proxy.term("obligations.fall_multiple", 1.0) * self.fall / proxy.instances / 2
@@ -185,7 +186,6 @@
         posting = Posting(b, now, self.p.board.figure(b, now), expected)
         txn.postings.append(posting)
         b.own += 1
-        b.since += 1
         if self.warmth(b, now) < 1:
             b.sent.append((now, work))
         if b.waits_since is None:
@@ -253,7 +253,8 @@
         self.tariff = proxy.term("tariffs.probe", 0.0)
         self.probing = proxy.term("limits.probing", False)
         self.curve = [Histogram(1.0, 60, [1.0 + f] * 2) for f in (0, 1, 2, 3, 5, 8, 13)]
-        self.fit, self.mean, self.looked, self.fresh_for = [], 0.0, float("-inf"), 4 * proxy.step
+        self.fit, self.mean, self.turnover = [], 0.0, 1.0
+        self.looked, self.fresh_for = float("-inf"), 4 * proxy.step
         self.spread = Histogram(1.0, 400, [0.5, 0.7, 1.0, 1.4, 2.0])
         self.cross = proxy.term("tariffs.cross_zone", 0.0)
 
@@ -296,8 +297,7 @@
         b.waits_since = now if b.own else None
         if self.field is None or len(report) <= self.field:
             return
-        b.inflight, b.heard, b.since = float(round(report[self.field])), now, 0
-        b.reports += 1
+        b.others, b.heard = max(0.0, round(report[self.field]) - b.own), now
 
     # Health
 
@@ -327,22 +327,29 @@
             listed = [b for b in self.order if rules.in_use(b, now)]
             well = [b for b in listed if b.rest_until <= now and not self.silent(b, now, longest)]
             self.fit = well if 2 * len(well) > len(listed) else listed
-            fresh = [b.inflight for b in self.fit if now - b.heard <= self.age_limit]
-            self.mean = sum(fresh) / len(fresh) if fresh else sum(b.own for b in self.fit) / max(len(self.fit), 1)
+            fresh = [b.others for b in self.fit if now - b.heard <= self.age_limit]
+            self.mean = sum(fresh) / len(fresh) if fresh else 0.0
+            self.turnover = min(s.typical() for s in self.p.schemes)
         return self.fit
 
     def figure(self, b, now):
-        """Latest report + own sends begun after it; the mean of fresh reports + own open sends without one."""
-        if now - b.heard <= self.age_limit:
-            return b.inflight + b.since + b.ghosts
-        return self.mean + b.own + b.ghosts
+        """Latest report + own sends begun after it - own sends it counted that have ended since.
+
+        What others hold turns over: a report's word on it fades, by half in the time a posting takes,
+        into the mean of fresh reports, and is void past the age limit.  Else all proxies flock to
+        whichever backend looked empty last.
+        """
+        age = now - b.heard
+        if age > self.age_limit:
+            return self.mean + b.own + b.ghosts
+        return b.own + b.ghosts + self.mean + (b.others - self.mean) * 0.5 ** (age / self.turnover)
 
     def level(self, figure):
         return 0 if figure < 0.5 else 1 if figure < 1.5 else 2 if figure < 2.5 else min(
             6, 2 + int(2 * log2(figure / 2) + 0.5))
 
     def pace(self, b, now):
-        """How much longer than usual a posting takes here, as measured, or as a cold backend's least warmth says."""
+        """How much longer than usual a posting takes here: as measured, or as the least warmth says."""
         if now < b.launched + self.p.rules.cold and b.slow.count < 6:
             return max(b.pace, 1 / self.p.rules.warmth(b, now))
         return b.pace
@@ -649,10 +656,6 @@
         posting = txn.postings[seq]
         b, posting.state = posting.backend, NEVER if how in NEVER_RAN else MAYBE
         b.own = max(0, b.own - 1)
-        if posting.report == b.reports:
-            b.since = max(0, b.since - 1)
-        elif b.inflight:             # the report counted it
-            b.inflight -= 1
         if report:
             self.board.report(b, now, report)
         if how == ports.SETTLED:
