--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -17,6 +17,9 @@
 OUT, MAYBE, NEVER = range(3)         # a posting: no word yet, may have run, known not to have run
 
 
+LEVELS = (0, 1, 2, 3, 5, 8, 13)      # figures, coarsely
+
+
 class Histogram:
     """A few coarse bins, two to a doubling, halved now and then so that the past fades."""
     BINS, BELOW = 18, 6              # from an eighth of the unit to some 45 times it
@@ -252,7 +255,8 @@
         self.age_limit, self.probe_every = 2000.0, 1000.0      # the design's own figures
         self.tariff = proxy.term("tariffs.probe", 0.0)
         self.probing = proxy.term("limits.probing", False)
-        self.curve = [Histogram(1.0, 60, [1.0 + f] * 2) for f in (0, 1, 2, 3, 5, 8, 13)]
+        self.curve = [Histogram(1.0, 60) for _ in LEVELS]      # how a posting stretches with the figure
+        self.stretch = [1.0 + f for f in LEVELS]
         self.fit, self.mean, self.turnover = [], 0.0, 1.0
         self.looked, self.fresh_for = float("-inf"), 4 * proxy.step
         self.spread = Histogram(1.0, 400, [0.5, 0.7, 1.0, 1.4, 2.0])
@@ -329,9 +333,19 @@
             self.fit = well if 2 * len(well) > len(listed) else listed
             fresh = [b.others for b in self.fit if now - b.heard <= self.age_limit]
             self.mean = sum(fresh) / len(fresh) if fresh else 0.0
+            self.smooth()
             self.turnover = min(s.typical() for s in self.p.schemes)
         return self.fit
 
+    def smooth(self):
+        """The stretch of each level; one not met yet grows from the level below as a full backend's would."""
+        for at, seen in enumerate(self.curve):
+            below = self.stretch[at - 1] if at else 1.0
+            if seen.count >= 6:
+                self.stretch[at] = max(seen.at(0.5), below if at else 0.0)
+            elif at:
+                self.stretch[at] = below * (LEVELS[at] + 1) / (LEVELS[at - 1] + 1)
+
     def figure(self, b, now):
         """Latest report + own sends begun after it - own sends it counted that have ended since.
 
@@ -379,7 +393,7 @@
         for here in (True, False):
             if here in best:
                 b = self.p.rng.choice(best[here][1])
-                takes = work * self.curve[self.level(self.figure(b, now))].at(0.5) * self.pace(b, now)
+                takes = work * self.stretch[self.level(self.figure(b, now))] * self.pace(b, now)
                 odds = self.spread.under((txn.due - now) / takes)
                 if found[0] is None or (odds - found[1]) * txn.gain > self.cross * self.p.mean_gain:
                     found = (b, odds, takes)
@@ -392,7 +406,7 @@
             txn.scheme.took.add(took)
         self.curve[level].add(took / typical)
         b = posting.backend
-        b.slow.add(took / (typical * self.curve[level].at(0.5)))
+        b.slow.add(took / (typical * self.stretch[level]))
         b.pace = b.slow.at(0.5)
         self.spread.add(took / posting.expected)
 
@@ -514,7 +528,7 @@
                 kept.append(txn)         # the proxy has little time to spare: the next event looks further
                 continue
             b, odds, takes = board.choose(txn, now)
-            pace = txn.scheme.typical() * board.curve[0].at(0.5) * (board.pace(b, now) if b else 1.0)
+            pace = txn.scheme.typical() * board.stretch[0] * (board.pace(b, now) if b else 1.0)
             bar = self.NEAR * board.spread.under(txn.scheme.sla / pace)
             if b is not None and odds >= bar and odds > 0.05:
                 self.after.post(txn, b, now, takes)
