A backend whose queue stretches a posting 2.5 times counts as without odds

Cause (enlargement incident): schemes with a long SLA time have good odds even in long queues, until the backends are overdriven.

--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -368,6 +368,8 @@
             return max(b.pace, 1 / self.p.rules.warmth(b, now))
         return b.pace
 
+    CROWD = 2.5                      # a queue that makes a posting this much longer earns nothing more
+
     def choose(self, txn, now, leave_out=()):
         """The lowest estimate wins, ties at random; another zone only where the gain beats the tariff.
 
@@ -394,7 +396,8 @@
             if here in best:
                 b = self.p.rng.choice(best[here][1])
                 takes = work * self.stretch[self.level(self.figure(b, now))] * self.pace(b, now)
-                odds = self.spread.under((txn.due - now) / takes)
+                crowded = takes > self.CROWD * work * self.stretch[0] * self.pace(b, now)
+                odds = 0.0 if crowded else self.spread.under((txn.due - now) / takes)
                 if found[0] is None or (odds - found[1]) * txn.gain > self.cross * self.p.mean_gain:
                     found = (b, odds, takes)
         return found
