--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -159,7 +159,7 @@
         return b.zone == first.zone if scheme.group == "zone" else b.cell == first.cell
 
     def may_post(self, txn, now, instead=None):
-        """Rules 1 and 2, as far as they don't depend on the backend; `instead` is a posting to be withdrawn."""
+        """Rules 1 and 2, wherever it goes; `instead` is a posting that is about to be withdrawn."""
         out = sum(p.state == OUT and p is not instead for p in txn.postings)
         if txn.answered or now >= txn.ends or len(txn.postings) >= self.most or out > self.copies:
             return False
@@ -357,7 +357,7 @@
         # What was slow is believed ever less, or it would never be tried again.
         return 1 + (b.pace - 1) * 0.5 ** ((now - b.learned) / self.age_limit)
 
-    CROWD = 2.5                      # a queue that makes a posting this much longer earns nothing more
+    CROWD = 0.7                      # of the SLA time: a queue that takes longer only overdrives its backend
 
     def choose(self, txn, now, leave_out=()):
         """The lowest estimate wins, ties at random; another zone only where the gain beats the tariff.
@@ -385,7 +385,8 @@
             if here in best:
                 b = self.p.rng.choice(best[here][1])
                 takes = work * self.stretch[self.level(self.figure(b, now))] * self.pace(b, now)
-                crowded = takes > self.CROWD * work * self.stretch[0] * self.pace(b, now)
+                idle = work * self.stretch[0] * self.pace(b, now)
+                crowded = takes > max(self.CROWD * txn.scheme.sla, 1.5 * idle)
                 odds = 0.0 if crowded else self.spread.under((txn.due - now) / takes)
                 if found[0] is None or (odds - found[1]) * txn.gain > self.cross * self.p.mean_gain:
                     found = (b, odds, takes)
