--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -355,9 +355,9 @@
         if now < b.launched + self.p.rules.cold and b.slow.count < 6:
             return max(b.pace, 1 / self.p.rules.warmth(b, now))
         # What was slow is believed ever less, or it would never be tried again.
-        return 1 + (b.pace - 1) * 0.5 ** ((now - b.learned) / self.age_limit)
+        return 1 + (b.pace - 1) * 0.5 ** ((now - b.learned) / (4 * self.age_limit))
 
-    CROWD = 0.7                      # of the SLA time: a queue that takes longer only overdrives its backend
+    CROWD = 0.55                     # of the SLA time: a queue that takes longer only overdrives its backend
 
     def choose(self, txn, now, leave_out=()):
         """The lowest estimate wins, ties at random; another zone only where the gain beats the tariff.
