--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -556,26 +556,20 @@
         if posting is None:
             return None if txn.out() else self.p.ledger.end(txn)
         if txn.scheme.kind != "once-only":
-            self.p.later(now + takes * self.p.board.spread.at(0.8), self.review, txn, posting)
+            self.p.later(now + self.p.longest(), self.review, txn, posting)
 
     def review(self, now, txn, posting):
-        """A posting that takes long: would another one do better by more than its work costs?"""
-        p = self.p
-        if txn.answered or posting.state != OUT or now >= txn.due or len(txn.out()) > 1:
+        """A backend that fell silent with this txn (it stalls, or died unseen): ask another one for it."""
+        p, rules = self.p, self.p.rules
+        if txn.answered or posting.state != OUT or now >= txn.due:
             return
-        spread, gone = p.board.spread, now - posting.sent
-        passed = spread.under(gone / posting.expected)
-        by_due = spread.under((txn.due - posting.sent) / posting.expected)
-        odds = 0.0 if p.board.silent(posting.backend, now) else (by_due - passed) / max(1 - passed, 0.02)
-        b, new_odds, takes = p.board.choose(txn, now, [x.backend for x in txn.postings])
-        more = new_odds * (1 - odds) if p.rules.copies else new_odds - odds
-        waste = p.term("tariffs.waste", 0.0) * p.mean_gain + 0.1 * txn.gain
-        if b is not None and p.rules.may_post(txn, now, posting) and more * txn.gain > waste:
-            if p.rules.copies:
+        if p.board.silent(posting.backend, now) and rules.may_post(txn, now, posting):
+            b, odds, takes = p.board.choose(txn, now, [x.backend for x in txn.postings])
+            if odds > 0.3 and rules.copies:
                 return self.post(txn, b, now, takes)
-            if p.term("limits.cancel", False):
+            if odds > 0.3 and p.term("limits.cancel", False):
                 return p.host.withdraw(txn.ref, txn.postings.index(posting))
-        p.later(now + txn.scheme.typical() / 2, self.review, txn, posting)
+        p.later(now + txn.scheme.typical() / 4, self.review, txn, posting)
 
     def back(self, txn, posting, how, now):
         """A posting ended without an answer: another one, or the end."""
