Pace by the 0.7 quantile; a refusal as full counts against the backend

Cause (second dispatch incident): seven of 47 backends drew 2.5 times the sends with reports of 0 in flight while they refused as full.

--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -400,7 +400,8 @@
         self.curve[level].add(took / typical)
         b = posting.backend
         b.slow.add(took / (typical * self.stretch[level]))
-        b.pace, b.learned = b.slow.at(0.5), now
+        # Not the median: where reports hide a queue, answers are either quick or never come.
+        b.pace, b.learned = b.slow.at(0.7) * self.spread.at(0.5) / self.spread.at(0.7), now
         self.spread.add(took / posting.expected)
 
 
@@ -661,8 +662,9 @@
         elif how != ports.NEVER_SENT:
             # A quick error must not make a backend look empty: its send stays counted for a while.
             b.ghosts.append(now + 4 * txn.scheme.typical())
-            if how != ports.TURNED_AWAY:
-                self.board.bad(b, now)
+            self.board.bad(b, now)
+            if how == ports.TURNED_AWAY:     # a full house, whatever its reports say
+                self.board.learn(txn, posting, max(posting.expected, txn.scheme.sla), now)
         if how != ports.LATE and not b.own:
             b.waits_since = None
         if answered or txn.answered:
