The fleet's mean weighs reports by age

Cause (second dispatch incident): old bad reports, up to 2 s, kept the mean high, so idle backends that had last been seen busy were neither asked nor used; a few others drew everything.

--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -317,10 +317,12 @@
             listed = [b for b in self.order if rules.in_use(b, now)]
             well = [b for b in listed if b.rest_until <= now and not self.silent(b, now, longest)]
             self.fit = well if 2 * len(well) > len(listed) else listed
-            fresh = [b.others for b in self.fit if now - b.heard <= self.age_limit]
-            self.mean = sum(fresh) / len(fresh) if fresh else 0.0
             self.smooth()
             self.turnover = min(s.typical() for s in self.p.schemes)
+            # Late news counts less here too: else a few old bad reports keep idle backends from being asked.
+            fresh = [(0.5 ** ((now - b.heard) / self.turnover), b.others)
+                     for b in self.fit if now - b.heard <= self.age_limit]
+            self.mean = sum(w * n for w, n in fresh) / sum(w for w, _ in fresh) if fresh else 0.0
         return self.fit
 
     def smooth(self):
