--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -109,8 +109,7 @@
         self.ident, self.zone, self.cell, self.standing, self.launched = ident, 0, 0, ports.READY, 0.0
         self.fresh_start()
 
-    def fresh_start(self):
-        """A process just started (or first heard of) has no past."""
+    def fresh_start(self):           # a process just started has no past
         self.others, self.heard = 0.0, float("-inf")     # what other proxies hold here, and as of when
         self.own, self.ghosts = 0, []     # open sends; until when quick errors stay counted
         self.fails, self.rest_until, self.waits_since, self.probes_out = 0, 0.0, None, []
@@ -177,10 +176,9 @@
         posting = Posting(b, now, self.p.board.figure(b, now), expected)
         txn.postings.append(posting)
         b.own += 1
+        b.waits_since = b.waits_since or now
         if now < b.launched + self.cold:
             b.sent.append((now, work))
-        if b.waits_since is None:
-            b.waits_since = now
         self.p.host.post(txn.ref, b.ident, 0.0)
         return posting
 
@@ -209,15 +207,13 @@
             turn = (proxy.ordinal + proxy.rng.random()) / proxy.instances
             proxy.later(now + turn * self.patience / 4, self.ask)
 
-    def ask(self, now):
+    def ask(self, now, number=None):
+        if number not in (None, self.waiting):
+            return                   # that call has been answered meanwhile
         self.waiting += 1
         self.deemed_old = now + self.patience
         self.p.host.watch()
-        self.p.later(now + self.patience / 2, self.unanswered, self.waiting)
-
-    def unanswered(self, now, number):
-        if number == self.waiting:
-            self.ask(now)
+        self.p.later(now + self.patience / 2, self.ask, self.waiting)
 
     def answer(self, now, failed):
         """Any list answers the call, or shows that the subscription stands; a failure starts anew."""
@@ -524,15 +520,14 @@
             if b is not None and odds >= bar and odds > 0.05:
                 self.after.post(txn, b, now, takes)
             elif now - txn.born > txn.scheme.sla / 4 or board.spread.under((txn.due - now) / pace) < bar:
-                self.p.ledger.end(txn, self.pause(txn))
+                self.decline(txn)
             else:
                 misses += 1
                 kept.append(txn)
         # No more are held than can hope for a place: what ends here in the time that a txn may wait.
         out = sum(b.own for b in board.order)
         while kept and len(kept) > 1 + out * kept[-1].scheme.sla / 4 / kept[-1].scheme.typical():
-            txn = kept.pop()
-            self.p.ledger.end(txn, self.pause(txn))
+            self.decline(kept.pop())
         self.held = kept
         if kept and not self.ticking:
             self.ticking = True
@@ -544,8 +539,8 @@
             self.p.ask.refresh(now)
             self.drain(now)
 
-    def pause(self, txn):
-        return txn.scheme.typical() if self.p.term("limits.retry_after", False) else 0.0
+    def decline(self, txn):
+        self.p.ledger.end(txn, txn.scheme.typical() if self.p.term("limits.retry_after", False) else 0.0)
 
 
 class Reposting:
@@ -556,9 +551,9 @@
 
     def post(self, txn, b, now, takes):
         posting = self.p.rules.post(txn, b, now, takes)
-        if posting is None:
-            return None if txn.out() else self.p.ledger.end(txn)
-        if txn.scheme.kind != "once-only":
+        if posting is None and not txn.out():
+            self.p.ledger.end(txn)
+        elif posting and txn.scheme.kind != "once-only":
             self.p.later(now + self.p.longest(), self.review, txn, posting)
 
     def review(self, now, txn, posting):
@@ -578,13 +573,13 @@
         """A posting ended without an answer: another one, or the end."""
         if txn.answered or txn.out():
             return
-        if self.p.rules.may_post(txn, now) and now < txn.due - txn.scheme.typical() / 2:
-            b, odds, takes = self.p.board.choose(txn, now, [x.backend for x in txn.postings])
-            if b is not None and odds > 0.1:
-                return self.post(txn, b, now, takes)
-            if not txn.maybe():
-                return self.p.gate.take(txn, now)
-        self.p.ledger.end(txn)
+        b, odds, takes = self.p.board.choose(txn, now, [x.backend for x in txn.postings])
+        if odds > 0.1 and self.p.rules.may_post(txn, now):
+            self.post(txn, b, now, takes)
+        elif not txn.maybe():
+            self.p.gate.take(txn, now)
+        else:
+            self.p.ledger.end(txn)
 
 
 class Proxy:
@@ -600,7 +595,7 @@
         if "schemes.count" not in terms:
             raise ValueError("setting schemes.count is missing")
         self.schemes = [Scheme(terms, at) for at in range(int(terms["schemes.count"]))]
-        self.mean_gain = sum(s.gain for s in self.schemes) / max(len(self.schemes), 1)
+        self.mean_gain = sum(s.gain for s in self.schemes) / len(self.schemes)
         self.rules, self.discovery, self.board = Rules(self), Discovery(self, now), Board(self, now)
         self.reposting = Reposting(self)
         self.gate = Gate(self, self.reposting)
