--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,87 @@
+"""Failures met so far, each as a short trace: what the design alone would do is the tempting action."""
+import unittest
+
+from sloeferry import ports
+from tests.trace import Printer, compare
+
+
+class Failures(unittest.TestCase):
+
+    def test_quick_errors_draw_no_flood(self):
+        """Backend a errs at once and so looks emptiest; it soon rests, and is asked before it is used again."""
+        host = Printer()
+        host.list(("a",), ("b",), ("c",))
+        for name, inflight in (("a", 0), ("b", 1), ("c", 1)):
+            host.report(name, inflight)
+        for ref in range(5):
+            host.take(ref, scheme=2)
+            to = host.lines[-1].split()[-1]
+            host.end(ref, 0, ports.ERRED if to == "a" else ports.SETTLED, 0 if to == "a" else 1)
+            host.until(host.now + 20)
+        compare(self, host, "quick_errors")
+
+    def test_silent_backend(self):
+        """Backend a never answers: its repeatable txn moves on, and nothing new goes there."""
+        host = Printer(load_info__via="probe", limits__probing=False)
+        host.list(("a",), ("b",), ("c",), ("d",))
+        for name, inflight in zip("abcd", (0, 1, 1, 1)):
+            host.report(name, inflight)
+        host.take(1)
+        for at in range(100, 1000, 100):
+            host.until(float(at))
+            for name in "bcd":
+                host.report(name, 1)
+            if len(host.lines) > 2 and "withdraw" in host.lines[-1]:
+                host.end(1, 0, ports.WITHDRAWN, took=host.now, answered=False)
+        host.take(2)
+        compare(self, host, "silent")
+
+    def test_old_reports_fade(self):
+        """One empty report must not draw every send: its word on others fades into the mean."""
+        host = Printer()
+        host.list(("a",), ("b",), ("c",))
+        host.report("a", 0)
+        host.until(600.0)
+        for name in "bc":
+            host.report(name, 2)
+        board = host.proxy.board
+        for wait in (0, 150, 300, 1000, 1000):
+            host.until(host.now + wait)
+            board.usable(host.now)
+            host.say(" ".join(f"{b.ident}={board.figure(b, host.now):.2f}" for b in board.order))
+        compare(self, host, "fading")
+
+    def test_slow_backend_is_tried_again(self):
+        """A pace of 4 is believed ever less, or the backend would never be used again."""
+        host = Printer()
+        host.list(("a",), ("b",))
+        b = host.proxy.board.all["a"]
+        b.pace, b.learned = 4.0, 0.0
+        for now in (0.0, 4000.0, 16000.0, 40000.0):
+            host.until(now)
+            host.say(f"pace {host.proxy.board.pace(b, now):.2f}")
+        compare(self, host, "pace")
+
+    def test_overload_serves_the_best_gain(self):
+        """Everything is busy; the txn held with the best gain goes first when a place comes free."""
+        host = Printer(schemes__2__gain=5.0)
+        host.list(("a",))
+        host.report("a", 2)
+        for ref, scheme in ((1, 0), (2, 2), (3, 0)):
+            host.take(ref, scheme)
+        host.until(30.0)
+        host.report("a", 0)
+        host.until(400.0)
+        compare(self, host, "overload")
+
+    def test_subscription(self):
+        """Failed calls are repeated after growing, random waits; with no word at all nothing is sent at last."""
+        host = Printer(discovery="subscribe", obligations__must_ask_in=8000.0, instances=4, ordinal=2)
+        host.list(("a",), scope=ports.CACHED)
+        for _ in range(3):
+            host.until(host.now + 2500)
+            host.list(scope=ports.FAILED)
+        host.until(30000.0)
+        host.list(("a",), scope=ports.WHOLE)
+        host.until(90000.0)
+        compare(self, host, "subscription")
