--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -511,7 +511,8 @@
         for txn in sorted(self.held, key=self.rank):
             if txn.answered:
                 continue
-            if misses > 2 and now - txn.born <= txn.scheme.sla / 4:
+            waited = now - txn.born > txn.scheme.sla / 4 * min(2.0, txn.gain / self.p.mean_gain)
+            if misses > 2 and not waited:
                 kept.append(txn)         # the proxy has little time to spare: the next event looks further
                 continue
             b, odds, takes = board.choose(txn, now)
@@ -519,7 +520,7 @@
             bar = self.NEAR * board.spread.under(txn.scheme.sla / pace)
             if b is not None and odds >= bar and odds > 0.05:
                 self.after.post(txn, b, now, takes)
-            elif now - txn.born > txn.scheme.sla / 4 or board.spread.under((txn.due - now) / pace) < bar:
+            elif waited or board.spread.under((txn.due - now) / pace) < bar:
                 self.decline(txn)
             else:
                 misses += 1
