Cold budget also from what a warm backend is sent

Cause (flood warning's release incident): the budget counted one core, so a new backend of three cores got little.

--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -125,8 +125,7 @@
         self.cold = proxy.term("obligations.cold", 0.0)
         self.cold_from = proxy.term("obligations.cold_from", 1.0)
         self.fall = max(proxy.term("obligations.fall", 1000.0), 1.0)
-        # Rule 4: half of this proxy's part, the rest is slack for chance and for what it forgot at a restart.
-        self.part = proxy.term("obligations.fall_multiple", 1.0) * self.fall / proxy.instances / 2
+        self.multiple, self.flow, self.flowed = proxy.term("obligations.fall_multiple", 1.0), 0.0, 0.0
         self.most = int(proxy.term("limits.most_postings", 1))
         self.copies = int(proxy.term("limits.second_copies", False))
 
@@ -139,7 +138,9 @@
         """Rule 4: may this proxy send so much work to this backend now?"""
         if now >= b.launched + self.cold:
             return True
-        allowed = self.part * self.warmth(b, now)
+        # Half of this proxy's part of one core, or two thirds of what it sends a warm backend; the rest is slack.
+        flow = self.flow * 0.5 ** ((now - self.flowed) / self.fall) * 0.7 / max(len(self.p.board.fit), 1)
+        allowed = self.multiple * self.warmth(b, now) * max(self.fall / self.p.instances / 2, flow * 2 / 3)
         span = max(self.fall, self.fall * work / allowed)    # a txn over the budget waits longer for its turn
         while b.sent and b.sent[0][0] <= now - span:
             b.sent.popleft()
@@ -173,6 +174,8 @@
         if not (self.may_post(txn, now) and self.in_use(b, now) and self.drops_repeats(txn, b)
                 and self.cold_room(b, now, work)):
             return None
+        self.flow = self.flow * 0.5 ** ((now - self.flowed) / self.fall) + work
+        self.flowed = now
         posting = Posting(b, now, self.p.board.figure(b, now), expected)
         txn.postings.append(posting)
         b.own += 1
@@ -242,7 +245,7 @@
         self.probing = proxy.term("limits.probing", False)
         self.curve = [Histogram(1.0, 60) for _ in LEVELS]      # how a posting stretches with the figure
         self.stretch = [1.0 + f for f in LEVELS]
-        self.fit, self.mean, self.turnover = [], 0.0, 1.0
+        self.fit, self.mean, self.turnover, self.longest = [], 0.0, 1.0, proxy.schemes[0].sla
         self.looked, self.fresh_for = float("-inf"), 4 * proxy.step
         self.spread = Histogram(1.0, 400, [0.5, 0.7, 1.0, 1.4, 2.0])
         self.cross = proxy.term("tariffs.cross_zone", 0.0)
@@ -297,11 +300,11 @@
             rest = self.probe_every / 2 * 2 ** min(b.fails - 2, 4)
             b.rest_until = now + rest * (0.75 + self.p.rng.random() / 2)
 
-    def silent(self, b, now, longest=None):
+    def silent(self, b, now):
         """Nothing heard since the oldest open send or probe, for longer than nearly all answers take."""
         if b.probes_out and now - b.probes_out[0] > self.p.ask.patience and not self.by_probe:
             return True
-        return b.waits_since is not None and now - b.waits_since > (longest or self.p.longest())
+        return b.waits_since is not None and now - b.waits_since > self.longest
 
     # The estimate
 
@@ -309,9 +312,9 @@
         """The backends in use, without the sick as long as more than half are well; anew every few steps."""
         if now >= self.looked + self.fresh_for:
             self.looked = now
-            longest, rules = self.p.longest(), self.p.rules
-            listed = [b for b in self.order if rules.in_use(b, now)]
-            well = [b for b in listed if b.rest_until <= now and not self.silent(b, now, longest)]
+            self.longest = max(s.typical() for s in self.p.schemes) * self.spread.at(0.98)
+            listed = [b for b in self.order if self.p.rules.in_use(b, now)]
+            well = [b for b in listed if b.rest_until <= now and not self.silent(b, now)]
             self.fit = well if 2 * len(well) > len(listed) else listed
             self.smooth()
             self.turnover = min(s.typical() for s in self.p.schemes)
@@ -555,7 +558,7 @@
         if posting is None and not txn.out():
             self.p.ledger.end(txn)
         elif posting and txn.scheme.kind != "once-only":
-            self.p.later(now + self.p.longest(), self.review, txn, posting)
+            self.p.later(now + self.p.board.longest, self.review, txn, posting)
 
     def review(self, now, txn, posting):
         """A backend that fell silent with this txn (it stalls, or died unseen): ask another one for it."""
@@ -606,10 +609,6 @@
     def term(self, name, default):
         return self.terms.get(name, default)
 
-    def longest(self):
-        """Longer than nearly every posting takes at a backend that works."""
-        return max(s.typical() for s in self.schemes) * self.board.spread.at(0.98)
-
     def later(self, at, do, *what):
         self.token += 1
         self.timers[self.token] = (do, what)
