--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -95,7 +95,7 @@
         self.postings, self.answered = [], False
 
     def out(self):
-        return [p for p in self.postings if p.state == OUT]
+        return any(p.state == OUT for p in self.postings)
 
     def maybe(self):
         """The postings that may have run: out, or ended without proof that they didn't."""
@@ -138,9 +138,9 @@
         """Rule 4: may this proxy send so much work to this backend now?"""
         if now >= b.launched + self.cold:
             return True
-        # Half of this proxy's part of one core, or two thirds of what it sends a warm backend; the rest is slack.
+        # This proxy's part of one core, less some slack, or what it sends a warm backend if that is more.
         flow = self.flow * 0.5 ** ((now - self.flowed) / self.fall) * 0.7 / max(len(self.p.board.fit), 1)
-        allowed = self.multiple * self.warmth(b, now) * max(self.fall / self.p.instances / 2, flow * 2 / 3)
+        allowed = self.multiple * self.warmth(b, now) * max(0.85 * self.fall / self.p.instances, flow)
         span = max(self.fall, self.fall * work / allowed)    # a txn over the budget waits longer for its turn
         while b.sent and b.sent[0][0] <= now - span:
             b.sent.popleft()
