--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -66,7 +66,6 @@
         self.expiry = term("expiry", 1000.0)
         self.sla = term("sla_time", self.expiry)
         self.gain = term("gain", 1.0)
-        self.overdue = term("overdue_gain", 0.0)
         self.kind = {"retryable": "repeatable", "dedup": "referenced"}.get(
             term("idempotency", ""), "once-only")
         self.group, self.window = term("group", "all"), term("dedup_window", 0.0)
@@ -82,8 +81,7 @@
 
 class Posting:
     def __init__(self, backend, now, figure, expected):
-        self.backend, self.sent, self.figure, self.expected = backend, now, figure, expected
-        self.state = OUT
+        self.backend, self.sent, self.figure, self.expected, self.state = backend, now, figure, expected, OUT
 
 
 class Txn:
@@ -251,7 +249,6 @@
         self.cross = proxy.term("tariffs.cross_zone", 0.0)
 
     def listed(self, now, scope, lines):
-        seen = set()
         for ident, zone, _, cell, standing, _, launched in lines:
             b = self.all.get(ident)
             if b is None:
@@ -262,12 +259,11 @@
             elif launched != b.launched and launched:
                 b.fresh_start()
             b.zone, b.cell, b.standing, b.launched = zone, cell, standing, launched
-            seen.add(ident)
         self.looked = float("-inf")
-        if scope != ports.CHANGES:
+        if scope != ports.CHANGES:       # who is missing from a whole list is gone
+            named = {line[0] for line in lines}
             for b in self.order:
-                if b.ident not in seen:
-                    b.standing = ports.GONE
+                b.standing = b.standing if b.ident in named else ports.GONE
 
     # Reports and probes
 
@@ -287,9 +283,8 @@
 
     def report(self, b, now, report):
         b.waits_since = now if b.own else None
-        if self.field is None or len(report) <= self.field:
-            return
-        b.others, b.heard = max(0.0, round(report[self.field]) - b.own), now
+        if self.field is not None and len(report) > self.field:
+            b.others, b.heard = max(0.0, round(report[self.field]) - b.own), now
 
     # Health
 
@@ -487,9 +482,9 @@
             self.p.gate.drain(now)
 
     def give_up(self, now, txn):
-        here = [entry for entry in self.waiting if entry[0] is txn]
-        self.waiting = [entry for entry in self.waiting if entry[0] is not txn]
-        if here and not txn.answered:
+        others = [entry for entry in self.waiting if entry[0] is not txn]
+        found, self.waiting = len(others) < len(self.waiting), others
+        if found and not txn.answered:
             self.after.take(txn, now)
 
 
@@ -573,7 +568,7 @@
                 return p.host.withdraw(txn.ref, txn.postings.index(posting))
         p.later(now + txn.scheme.typical() / 4, self.review, txn, posting)
 
-    def back(self, txn, posting, how, now):
+    def back(self, txn, now):
         """A posting ended without an answer: another one, or the end."""
         if txn.answered or txn.out():
             return
@@ -591,8 +586,7 @@
 
     def __init__(self, host, now, seed, terms):
         self.host, self.terms, self.rng = host, terms, Random(seed)
-        self.timers, self.token = {}, 0
-        self.gap, self.last = 50.0, now          # between txns taken, on the mean
+        self.timers, self.token, self.gap, self.last = {}, 0, 50.0, now      # gap: between txns taken
         self.step = self.term("step", 1.0)
         self.instances, self.ordinal = int(self.term("instances", 1)), int(self.term("ordinal", 0))
         self.zone = self.term("zone", 0)
@@ -667,7 +661,7 @@
         if answered or txn.answered:
             self.ledger.forget(txn)
         else:
-            self.reposting.back(txn, posting, how, now)
+            self.reposting.back(txn, now)
         if self.gate.held:
             self.gate.drain(now)
 
