--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -368,7 +368,7 @@
             if now < b.launched + rules.cold and not rules.cold_room(b, now, work):
                 continue
             weight, pace = self.figure(b, now), self.pace(b, now)
-            if pace > 1.3:
+            if pace > 1.6:
                 # Reports that don't track real work: a backend this slow counts for more than it holds.
                 weight = (weight + 1) * pace - 1
             least = best.get(b.zone == home)
