--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -75,7 +75,7 @@
         compare(self, host, "overload")
 
     def test_subscription(self):
-        """Failed calls are repeated after growing, random waits; with no word at all nothing is sent at last."""
+        """Failed calls are repeated after growing, random waits, unanswered ones too; a list ends the asking."""
         host = Printer(discovery="subscribe", obligations__must_ask_in=8000.0, instances=4, ordinal=2)
         host.list(("a",), scope=ports.CACHED)
         for _ in range(3):
