--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -296,9 +296,10 @@
             b.rest_until = now + rest * (0.75 + self.p.rng.random() / 2)
 
     def silent(self, b, now):
-        """Nothing heard since the oldest open send or probe, for longer than nearly all answers take."""
-        if b.probes_out and now - b.probes_out[0] > self.p.ask.patience and not self.by_probe:
-            return True
+        """A probe is unanswered, or (where they are few) nothing was heard for longer than nearly all answers take."""
+        # A proxy with a txn a second hears of a backend by its own long txn alone: that is no silence.
+        if self.probing and not self.by_probe:
+            return bool(b.probes_out) and now - b.probes_out[0] > self.p.ask.patience
         return b.waits_since is not None and now - b.waits_since > self.longest
 
     # The estimate
@@ -560,6 +561,9 @@
         p, rules = self.p, self.p.rules
         if txn.answered or posting.state != OUT or now >= txn.due:
             return
+        if not p.board.by_probe and not posting.backend.probes_out:
+            p.board.probe(posting.backend, now)
+            return p.later(now + p.ask.patience + p.step, self.review, txn, posting)
         if p.board.silent(posting.backend, now) and rules.may_post(txn, now, posting):
             b, odds, takes = p.board.choose(txn, now, [x.backend for x in txn.postings])
             if odds > 0.3 and rules.copies:
@@ -572,6 +576,8 @@
         """A posting ended without an answer: another one, or the end."""
         if txn.answered or txn.out():
             return
+        if now >= txn.ends - 2 * self.p.step:    # the ledger looked while this was out: nobody looks again
+            return self.p.ledger.end(txn)
         b, odds, takes = self.p.board.choose(txn, now, [x.backend for x in txn.postings])
         if odds > 0.1 and self.p.rules.may_post(txn, now):
             self.post(txn, b, now, takes)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -21,6 +21,22 @@
         host.until(3000.0)
         compare(self, host, "rule_1")
 
+    def test_rule_1_refused_just_before_expiry(self):
+        """A repeat comes back unsent in its last step, and others held go first: its answer can't wait."""
+        host = Printer(schemes__2__gain=5.0)
+        host.list(("a",), ("b",), ("c",), ("d",))
+        host.take(1, left=40.0, repeat=True)
+        for ref in (2, 3, 4):
+            host.take(ref)
+        for name in "abcd":
+            host.report(name, 9)
+        for ref in (5, 6, 7):
+            host.take(ref, scheme=2)
+        host.until(39.0)
+        host.end(1, 0, ports.UNREACHED, 9, took=39.0)
+        host.until(45.0)
+        compare(self, host, "rule_1_late")
+
     def test_rule_2_no_effect_twice(self):
         """Errors at an idle fleet tempt to post again: allowed anywhere, in the zone, or not at all."""
         host = Printer(limits__second_copies=False)
