Where connections have a price each proxy uses a share of the backends; one probe timer a proxy

Cause: 320 proxies connecting to all of 54 backends fill their tables (half of the postings got no connection).

--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -7,6 +7,7 @@
 What comes back runs through the chain the other way.  Rules holds the four rules: every posting and
 every decline goes through it.
 """
+from bisect import insort
 from collections import deque
 from math import log2
 from random import Random
@@ -233,8 +234,10 @@
 class Board:
     """The backends: list, reports, own sends, health.  Every pick is made here."""
 
+    HALF_POINT = 0.005               # what a convenience may cost, by its tariff
+
     def __init__(self, proxy, now):
-        self.p, self.all, self.order = proxy, {}, []
+        self.p, self.all, self.order, self.mine = proxy, {}, [], []
         fields = str(proxy.term("load_info.fields", "")).split(",")
         self.field = fields.index("inflight") if "inflight" in fields else None
         self.by_probe = proxy.term("load_info.via", "none") == "probe"
@@ -243,19 +246,31 @@
         self.probing = proxy.term("limits.probing", False)
         self.curve = [Histogram(1.0, 60) for _ in LEVELS]      # how a posting stretches with the figure
         self.stretch = [1.0 + f for f in LEVELS]
-        self.fit, self.mean, self.turnover, self.longest = [], 0.0, 1.0, proxy.schemes[0].sla
+        self.fit, self.ready, self.mean, self.turnover, self.longest = [], 0, 0.0, 1.0, proxy.schemes[0].sla
         self.looked, self.fresh_for = float("-inf"), 4 * proxy.step
         self.spread = Histogram(1.0, 400, [0.5, 0.7, 1.0, 1.4, 2.0])
         self.cross = proxy.term("tariffs.cross_zone", 0.0)
+        self.links = proxy.term("tariffs.connection", 0.0) * proxy.instances / 100
+
+    def few(self, backends):
+        """Where open connections have a price, this proxy's share of the backends: its first at home, and away."""
+        if not self.links:
+            return backends
+        # Hundreds of proxies connected to all backends fill their tables, and none gets in any more.
+        most = max(3, round(self.HALF_POINT * self.ready / self.links))
+        home = [b for b in backends if b.zone == self.p.zone]
+        return home[:most] + [b for b in backends if b.zone != self.p.zone][:most]
 
     def listed(self, now, scope, lines):
         for ident, zone, _, cell, standing, _, launched in lines:
             b = self.all.get(ident)
             if b is None:
                 b = self.all[ident] = Backend(ident)
-                self.order.append(b)
-                if self.probing:
-                    self.p.later(now + self.p.rng.random() * self.probe_every, self.probe_in_turn, b)
+                # A stable order of this proxy's own: where it uses but a few backends, it uses the first ones.
+                b.rank = Random(f"{self.p.ordinal} {ident}").random()
+                insort(self.order, b, key=lambda b: b.rank)
+                if self.probing and len(self.order) == 1:
+                    self.p.later(now + self.p.rng.random() * self.probe_every, self.probe_in_turn, 0)
             elif launched != b.launched and launched:
                 b.fresh_start()
             b.zone, b.cell, b.standing, b.launched = zone, cell, standing, launched
@@ -267,13 +282,17 @@
 
     # Reports and probes
 
-    def probe_in_turn(self, now, b):
-        # Once a second, more often where half a point in a hundred pays for it.
-        every = self.probe_every
+    def probe_in_turn(self, now, turn):
+        """Each backend in use once a second; more often where half a point in a hundred pays for it."""
+        every, due = self.probe_every, [b for b in self.order if b.fails or b.probes_out]
         if self.by_probe:
-            every = min(every, max(every / 5, len(self.order) * self.tariff / 0.005 * self.p.gap))
-        self.p.later(now + every, self.probe_in_turn, b)
-        if self.by_probe or b.fails or self.silent(b, now):
+            self.usable(now)
+            every = min(every, max(every / 5, len(self.mine) * self.tariff / self.HALF_POINT * self.p.gap))
+            every /= max(1, len(self.mine))
+            due = self.mine and [self.mine[turn % len(self.mine)]]
+        # One timer for all: with a timer for each, hundreds of proxies do little else.
+        self.p.later(now + every, self.probe_in_turn, turn + 1)
+        for b in due:
             self.probe(b, now)
 
     def probe(self, b, now):
@@ -311,7 +330,9 @@
             self.longest = max(s.typical() for s in self.p.schemes) * self.spread.at(0.98)
             listed = [b for b in self.order if self.p.rules.in_use(b, now)]
             well = [b for b in listed if b.rest_until <= now and not self.silent(b, now)]
-            self.fit = well if 2 * len(well) > len(listed) else listed
+            self.ready = len(listed)
+            self.fit = self.few(well if 2 * len(well) > len(listed) else listed)
+            self.mine = [b for b in self.few(listed) if b not in self.fit] + self.fit
             self.smooth()
             self.turnover = min(s.typical() for s in self.p.schemes)
             # Late news counts less here too: else a few old bad reports keep idle backends from being asked.
