--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -2,7 +2,7 @@
 says; it acts on Host there.  Words, times and the meaning of every call are defined in that file.
 
 A txn passes a chain of stages, each of which passes it on, keeps it or ends it:
-  Ledger (one answer, expiry) -> Shares (fairness) -> Ask (fresh reports) -> Gate (hold or decline)
+  Ledger (one answer, expiry) -> Ask (fresh reports) -> Gate (hold or decline)
   -> Reposting (further postings, rule 2) -> Board.choose (the estimate).
 What comes back runs through the chain the other way.  Rules holds the four rules: every posting and
 every decline goes through it.
@@ -124,7 +124,7 @@
         self.cold = proxy.term("obligations.cold", 0.0)
         self.cold_from = proxy.term("obligations.cold_from", 1.0)
         self.fall = max(proxy.term("obligations.fall", 1000.0), 1.0)
-        self.multiple, self.flow, self.flowed = proxy.term("obligations.fall_multiple", 1.0), 0.0, 0.0
+        self.multiple, self.sum, self.summed = proxy.term("obligations.fall_multiple", 1.0), 0.0, 0.0
         self.most = int(proxy.term("limits.most_postings", 1))
         self.copies = int(proxy.term("limits.second_copies", False))
 
@@ -133,17 +133,30 @@
         age = max(0.0, now - b.launched)
         return 1.0 if age >= self.cold else self.cold_from + (1 - self.cold_from) * age / self.cold
 
+    def flow(self, now, work=0.0):
+        """What this proxy sent of late, in work, as a sum that halves in the time of a fall."""
+        self.sum, self.summed = self.sum * 0.5 ** ((now - self.summed) / self.fall) + work, now
+        return self.sum
+
     def cold_room(self, b, now, work):
         """Rule 4: may this proxy send so much work to this backend now?"""
-        if now >= b.launched + self.cold:
+        if self.warmth(b, now) == 1.0:
+            return True
+        board, budget = self.p.board, self.multiple * self.warmth(b, now)
+        # Hundreds of proxies have parts far below one txn; a report just in speaks for all of them.
+        if now - b.heard <= board.fresh_for and (b.others + b.own + 1) * work <= budget * self.fall / 2:
             return True
         # This proxy's part of one core, less some slack, or what it sends a warm backend if that is more.
-        flow = self.flow * 0.5 ** ((now - self.flowed) / self.fall) * 0.7 / max(len(self.p.board.fit), 1)
-        allowed = self.multiple * self.warmth(b, now) * max(0.85 * self.fall / self.p.instances, flow)
+        flow = self.flow(now) * 0.7 / max(board.width, 1)
+        sharers = max(1.0, self.p.instances * board.width / max(board.ready, 1))
+        allowed = budget * max(0.85 * self.fall / sharers, flow)
         span = max(self.fall, self.fall * work / allowed)    # a txn over the budget waits longer for its turn
         while b.sent and b.sent[0][0] <= now - span:
             b.sent.popleft()
-        return not b.sent or sum(w for _, w in b.sent) + work <= allowed
+        # First sends take turns too, or all proxies together push over what has just started.
+        if not b.sent:
+            return now >= b.launched + self.p.turn * (span - self.fall)
+        return sum(w for _, w in b.sent) + work <= allowed
 
     def in_use(self, b, now):
         """Rule 3: known to run, not draining, and the list no older than it may be."""
@@ -173,13 +186,12 @@
         if not (self.may_post(txn, now) and self.in_use(b, now) and self.drops_repeats(txn, b)
                 and self.cold_room(b, now, work)):
             return None
-        self.flow = self.flow * 0.5 ** ((now - self.flowed) / self.fall) + work
-        self.flowed = now
+        self.flow(now, work)
         posting = Posting(b, now, self.p.board.figure(b, now), expected)
         txn.postings.append(posting)
-        b.own += 1
+        b.own, self.p.board.known[b.ident] = b.own + 1, b
         b.waits_since = b.waits_since or now
-        if now < b.launched + self.cold:
+        if self.warmth(b, now) < 1.0:
             b.sent.append((now, work))
         self.p.host.post(txn.ref, b.ident, 0.0)
         return posting
@@ -237,7 +249,8 @@
     HALF_POINT = 0.005               # what a convenience may cost, by its tariff
 
     def __init__(self, proxy, now):
-        self.p, self.all, self.order, self.mine = proxy, {}, [], []
+        self.p, self.all, self.order = proxy, {}, []
+        self.open, self.mine, self.known = [], [], {}     # listed as ready; used here; with news of late
         fields = str(proxy.term("load_info.fields", "")).split(",")
         self.field = fields.index("inflight") if "inflight" in fields else None
         self.by_probe = proxy.term("load_info.via", "none") == "probe"
@@ -246,10 +259,11 @@
         self.probing = proxy.term("limits.probing", False)
         self.curve = [Histogram(1.0, 60) for _ in LEVELS]      # how a posting stretches with the figure
         self.stretch = [1.0 + f for f in LEVELS]
-        self.fit, self.ready, self.mean, self.turnover, self.longest = [], 0, 0.0, 1.0, proxy.schemes[0].sla
+        self.fit, self.ready, self.width, self.mean, self.turnover = [], 0, 0, 0.0, 1.0
         self.looked, self.fresh_for = float("-inf"), 4 * proxy.step
         self.spread = Histogram(1.0, 400, [0.5, 0.7, 1.0, 1.4, 2.0])
         self.cross = proxy.term("tariffs.cross_zone", 0.0)
+        self.smooth()
         self.links = proxy.term("tariffs.connection", 0.0) * proxy.instances / 100
 
     def few(self, backends):
@@ -279,12 +293,13 @@
             named = {line[0] for line in lines}
             for b in self.order:
                 b.standing = b.standing if b.ident in named else ports.GONE
+        self.open = [b for b in self.order if b.standing == ports.READY]
 
     # Reports and probes
 
     def probe_in_turn(self, now, turn):
         """Each backend in use once a second; more often where half a point in a hundred pays for it."""
-        every, due = self.probe_every, [b for b in self.order if b.fails or b.probes_out]
+        every, due = self.probe_every, [b for b in self.known.values() if b.fails or b.probes_out]
         if self.by_probe:
             self.usable(now)
             every = min(every, max(every / 5, len(self.mine) * self.tariff / self.HALF_POINT * self.p.gap))
@@ -298,10 +313,11 @@
     def probe(self, b, now):
         if b.standing == ports.READY and self.probing and len(b.probes_out) < 3:
             b.probes_out.append(now)
+            self.known[b.ident] = b
             self.p.host.probe(b.ident)
 
     def report(self, b, now, report):
-        b.waits_since = now if b.own else None
+        b.waits_since, self.known[b.ident] = now if b.own else None, b
         if self.field is not None and len(report) > self.field:
             b.others, b.heard = max(0.0, round(report[self.field]) - b.own), now
 
@@ -309,7 +325,7 @@
 
     def bad(self, b, now):
         """A backend that errs, refuses connections or is silent rests, longer each time."""
-        b.fails += 1
+        b.fails, self.known[b.ident] = b.fails + 1, b
         if b.fails >= 2:
             rest = self.probe_every / 2 * 2 ** min(b.fails - 2, 4)
             b.rest_until = now + rest * (0.75 + self.p.rng.random() / 2)
@@ -324,25 +340,35 @@
     # The estimate
 
     def usable(self, now):
-        """The backends in use, without the sick as long as more than half are well; anew every few steps."""
-        if now >= self.looked + self.fresh_for:
-            self.looked = now
-            self.longest = max(s.typical() for s in self.p.schemes) * self.spread.at(0.98)
-            listed = [b for b in self.order if self.p.rules.in_use(b, now)]
-            well = [b for b in listed if b.rest_until <= now and not self.silent(b, now)]
-            self.ready = len(listed)
-            self.fit = self.few(well if 2 * len(well) > len(listed) else listed)
-            self.mine = [b for b in self.few(listed) if b not in self.fit] + self.fit
-            self.smooth()
-            self.turnover = min(s.typical() for s in self.p.schemes)
-            # Late news counts less here too: else a few old bad reports keep idle backends from being asked.
-            fresh = [(0.5 ** ((now - b.heard) / self.turnover), b.others)
-                     for b in self.fit if now - b.heard <= self.age_limit]
-            self.mean = sum(w * n for w, n in fresh) / sum(w for w, _ in fresh) if fresh else 0.0
+        """Who may be picked, without the sick as long as more than half are well; anew every few steps."""
+        if now < self.looked + self.fresh_for:
+            return self.fit
+        self.looked, listed = now, self.open if now <= self.p.discovery.deemed_old else []
+        self.known = known = {ident: b for ident, b in self.known.items() if b.own or b.ghosts or b.probes_out
+                              or b.fails or now - b.heard <= self.age_limit}
+        sick = {b.ident for b in known.values() if b.standing == ports.READY
+                and (b.rest_until > now or self.silent(b, now))}
+        if 2 * len(sick) >= len(listed):
+            sick = ()
+        self.ready = self.width = len(listed)
+        if self.links:
+            self.fit = self.few([b for b in listed if b.ident not in sick])
+            self.width, self.mine = len(self.fit), [b for b in self.few(listed) if b.ident in sick] + self.fit
+        else:
+            # Those without news are all alike: a few at random stand for them, else a pick costs the whole fleet.
+            some = self.p.rng.sample(listed, min(len(listed), 2 * max(self.p.ask.few, 4)))
+            news = [b for b in known.values() if b.standing == ports.READY and b.ident not in sick and listed]
+            self.fit, self.mine = news + [b for b in some if b.ident not in known], listed
+        self.turnover = min(s.typical() for s in self.p.schemes)
+        # Late news counts less here too: else a few old bad reports keep idle backends from being asked.
+        fresh = [(0.5 ** ((now - b.heard) / self.turnover), b.others)
+                 for b in self.fit if now - b.heard <= self.age_limit]
+        self.mean = sum(w * n for w, n in fresh) / sum(w for w, _ in fresh) if fresh else 0.0
         return self.fit
 
     def smooth(self):
         """The stretch of each level; one not met yet grows from the level below as a full backend's would."""
+        self.longest = max(s.typical() for s in self.p.schemes) * self.spread.at(0.98)
         for at, seen in enumerate(self.curve):
             below = self.stretch[at - 1] if at else 1.0
             if seen.count >= 6:
@@ -370,8 +396,9 @@
 
     def pace(self, b, now):
         """How much longer than usual a posting takes here: as measured, or as the least warmth says."""
-        if now < b.launched + self.p.rules.cold and b.slow.count < 6:
-            return max(b.pace, 1 / self.p.rules.warmth(b, now))
+        warmth = self.p.rules.warmth(b, now)
+        if warmth < 1.0 and b.slow.count < 6:
+            return max(b.pace, 1 / warmth)
         # What was slow is believed ever less, or it would never be tried again.
         return 1 + (b.pace - 1) * 0.5 ** ((now - b.learned) / (4 * self.age_limit))
 
@@ -387,7 +414,7 @@
         for b in self.usable(now):
             if not free and (b in leave_out or not rules.drops_repeats(txn, b)):
                 continue
-            if now < b.launched + rules.cold and not rules.cold_room(b, now, work):
+            if not rules.cold_room(b, now, work):
                 continue
             weight, pace = self.figure(b, now), self.pace(b, now)
             if pace > 1.6:
@@ -421,6 +448,7 @@
         # Not the median: where reports hide a queue, answers are either quick or never come.
         b.pace, b.learned = b.slow.at(0.7) * self.spread.at(0.5) / self.spread.at(0.7), now
         self.spread.add(took / posting.expected)
+        self.smooth()
 
 
 class Ledger:
@@ -448,26 +476,8 @@
             self.txns.pop(txn.ref, None)
 
 
-class Shares:
-    """Second stage: what a customer sends beyond its share here is worth only a part."""
-
-    def __init__(self, proxy, after):
-        self.p, self.after, self.used = proxy, after, {}
-
-    def take(self, txn, now):
-        quota = self.p.term(f"tenants.{txn.tenant}.quota_per_s", 0.0) / self.p.instances / 1000
-        if quota and not txn.repeat:
-            level, at = self.used.get(txn.tenant, (0.0, now))
-            level = max(0.0, level - (now - at) * quota) + 1
-            if level > 2000 * quota + 1:             # two seconds of the share in hand
-                txn.gain *= self.p.term("beyond_share_gain", 1.0)
-                level -= 1
-            self.used[txn.tenant] = (level, now)
-        self.after.take(txn, now)
-
-
 class Ask:
-    """Third stage: where a probe costs next to nothing, the lowest few are asked before the pick."""
+    """Second stage: where a probe costs next to nothing, the lowest few are asked before the pick."""
 
     def __init__(self, proxy, after):
         self.p, self.after, self.waiting, self.purse = proxy, after, [], 0.0
@@ -511,7 +521,7 @@
 
 
 class Gate:
-    """Fourth stage: what can't meet its SLA time is held for a short while, best gain first, or declined."""
+    """Third stage: what can't meet its SLA time is held for a short while, best gain first, or declined."""
     NEAR = 0.75                      # of the odds at an idle backend: less than that is a queue too long
 
     def __init__(self, proxy, after):
@@ -546,7 +556,7 @@
                 misses += 1
                 kept.append(txn)
         # No more are held than can hope for a place: what ends here in the time that a txn may wait.
-        out = sum(b.own for b in board.order)
+        out = sum(b.own for b in board.known.values())
         while kept and len(kept) > 1 + out * kept[-1].scheme.sla / 4 / kept[-1].scheme.typical():
             self.decline(kept.pop())
         self.held = kept
@@ -616,7 +626,7 @@
         self.timers, self.token, self.gap, self.last = {}, 0, 50.0, now      # gap: between txns taken
         self.step = self.term("step", 1.0)
         self.instances, self.ordinal = int(self.term("instances", 1)), int(self.term("ordinal", 0))
-        self.zone = self.term("zone", 0)
+        self.zone, self.turn = self.term("zone", 0), self.ordinal * 0.618034 % 1    # spread evenly over the bank
         if "schemes.count" not in terms:
             raise ValueError("setting schemes.count is missing")
         self.schemes = [Scheme(terms, at) for at in range(int(terms["schemes.count"]))]
@@ -625,7 +635,7 @@
         self.reposting = Reposting(self)
         self.gate = Gate(self, self.reposting)
         self.ask = Ask(self, self.gate)
-        self.ledger = Ledger(self, Shares(self, self.ask))
+        self.ledger = Ledger(self, self.ask)
 
     def term(self, name, default):
         return self.terms.get(name, default)
