Backends are asked a few at a time until one is idle

Cause: with five asked and two thirds busy, one txn in eight saw none of the idle backends and was held or declined.

--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -477,7 +477,11 @@
 
 
 class Ask:
-    """Second stage: where a probe costs next to nothing, the lowest few are asked before the pick."""
+    """Second stage: where a probe costs next to nothing, the lowest few are asked before the pick.
+
+    A few at a time until one is idle: among many backends some are, however busy the first few.
+    """
+    WAVES = 4
 
     def __init__(self, proxy, after):
         self.p, self.after, self.waiting, self.purse = proxy, after, [], 0.0
@@ -487,18 +491,25 @@
         self.patience = 4 * proxy.step
 
     def take(self, txn, now):
-        self.purse = min(self.purse + self.few, 2.0 * self.few)
-        asked = self.refresh(now)
+        self.purse = min(self.purse + self.few, 8.0 * self.few)
+        self.look(txn, now, self.WAVES)
+
+    def look(self, txn, now, waves):
+        asked = self.refresh(now) if waves else ()
         if not asked:
             return self.after.take(txn, now)
-        self.waiting.append((txn, asked))
-        self.p.later(now + self.patience, self.give_up, txn)
+        entry = (txn, asked, waves)
+        self.waiting.append(entry)
+        self.p.later(now + self.patience, self.go_on, entry)
 
     def refresh(self, now):
-        """Ask those that look lowest, as far as the probes of the txns taken so far go."""
+        """Ask those that look lowest, unless one just heard of is idle; as far as the purse goes."""
         board = self.p.board
         usable = board.usable(now) if self.purse >= 1 else ()
-        lowest = sorted(usable, key=lambda b: (board.figure(b, now), self.p.rng.random()))[:self.few]
+        lowest = sorted((board.figure(b, now), self.p.rng.random(), b) for b in usable)
+        if any(figure < 0.5 and now - b.heard <= self.patience for figure, _, b in lowest):
+            return ()
+        lowest = [b for _, _, b in lowest if now - b.heard > self.patience][:(self.few + 1) // 2]
         for b in lowest:
             if not b.probes_out and self.purse >= 1:
                 self.purse -= 1
@@ -507,17 +518,17 @@
 
     def heard(self, now):
         """Go on with what waits once all that was asked has answered."""
-        for txn, asked in list(self.waiting):
-            if all(not b.probes_out or b.probes_out[0] > at for b, at in asked):
-                self.give_up(now, txn)
+        for entry in list(self.waiting):
+            if all(not b.probes_out or b.probes_out[0] > at for b, at in entry[1]):
+                self.go_on(now, entry)
         if self.p.gate.held:
             self.p.gate.drain(now)
 
-    def give_up(self, now, txn):
-        others = [entry for entry in self.waiting if entry[0] is not txn]
+    def go_on(self, now, entry):
+        others = [other for other in self.waiting if other is not entry]
         found, self.waiting = len(others) < len(self.waiting), others
-        if found and not txn.answered:
-            self.after.take(txn, now)
+        if found and not entry[0].answered:
+            self.look(entry[0], now, entry[2] - 1)
 
 
 class Gate:
