--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -356,7 +356,7 @@
             self.width, self.mine = len(self.fit), [b for b in self.few(listed) if b.ident in sick] + self.fit
         else:
             # Those without news are all alike: a few at random stand for them, else a pick costs the whole fleet.
-            some = self.p.rng.sample(listed, min(len(listed), 2 * max(self.p.ask.few, 4)))
+            some = self.p.rng.sample(listed, min(len(listed), 3 * self.p.ask.AT_ONCE))
             news = [b for b in known.values() if b.standing == ports.READY and b.ident not in sick and listed]
             self.fit, self.mine = news + [b for b in some if b.ident not in known], listed
         self.turnover = min(s.typical() for s in self.p.schemes)
@@ -481,13 +481,14 @@
 
     A few at a time until one is idle: among many backends some are, however busy the first few.
     """
-    WAVES = 4
+    AT_ONCE, WAVES = 3, 4
 
     def __init__(self, proxy, after):
         self.p, self.after, self.waiting, self.purse = proxy, after, [], 0.0
         tariff = proxy.term("tariffs.probe", 0.0)
         by_answers = proxy.term("load_info.via", "none") == "answers" and proxy.term("limits.probing", False)
-        self.few = 0 if not by_answers else min(12, int(0.01 / tariff)) if tariff else 6
+        # Three points in a hundred at most: seldom spent, since an idle backend ends the asking.
+        self.few = 0 if not by_answers else min(16, int(0.03 / tariff)) if tariff else 8
         self.patience = 4 * proxy.step
 
     def take(self, txn, now):
@@ -509,7 +510,7 @@
         lowest = sorted((board.figure(b, now), self.p.rng.random(), b) for b in usable)
         if any(figure < 0.5 and now - b.heard <= self.patience for figure, _, b in lowest):
             return ()
-        lowest = [b for _, _, b in lowest if now - b.heard > self.patience][:(self.few + 1) // 2]
+        lowest = [b for _, _, b in lowest if now - b.heard > self.patience][:self.AT_ONCE]
         for b in lowest:
             if not b.probes_out and self.purse >= 1:
                 self.purse -= 1
