--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -487,8 +487,8 @@
         self.p, self.after, self.waiting, self.purse = proxy, after, [], 0.0
         tariff = proxy.term("tariffs.probe", 0.0)
         by_answers = proxy.term("load_info.via", "none") == "answers" and proxy.term("limits.probing", False)
-        # Three points in a hundred at most: seldom spent, since an idle backend ends the asking.
-        self.few = 0 if not by_answers else min(16, int(0.03 / tariff)) if tariff else 8
+        # A point and a half in a hundred, for asking in vain alone: where all are busy more of it finds no place.
+        self.few = 0 if not by_answers else min(16, int(0.015 / tariff)) if tariff else 8
         self.patience = 4 * proxy.step
 
     def take(self, txn, now):
@@ -509,6 +509,7 @@
         usable = board.usable(now) if self.purse >= 1 else ()
         lowest = sorted((board.figure(b, now), self.p.rng.random(), b) for b in usable)
         if any(figure < 0.5 and now - b.heard <= self.patience for figure, _, b in lowest):
+            self.purse += self.AT_ONCE
             return ()
         lowest = [b for _, _, b in lowest if now - b.heard > self.patience][:self.AT_ONCE]
         for b in lowest:
