--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -402,6 +402,11 @@
         # What was slow is believed ever less, or it would never be tried again.
         return 1 + (b.pace - 1) * 0.5 ** ((now - b.learned) / (4 * self.age_limit))
 
+    def weight(self, b, now):
+        """The figure; a backend that is slow or cold (reports don't track real work) counts for more than it holds."""
+        figure, pace = self.figure(b, now), self.pace(b, now)
+        return (figure + 1) * pace - 1 if pace > 1.6 else figure
+
     CROWD = 0.55                     # of the SLA time: a queue that takes longer only overdrives its backend
 
     def choose(self, txn, now, leave_out=()):
@@ -416,10 +421,7 @@
                 continue
             if not rules.cold_room(b, now, work):
                 continue
-            weight, pace = self.figure(b, now), self.pace(b, now)
-            if pace > 1.6:
-                # Reports that don't track real work: a backend this slow counts for more than it holds.
-                weight = (weight + 1) * pace - 1
+            weight = self.weight(b, now)
             least = best.get(b.zone == home)
             if least is None or weight < least[0]:
                 best[b.zone == home] = (weight, [b])
@@ -507,8 +509,8 @@
         """Ask those that look lowest, unless one just heard of is idle; as far as the purse goes."""
         board = self.p.board
         usable = board.usable(now) if self.purse >= 1 else ()
-        lowest = sorted((board.figure(b, now), self.p.rng.random(), b) for b in usable)
-        if any(figure < 0.5 and now - b.heard <= self.patience for figure, _, b in lowest):
+        lowest = sorted((board.weight(b, now), self.p.rng.random(), b) for b in usable)
+        if any(weight < 0.5 and now - b.heard <= self.patience for weight, _, b in lowest):
             self.purse += self.AT_ONCE
             return ()
         lowest = [b for _, _, b in lowest if now - b.heard > self.patience][:self.AT_ONCE]
