--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -419,22 +419,22 @@
         for b in self.usable(now):
             if not free and (b in leave_out or not rules.drops_repeats(txn, b)):
                 continue
-            if not rules.cold_room(b, now, work):
+            idle = work * self.pace(b, now)
+            takes = idle * self.stretch[self.level(self.figure(b, now))]
+            idle *= 1.5 * self.stretch[0]
+            if takes > idle and takes > self.CROWD * txn.scheme.sla or not rules.cold_room(b, now, work):
                 continue
             weight = self.weight(b, now)
             least = best.get(b.zone == home)
             if least is None or weight < least[0]:
-                best[b.zone == home] = (weight, [b])
+                best[b.zone == home] = (weight, [(b, takes)])
             elif weight == least[0]:
-                least[1].append(b)
+                least[1].append((b, takes))
         found = (None, 0.0, 0.0)
         for here in (True, False):
             if here in best:
-                b = self.p.rng.choice(best[here][1])
-                takes = work * self.stretch[self.level(self.figure(b, now))] * self.pace(b, now)
-                idle = work * self.stretch[0] * self.pace(b, now)
-                crowded = takes > max(self.CROWD * txn.scheme.sla, 1.5 * idle)
-                odds = 0.0 if crowded else self.spread.under((txn.due - now) / takes)
+                b, takes = self.p.rng.choice(best[here][1])
+                odds = self.spread.under((txn.due - now) / takes)
                 if found[0] is None or (odds - found[1]) * txn.gain > self.cross * self.p.mean_gain:
                     found = (b, odds, takes)
         return found
