--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -509,10 +509,11 @@
         """Ask those that look lowest, unless one just heard of is idle; as far as the purse goes."""
         board = self.p.board
         usable = board.usable(now) if self.purse >= 1 else ()
-        lowest = sorted((board.weight(b, now), self.p.rng.random(), b) for b in usable)
-        if any(weight < 0.5 and now - b.heard <= self.patience for weight, _, b in lowest):
+        if any(now - b.heard <= self.patience and board.weight(b, now) < 0.5 for b in usable):
             self.purse += self.AT_ONCE
             return ()
+        # By the figure alone: cold backends are asked like others, or nobody would see them idle.
+        lowest = sorted((board.figure(b, now), self.p.rng.random(), b) for b in usable)
         lowest = [b for _, _, b in lowest if now - b.heard > self.patience][:self.AT_ONCE]
         for b in lowest:
             if not b.probes_out and self.purse >= 1:
