--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -7,56 +7,20 @@
 What comes back runs through the chain the other way.  Rules holds the four rules: every posting and
 every decline goes through it.
 """
-from bisect import insort
+from bisect import bisect, insort
 from collections import deque
-from math import log2
 from random import Random
 
 from sloeferry import ports
+from sloeferry.histogram import Histogram
 
 NEVER_RAN = (ports.TURNED_AWAY, ports.UNREACHED, ports.NEVER_SENT)
 OUT, MAYBE, NEVER = range(3)         # a posting: no word yet, may have run, known not to have run
 
+INF = float("inf")
 
-LEVELS = (0, 1, 2, 3, 5, 8, 13)      # figures, coarsely
-
-
-class Histogram:
-    """A few coarse bins, two to a doubling, halved now and then so that the past fades."""
-    BINS, BELOW = 18, 6              # from an eighth of the unit to some 45 times it
-
-    def __init__(self, unit, keep, guesses=()):
-        self.unit, self.keep, self.count = unit, keep, 0.0
-        self.bins = [0.0] * self.BINS
-        for guess in guesses:
-            self.add(guess)
-
-    def add(self, figure):
-        if self.count >= self.keep:
-            self.bins = [n / 2 for n in self.bins]
-            self.count /= 2
-        at = int(2 * log2(max(figure, 1e-6) / self.unit) + self.BELOW + 0.5)
-        self.bins[max(0, min(self.BINS - 1, at))] += 1
-        self.count += 1
-
-    def at(self, part):
-        """The figure that this part of all lie under."""
-        want = self.count * part
-        for at, n in enumerate(self.bins):
-            if n and want <= n:
-                return self.unit * 2 ** ((at + want / n - self.BELOW - 0.5) / 2)
-            want -= n
-        return self.unit * 2 ** ((self.BINS - self.BELOW) / 2)
-
-    def under(self, figure):
-        """The part of all that lies under this figure."""
-        if figure <= 0:
-            return 0.0
-        at = 2 * log2(figure / self.unit) + self.BELOW + 0.5
-        full = max(0, min(self.BINS, int(at)))
-        more = self.bins[full] * (at - full) if 0 <= at < self.BINS else 0
-        return (sum(self.bins[:full]) + more) / max(self.count, 1)
-
+LEVELS = (0, 1, 2, 3, 5, 8, 13)      # figures, coarsely, and where one ends and the next begins
+BOUNDS = (0.5, 1.5, 2.5, 3.4, 4.8, 6.7)
 
 class Scheme:
     """What the operators promise for one scheme of txns, and how long its postings take."""
@@ -71,13 +35,10 @@
             term("idempotency", ""), "once-only")
         self.group, self.window = term("group", "all"), term("dedup_window", 0.0)
         self.took = Histogram(self.sla, 200, [self.sla / 4] * 4)    # of sends to a backend found idle
-        self.known, self.middle = -1.0, 0.0
         self.most_left = 0.0                                         # the longest patience seen
 
     def typical(self):
-        if self.known != self.took.count:            # the reading is kept until the next figure comes in
-            self.known, self.middle = self.took.count, self.took.at(0.5)
-        return self.middle
+        return self.took.at(0.5)
 
 
 class Posting:
@@ -109,7 +70,7 @@
         self.fresh_start()
 
     def fresh_start(self):           # a process just started has no past
-        self.others, self.heard = 0.0, float("-inf")     # what other proxies hold here, and as of when
+        self.others, self.heard = 0.0, -INF     # what other proxies hold here, and as of when
         self.own, self.ghosts = 0, []     # open sends; until when quick errors stay counted
         self.fails, self.rest_until, self.waits_since, self.probes_out = 0, 0.0, None, []
         self.slow, self.pace, self.learned = Histogram(1.0, 12, [1.0, 1.0]), 1.0, 0.0
@@ -158,10 +119,6 @@
             return now >= b.launched + self.p.turn * (span - self.fall)
         return sum(w for _, w in b.sent) + work <= allowed
 
-    def in_use(self, b, now):
-        """Rule 3: known to run, not draining, and the list no older than it may be."""
-        return b.standing == ports.READY and now <= self.p.discovery.deemed_old
-
     def drops_repeats(self, txn, b):
         """Rule 2: would this backend know a repeat of this txn, or is there none to know?"""
         maybe, scheme = txn.maybe(), txn.scheme
@@ -183,7 +140,9 @@
     def post(self, txn, b, now, expected):
         """The one place that sends; None where a rule forbids it."""
         work = txn.scheme.typical()
-        if not (self.may_post(txn, now) and self.in_use(b, now) and self.drops_repeats(txn, b)
+        # Rule 3: known to run, not draining, and the list no older than it may be.
+        in_use = b.standing == ports.READY and now <= self.p.discovery.deemed_old
+        if not (in_use and self.may_post(txn, now) and self.drops_repeats(txn, b)
                 and self.cold_room(b, now, work)):
             return None
         self.flow(now, work)
@@ -214,7 +173,7 @@
     def __init__(self, proxy, now):
         self.p, self.fails, self.waiting = proxy, 0, 0
         self.asks = proxy.term("discovery", "automatic") == "subscribe"
-        self.deemed_old = float("inf")
+        self.deemed_old = INF
         if self.asks:
             self.patience = proxy.term("obligations.must_ask_in", 10000.0)
             self.deemed_old = now + self.patience
@@ -235,7 +194,7 @@
             return
         self.waiting += 1
         if not failed:
-            self.fails, self.deemed_old = 0, float("inf")
+            self.fails, self.deemed_old = 0, INF
             return
         self.fails = min(self.fails + 1, 3)
         self.deemed_old = now + 4 * self.patience
@@ -260,16 +219,14 @@
         self.curve = [Histogram(1.0, 60) for _ in LEVELS]      # how a posting stretches with the figure
         self.stretch = [1.0 + f for f in LEVELS]
         self.fit, self.ready, self.width, self.mean, self.turnover = [], 0, 0, 0.0, 1.0
-        self.looked, self.fresh_for = float("-inf"), 4 * proxy.step
+        self.looked, self.fresh_for = -INF, 4 * proxy.step
         self.spread = Histogram(1.0, 400, [0.5, 0.7, 1.0, 1.4, 2.0])
         self.cross = proxy.term("tariffs.cross_zone", 0.0)
         self.smooth()
         self.links = proxy.term("tariffs.connection", 0.0) * proxy.instances / 100
 
     def few(self, backends):
-        """Where open connections have a price, this proxy's share of the backends: its first at home, and away."""
-        if not self.links:
-            return backends
+        """Where open connections have a price: this proxy's share of the backends, at home and away."""
         # Hundreds of proxies connected to all backends fill their tables, and none gets in any more.
         most = max(3, round(self.HALF_POINT * self.ready / self.links))
         home = [b for b in backends if b.zone == self.p.zone]
@@ -280,7 +237,7 @@
             b = self.all.get(ident)
             if b is None:
                 b = self.all[ident] = Backend(ident)
-                # A stable order of this proxy's own: where it uses but a few backends, it uses the first ones.
+                # A stable order of this proxy's own: where it uses but a few, it uses the first ones.
                 b.rank = Random(f"{self.p.ordinal} {ident}").random()
                 insort(self.order, b, key=lambda b: b.rank)
                 if self.probing and len(self.order) == 1:
@@ -288,7 +245,7 @@
             elif launched != b.launched and launched:
                 b.fresh_start()
             b.zone, b.cell, b.standing, b.launched = zone, cell, standing, launched
-        self.looked = float("-inf")
+        self.looked = -INF
         if scope != ports.CHANGES:       # who is missing from a whole list is gone
             named = {line[0] for line in lines}
             for b in self.order:
@@ -331,7 +288,7 @@
             b.rest_until = now + rest * (0.75 + self.p.rng.random() / 2)
 
     def silent(self, b, now):
-        """A probe is unanswered, or (where they are few) nothing was heard for longer than nearly all answers take."""
+        """A probe is unanswered or, where they are dear, nothing was heard for longer than answers take."""
         # A proxy with a txn a second hears of a backend by its own long txn alone: that is no silence.
         if self.probing and not self.by_probe:
             return bool(b.probes_out) and now - b.probes_out[0] > self.p.ask.patience
@@ -355,7 +312,7 @@
             self.fit = self.few([b for b in listed if b.ident not in sick])
             self.width, self.mine = len(self.fit), [b for b in self.few(listed) if b.ident in sick] + self.fit
         else:
-            # Those without news are all alike: a few at random stand for them, else a pick costs the whole fleet.
+            # Those without news are all alike: a few at random stand for them, or a pick costs a whole fleet.
             some = self.p.rng.sample(listed, min(len(listed), 3 * self.p.ask.AT_ONCE))
             news = [b for b in known.values() if b.standing == ports.READY and b.ident not in sick and listed]
             self.fit, self.mine = news + [b for b in some if b.ident not in known], listed
@@ -379,9 +336,8 @@
     def figure(self, b, now):
         """Latest report + own sends begun after it - own sends it counted that have ended since.
 
-        What others hold turns over: a report's word on it fades, by half in the time a posting takes,
-        into the mean of fresh reports, and is void past the age limit.  Else all proxies flock to
-        whichever backend looked empty last.
+        A report's word on others fades, by half in the time a posting takes, into the mean of fresh ones,
+        and is void past the age limit.  Else all proxies flock to whichever backend looked empty last.
         """
         while b.ghosts and b.ghosts[0] <= now:
             b.ghosts.pop(0)
@@ -390,10 +346,6 @@
             return own + self.mean
         return own + self.mean + (b.others - self.mean) * 0.5 ** (age / self.turnover)
 
-    def level(self, figure):
-        return 0 if figure < 0.5 else 1 if figure < 1.5 else 2 if figure < 2.5 else min(
-            6, 2 + int(2 * log2(figure / 2) + 0.5))
-
     def pace(self, b, now):
         """How much longer than usual a posting takes here: as measured, or as the least warmth says."""
         warmth = self.p.rules.warmth(b, now)
@@ -403,7 +355,7 @@
         return 1 + (b.pace - 1) * 0.5 ** ((now - b.learned) / (4 * self.age_limit))
 
     def weight(self, b, now):
-        """The figure; a backend that is slow or cold (reports don't track real work) counts for more than it holds."""
+        """The figure; a slow or cold backend, whose reports don't track real work, counts for more."""
         figure, pace = self.figure(b, now), self.pace(b, now)
         return (figure + 1) * pace - 1 if pace > 1.6 else figure
 
@@ -411,18 +363,17 @@
 
     def choose(self, txn, now, leave_out=()):
         """The lowest estimate wins, ties at random; another zone only where the gain beats the tariff.
-
-        Returns the backend, the odds that it answers within the SLA time, and how long is expected.
-        """
+        Returns the backend, the odds that it answers within the SLA time, and how long is expected."""
         rules, work = self.p.rules, txn.scheme.typical()
         best, home, free = {}, self.p.zone, not txn.postings
         for b in self.usable(now):
             if not free and (b in leave_out or not rules.drops_repeats(txn, b)):
                 continue
             idle = work * self.pace(b, now)
-            takes = idle * self.stretch[self.level(self.figure(b, now))]
-            idle *= 1.5 * self.stretch[0]
-            if takes > idle and takes > self.CROWD * txn.scheme.sla or not rules.cold_room(b, now, work):
+            takes = idle * self.stretch[bisect(BOUNDS, self.figure(b, now))]
+            if takes > max(self.CROWD * txn.scheme.sla, 1.5 * idle * self.stretch[0]):
+                takes = INF          # crowded: no odds; out of the race where others were just asked
+            if takes == INF and self.p.ask.few or not rules.cold_room(b, now, work):
                 continue
             weight = self.weight(b, now)
             least = best.get(b.zone == home)
@@ -441,7 +392,7 @@
 
     def learn(self, txn, posting, took, now):
         """What a settled (or given up) posting tells of its scheme, its backend and the fleet."""
-        typical, level = txn.scheme.typical(), self.level(posting.figure)
+        typical, level = txn.scheme.typical(), bisect(BOUNDS, posting.figure)
         if level == 0:
             txn.scheme.took.add(took)
         self.curve[level].add(took / typical)
@@ -489,7 +440,7 @@
         self.p, self.after, self.waiting, self.purse = proxy, after, [], 0.0
         tariff = proxy.term("tariffs.probe", 0.0)
         by_answers = proxy.term("load_info.via", "none") == "answers" and proxy.term("limits.probing", False)
-        # A point and a half in a hundred, for asking in vain alone: where all are busy more of it finds no place.
+        # A point and a half in a hundred, for asking in vain alone: where all are busy, more finds no place.
         self.few = 0 if not by_answers else min(16, int(0.015 / tariff)) if tariff else 8
         self.patience = 4 * proxy.step
 
@@ -498,10 +449,9 @@
         self.look(txn, now, self.WAVES)
 
     def look(self, txn, now, waves):
-        asked = self.refresh(now) if waves else ()
-        if not asked:
+        entry = (txn, self.refresh(now) if waves else (), waves)
+        if not entry[1]:
             return self.after.take(txn, now)
-        entry = (txn, asked, waves)
         self.waiting.append(entry)
         self.p.later(now + self.patience, self.go_on, entry)
 
@@ -526,14 +476,13 @@
         for entry in list(self.waiting):
             if all(not b.probes_out or b.probes_out[0] > at for b, at in entry[1]):
                 self.go_on(now, entry)
-        if self.p.gate.held:
-            self.p.gate.drain(now)
+        self.p.gate.drain(now)
 
     def go_on(self, now, entry):
-        others = [other for other in self.waiting if other is not entry]
-        found, self.waiting = len(others) < len(self.waiting), others
-        if found and not entry[0].answered:
-            self.look(entry[0], now, entry[2] - 1)
+        if entry in self.waiting:
+            self.waiting.remove(entry)
+            if not entry[0].answered:
+                self.look(entry[0], now, entry[2] - 1)
 
 
 class Gate:
@@ -544,9 +493,6 @@
         self.p, self.after, self.held, self.ticking = proxy, after, [], False
         self.by_work = proxy.term("gain_per", "request") == "work"
 
-    def rank(self, txn):
-        return (-txn.gain if self.by_work else -txn.gain / txn.scheme.typical(), txn.due)
-
     def take(self, txn, now):
         self.held.append(txn)
         self.drain(now)
@@ -554,7 +500,9 @@
     def drain(self, now):
         """Post what has good odds, best gain first; decline what has waited in vain or has no room."""
         board, kept, misses = self.p.board, [], 0
-        for txn in sorted(self.held, key=self.rank):
+        if not self.held:
+            return
+        for txn in sorted(self.held, key=lambda t: (-t.gain / (self.by_work or t.scheme.typical()), t.due)):
             if txn.answered:
                 continue
             waited = now - txn.born > txn.scheme.sla / 4 * min(2.0, txn.gain / self.p.mean_gain)
@@ -584,7 +532,7 @@
         self.ticking = False
         if self.held:
             self.p.ask.refresh(now)
-            self.drain(now)
+        self.drain(now)
 
     def decline(self, txn):
         self.p.ledger.end(txn, txn.scheme.typical() if self.p.term("limits.retry_after", False) else 0.0)
@@ -642,7 +590,7 @@
         self.timers, self.token, self.gap, self.last = {}, 0, 50.0, now      # gap: between txns taken
         self.step = self.term("step", 1.0)
         self.instances, self.ordinal = int(self.term("instances", 1)), int(self.term("ordinal", 0))
-        self.zone, self.turn = self.term("zone", 0), self.ordinal * 0.618034 % 1    # spread evenly over the bank
+        self.zone, self.turn = self.term("zone", 0), self.ordinal * 0.618034 % 1    # spread over the bank
         if "schemes.count" not in terms:
             raise ValueError("setting schemes.count is missing")
         self.schemes = [Scheme(terms, at) for at in range(int(terms["schemes.count"]))]
@@ -715,8 +663,7 @@
             self.ledger.forget(txn)
         else:
             self.reposting.back(txn, now)
-        if self.gate.held:
-            self.gate.drain(now)
+        self.gate.drain(now)
 
     def probed(self, now, backend, how, took, report):
         b = self.board.all.get(backend)
