--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -85,3 +85,46 @@
         host.list(("a",), scope=ports.WHOLE)
         host.until(90000.0)
         compare(self, host, "subscription")
+
+    def test_long_txn_is_no_silence(self):
+        """With a txn a second nothing is heard of a backend but by its own long txn: it is asked, then left alone."""
+        host = Printer(limits__probing=True, tariffs__probe=0.002, limits__second_copies=False)
+        host.list(("a",), ("b",))
+        for name in "ab":
+            host.report(name, 0)
+        host.take(1)
+        to = host.lines[-1].split()[-1]
+        while host.now < 600.0:
+            host.until(host.now + 1)
+            if "probe" in host.lines[-1]:
+                host.report(to, 1)
+                host.say(f"   {to} answers")
+        compare(self, host, "long_txn")
+
+    def test_asked_until_one_is_idle(self):
+        """The first backends asked are busy: more are asked instead of holding or declining the txn."""
+        host = Printer(limits__probing=True, tariffs__probe=0.002)
+        host.list(*((name,) for name in "abcdefgh"))
+        host.take(1)
+        for _ in range(3):
+            for name in [line.split()[-1] for line in host.lines if "probe" in line and line not in host.told]:
+                host.told += [line for line in host.lines if line.endswith(name)]
+                host.report(name, 0 if name in "gh" else 3)
+        compare(self, host, "waves")
+
+    def test_connections_are_shared_out(self):
+        """300 proxies and 40 backends that charge for connections: a few a proxy, spread, also when some are sick."""
+        host, used = Printer(), {}
+        for ordinal in range(300):
+            one = Printer(ordinal=ordinal, instances=300, tariffs__connection=0.03)
+            one.list(*((f"b{n}", n % 2) for n in range(40)))
+            fit = one.proxy.board.usable(0.0)
+            for b in fit:
+                used[b.ident] = used.get(b.ident, 0) + 1
+            if ordinal < 3:
+                host.say(f"proxy {ordinal} uses " + " ".join(b.ident for b in fit))
+                for _ in range(2):
+                    one.proxy.board.bad(fit[0], 0.0)
+                host.say("   first one sick: " + " ".join(b.ident for b in one.proxy.board.usable(4.0)))
+        host.say(f"proxies a backend: {min(used.values())} to {max(used.values())}")
+        compare(self, host, "connections")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -83,6 +83,38 @@
                 host.end(ref, 0, ports.SETTLED, 0, took=20.0)
         compare(self, host, "rule_4")
 
+    def test_rule_3_no_subscription(self):
+        """No call for the list went out in time (the host was stopped): it counts as told and sends no more."""
+        host = Printer(discovery="subscribe", obligations__must_ask_in=8000.0, instances=0)
+        host.list(("a",), scope=ports.CACHED)
+        host.take(1, scheme=2)
+        host.now = 8001.0
+        host.take(2, scheme=2)
+        host.until(9000.0)
+        host.list(("a",), scope=ports.CHANGES)           # the call is answered
+        host.take(3, scheme=2)
+        host.list(scope=ports.WHOLE)                     # an empty list: nobody to send to
+        host.take(4, scheme=2)
+        host.until(9900.0)
+        compare(self, host, "rule_3_unheard")
+
+    def test_rule_4_many_proxies(self):
+        """200 proxies, a part of the budget far below one txn: what all send a cold backend, by second."""
+        host, sent = Printer(), [0] * 8
+        for ordinal in range(200):
+            one = Printer(obligations__cold=8000.0, obligations__cold_from=0.5, obligations__fall=1000.0,
+                          obligations__fall_multiple=3.0, instances=200, ordinal=ordinal)
+            one.until(50000.0)
+            one.list(("cold", 0, ports.READY, 50000.0))
+            for second in range(8):
+                one.until(50000.0 + 1000.0 * second + 5.0 * ordinal)
+                one.take(second)
+                if second in one.sent:
+                    sent[second] += 1
+                    one.end(second, 0, ports.SETTLED, None, took=100.0)
+        host.say(f"txns of about 175 ms of work sent to the cold backend in each second: {sent}")
+        compare(self, host, "rule_4_many")
+
     def test_estimate(self):
         """Latest report plus own sends begun after it; stale or new = mean of fresh reports + own open sends."""
         host = Printer()
