--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -9,6 +9,7 @@
 """
 from bisect import bisect, insort
 from collections import deque
+from math import inf as INF
 from random import Random
 
 from sloeferry import ports
@@ -17,10 +18,8 @@
 NEVER_RAN = (ports.TURNED_AWAY, ports.UNREACHED, ports.NEVER_SENT)
 OUT, MAYBE, NEVER = range(3)         # a posting: no word yet, may have run, known not to have run
 
-INF = float("inf")
+LEVELS, BOUNDS = (0, 1, 2, 3, 5, 8, 13), (0.5, 1.5, 2.5, 3.4, 4.8, 6.7)      # figures, coarsely; their ends
 
-LEVELS = (0, 1, 2, 3, 5, 8, 13)      # figures, coarsely, and where one ends and the next begins
-BOUNDS = (0.5, 1.5, 2.5, 3.4, 4.8, 6.7)
 
 class Scheme:
     """What the operators promise for one scheme of txns, and how long its postings take."""
@@ -49,8 +48,8 @@
 class Txn:
     """A txn taken; `now` to `ends` is all the time there is, `due` is its SLA time."""
 
-    def __init__(self, ref, scheme, tenant, now, left, repeat):
-        self.ref, self.scheme, self.tenant, self.born, self.repeat = ref, scheme, tenant, now, repeat
+    def __init__(self, ref, scheme, now, left):
+        self.ref, self.scheme, self.born = ref, scheme, now
         self.ends, self.due, self.gain = now + left, now + scheme.sla, scheme.gain
         self.postings, self.answered = [], False
 
@@ -95,7 +94,7 @@
         return 1.0 if age >= self.cold else self.cold_from + (1 - self.cold_from) * age / self.cold
 
     def flow(self, now, work=0.0):
-        """What this proxy sent of late, in work, as a sum that halves in the time of a fall."""
+        """What this proxy sent to warm backends of late, in work: a sum that halves in the time of a fall."""
         self.sum, self.summed = self.sum * 0.5 ** ((now - self.summed) / self.fall) + work, now
         return self.sum
 
@@ -104,20 +103,20 @@
         if self.warmth(b, now) == 1.0:
             return True
         board, budget = self.p.board, self.multiple * self.warmth(b, now)
-        # Hundreds of proxies have parts far below one txn; a report just in speaks for all of them.
-        if now - b.heard <= board.fresh_for and (b.others + b.own + 1) * work <= budget * self.fall / 2:
+        # Hundreds of proxies have parts far below one txn; a report just in speaks for all, for one send.
+        fresh = now - b.heard <= board.fresh_for and not (b.sent and b.sent[-1][0] > now - self.fall)
+        if fresh and (b.others + b.own + 1) * work <= budget * self.fall / 2:
             return True
         # This proxy's part of one core, less some slack, or what it sends a warm backend if that is more.
         flow = self.flow(now) * 0.7 / max(board.width, 1)
         sharers = max(1.0, self.p.instances * board.width / max(board.ready, 1))
-        allowed = budget * max(0.85 * self.fall / sharers, flow)
-        span = max(self.fall, self.fall * work / allowed)    # a txn over the budget waits longer for its turn
+        share = max(0.85 * self.fall / sharers, flow)
+        span = self.fall * max(1.0, work / budget / share)   # a txn over the budget waits longer for its turn
         while b.sent and b.sent[0][0] <= now - span:
             b.sent.popleft()
         # First sends take turns too, or all proxies together push over what has just started.
-        if not b.sent:
-            return now >= b.launched + self.p.turn * (span - self.fall)
-        return sum(w for _, w in b.sent) + work <= allowed
+        wait = self.p.turn * self.fall * max(0.0, work / (self.multiple * self.cold_from * share) - 1)
+        return now >= b.launched + wait and (not b.sent or sum(w for _, w in b.sent) + work <= budget * share)
 
     def drops_repeats(self, txn, b):
         """Rule 2: would this backend know a repeat of this txn, or is there none to know?"""
@@ -145,13 +144,14 @@
         if not (in_use and self.may_post(txn, now) and self.drops_repeats(txn, b)
                 and self.cold_room(b, now, work)):
             return None
-        self.flow(now, work)
         posting = Posting(b, now, self.p.board.figure(b, now), expected)
         txn.postings.append(posting)
         b.own, self.p.board.known[b.ident] = b.own + 1, b
         b.waits_since = b.waits_since or now
         if self.warmth(b, now) < 1.0:
             b.sent.append((now, work))
+        else:
+            self.flow(now, work)
         self.p.host.post(txn.ref, b.ident, 0.0)
         return posting
 
@@ -171,9 +171,8 @@
     """The list where it must be asked for: shared and of limited capacity, so calls are spread out."""
 
     def __init__(self, proxy, now):
-        self.p, self.fails, self.waiting = proxy, 0, 0
+        self.p, self.fails, self.waiting, self.deemed_old = proxy, 0, 0, INF
         self.asks = proxy.term("discovery", "automatic") == "subscribe"
-        self.deemed_old = INF
         if self.asks:
             self.patience = proxy.term("obligations.must_ask_in", 10000.0)
             self.deemed_old = now + self.patience
@@ -214,14 +213,13 @@
         self.field = fields.index("inflight") if "inflight" in fields else None
         self.by_probe = proxy.term("load_info.via", "none") == "probe"
         self.age_limit, self.probe_every = 2000.0, 1000.0      # the design's own figures
-        self.tariff = proxy.term("tariffs.probe", 0.0)
+        self.tariff, self.cross = proxy.term("tariffs.probe", 0.0), proxy.term("tariffs.cross_zone", 0.0)
         self.probing = proxy.term("limits.probing", False)
         self.curve = [Histogram(1.0, 60) for _ in LEVELS]      # how a posting stretches with the figure
         self.stretch = [1.0 + f for f in LEVELS]
         self.fit, self.ready, self.width, self.mean, self.turnover = [], 0, 0, 0.0, 1.0
         self.looked, self.fresh_for = -INF, 4 * proxy.step
         self.spread = Histogram(1.0, 400, [0.5, 0.7, 1.0, 1.4, 2.0])
-        self.cross = proxy.term("tariffs.cross_zone", 0.0)
         self.smooth()
         self.links = proxy.term("tariffs.connection", 0.0) * proxy.instances / 100
 
@@ -327,11 +325,9 @@
         """The stretch of each level; one not met yet grows from the level below as a full backend's would."""
         self.longest = max(s.typical() for s in self.p.schemes) * self.spread.at(0.98)
         for at, seen in enumerate(self.curve):
-            below = self.stretch[at - 1] if at else 1.0
-            if seen.count >= 6:
-                self.stretch[at] = max(seen.at(0.5), below if at else 0.0)
-            elif at:
-                self.stretch[at] = below * (LEVELS[at] + 1) / (LEVELS[at - 1] + 1)
+            below = self.stretch[at - 1] if at else 0.0
+            guess = below * (LEVELS[at] + 1) / (LEVELS[at - 1] + 1) if at else 1.0
+            self.stretch[at] = max(seen.at(0.5), below) if seen.count >= 6 else guess
 
     def figure(self, b, now):
         """Latest report + own sends begun after it - own sends it counted that have ended since.
@@ -430,10 +426,8 @@
 
 
 class Ask:
-    """Second stage: where a probe costs next to nothing, the lowest few are asked before the pick.
-
-    A few at a time until one is idle: among many backends some are, however busy the first few.
-    """
+    """Second stage: where a probe costs next to nothing, the lowest are asked before the pick, a few at
+    a time until one is idle: among many backends some are, however busy the first few."""
     AT_ONCE, WAVES = 3, 4
 
     def __init__(self, proxy, after):
@@ -481,6 +475,7 @@
     def go_on(self, now, entry):
         if entry in self.waiting:
             self.waiting.remove(entry)
+            self.p.board.looked = -INF   # else who was not asked still looks as idle as before
             if not entry[0].answered:
                 self.look(entry[0], now, entry[2] - 1)
 
@@ -551,14 +546,14 @@
         elif posting and txn.scheme.kind != "once-only":
             self.p.later(now + self.p.board.longest, self.review, txn, posting)
 
-    def review(self, now, txn, posting):
+    def review(self, now, txn, posting, asked=False):
         """A backend that fell silent with this txn (it stalls, or died unseen): ask another one for it."""
         p, rules = self.p, self.p.rules
         if txn.answered or posting.state != OUT or now >= txn.due:
             return
-        if not p.board.by_probe and not posting.backend.probes_out:
+        if not (p.board.by_probe or asked):
             p.board.probe(posting.backend, now)
-            return p.later(now + p.ask.patience + p.step, self.review, txn, posting)
+            return p.later(now + p.ask.patience + p.step, self.review, txn, posting, True)
         if p.board.silent(posting.backend, now) and rules.may_post(txn, now, posting):
             b, odds, takes = p.board.choose(txn, now, [x.backend for x in txn.postings])
             if odds > 0.3 and rules.copies:
@@ -589,7 +584,7 @@
         self.host, self.terms, self.rng = host, terms, Random(seed)
         self.timers, self.token, self.gap, self.last = {}, 0, 50.0, now      # gap: between txns taken
         self.step = self.term("step", 1.0)
-        self.instances, self.ordinal = int(self.term("instances", 1)), int(self.term("ordinal", 0))
+        self.instances, self.ordinal = max(1, int(self.term("instances", 1))), int(self.term("ordinal", 0))
         self.zone, self.turn = self.term("zone", 0), self.ordinal * 0.618034 % 1    # spread over the bank
         if "schemes.count" not in terms:
             raise ValueError("setting schemes.count is missing")
@@ -622,7 +617,7 @@
 
     def take(self, now, ref, scheme, tenant, key, left, work, repeat):
         scheme = self.schemes[scheme]
-        txn = Txn(ref, scheme, tenant, now, left, repeat)
+        txn = Txn(ref, scheme, now, left)
         self.mean_gain += (scheme.gain - self.mean_gain) / 100
         self.gap += (min(now - self.last, 1000.0) - self.gap) / 100
         self.last = now
