--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -327,7 +327,7 @@
         for at, seen in enumerate(self.curve):
             below = self.stretch[at - 1] if at else 0.0
             guess = below * (LEVELS[at] + 1) / (LEVELS[at - 1] + 1) if at else 1.0
-            self.stretch[at] = max(seen.at(0.5), below) if seen.count >= 6 else guess
+            self.stretch[at] = max(seen.at(0.5), below) if seen.count >= 3 else guess
 
     def figure(self, b, now):
         """Latest report + own sends begun after it - own sends it counted that have ended since.
