A quarter of a point of connections a proxy: two backends at home and two away

Fewer proxies a backend: less of its table full, fewer flocking on one report, and each proxy knows its few better.

--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -226,7 +226,7 @@
     def few(self, backends):
         """Where open connections have a price: this proxy's share of the backends, at home and away."""
         # Hundreds of proxies connected to all backends fill their tables, and none gets in any more.
-        most = max(4, round(2 * self.HALF_POINT * self.ready / self.links))
+        most = max(2, round(self.HALF_POINT / 2 * self.ready / self.links))
         home = [b for b in backends if b.zone == self.p.zone]
         return home[:most] + [b for b in backends if b.zone != self.p.zone][:most]
 
