Reports' mean at home and away apart where crossings are dear

Cause: 27% were declined from the first second on with other zones half empty: between probes a backend elsewhere counted as the common mean, which a full home zone had raised.

--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -217,7 +217,7 @@
         self.probing = proxy.term("limits.probing", False)
         self.curve = [Histogram(1.0, 60) for _ in LEVELS]      # how a posting stretches with the figure
         self.stretch = [1.0 + f for f in LEVELS]
-        self.fit, self.ready, self.width, self.mean, self.turnover = [], 0, 0, 0.0, 1.0
+        self.fit, self.ready, self.width, self.mean, self.turnover = [], 0, 0, [0.0, 0.0], 1.0
         self.looked, self.fresh_for = -INF, 4 * proxy.step
         self.spread = Histogram(1.0, 400, [0.5, 0.7, 1.0, 1.4, 2.0])
         self.smooth()
@@ -316,9 +316,12 @@
             self.fit, self.mine = news + [b for b in some if b.ident not in known], listed
         self.turnover = min(s.typical() for s in self.p.schemes)
         # Late news counts less here too: else a few old bad reports keep idle backends from being asked.
-        fresh = [(0.5 ** ((now - b.heard) / self.turnover), b.others)
+        fresh = [(0.5 ** ((now - b.heard) / self.turnover), b.others, b.zone == self.p.zone)
                  for b in self.fit if now - b.heard <= self.age_limit]
-        self.mean = sum(w * n for w, n in fresh) / sum(w for w, _ in fresh) if fresh else 0.0
+        for here in (False, True):
+            # Where a crossing is dear zones are loaded apart: a full home must not make the others look full.
+            these = [f for f in fresh if f[2] == here or self.cross <= 2 * self.HALF_POINT] or fresh
+            self.mean[here] = sum(w * n for w, n, _ in these) / sum(f[0] for f in these) if these else 0.0
         return self.fit
 
     def smooth(self):
@@ -338,9 +341,10 @@
         while b.ghosts and b.ghosts[0] <= now:
             b.ghosts.pop(0)
         age, own = now - b.heard, b.own + len(b.ghosts)
+        mean = self.mean[b.zone == self.p.zone]
         if age > self.age_limit:
-            return own + self.mean
-        return own + self.mean + (b.others - self.mean) * 0.5 ** (age / self.turnover)
+            return own + mean
+        return own + mean + (b.others - mean) * 0.5 ** (age / self.turnover)
 
     def pace(self, b, now):
         """How much longer than usual a posting takes here: as measured, or as the least warmth says."""
