--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -228,7 +228,7 @@
         # Hundreds of proxies connected to all backends fill their tables, and none gets in any more.
         most = max(2, round(self.HALF_POINT / 2 * self.ready / self.links))
         home = [b for b in backends if b.zone == self.p.zone]
-        return home[:most] + [b for b in backends if b.zone != self.p.zone][:most - 1]
+        return home[:most] + [b for b in backends if b.zone != self.p.zone][:most]
 
     def listed(self, now, scope, lines):
         for ident, zone, _, cell, standing, _, launched in lines:
