--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -189,8 +189,6 @@
 
     def answer(self, now, failed):
         """Any list answers the call, or shows that the subscription stands; a failure starts anew."""
-        if not self.asks:
-            return
         self.waiting += 1
         if not failed:
             self.fails, self.deemed_old = 0, INF
@@ -228,7 +226,7 @@
         # Hundreds of proxies connected to all backends fill their tables, and none gets in any more.
         most = max(2, round(self.HALF_POINT / 2 * self.ready / self.links))
         home = [b for b in backends if b.zone == self.p.zone]
-        return home[:most] + [b for b in backends if b.zone != self.p.zone][:most]
+        return home[:most] + [b for b in backends if b.zone != self.p.zone][:most - 1]
 
     def listed(self, now, scope, lines):
         for ident, zone, _, cell, standing, _, launched in lines:
@@ -505,10 +503,8 @@
             if txn.answered:
                 continue
             waited = now - txn.born > txn.scheme.sla / 4 * min(2.0, txn.gain / self.p.mean_gain)
-            if misses > 2 and not waited:
-                kept.append(txn)         # the proxy has little time to spare: the next event looks further
-                continue
-            b, odds, takes = board.choose(txn, now)
+            # A proxy has little time to spare: after three in vain the next event looks further.
+            b, odds, takes = board.choose(txn, now) if misses < 3 or waited else (None, 0.0, 0.0)
             pace = txn.scheme.typical() * board.stretch[0] * (board.pace(b, now) if b else 1.0)
             bar = self.NEAR * board.spread.under(txn.scheme.sla / pace)
             if b is not None and odds >= bar and odds > 0.05:
@@ -616,7 +612,7 @@
     def listed(self, now, scope, lines):
         if scope != ports.FAILED:
             self.board.listed(now, scope, lines)
-        if scope != ports.CACHED:
+        if scope != ports.CACHED and self.discovery.asks:
             self.discovery.answer(now, scope == ports.FAILED)
 
     def take(self, now, ref, scheme, tenant, key, left, work, repeat):
