--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -87,7 +87,7 @@
         compare(self, host, "subscription")
 
     def test_long_txn_is_no_silence(self):
-        """With a txn a second nothing is heard of a backend but by its own long txn: it is asked, then left alone."""
+        """At a txn a second a backend is heard of by its own long txn alone: it is asked, then left alone."""
         host = Printer(limits__probing=True, tariffs__probe=0.002, limits__second_copies=False)
         host.list(("a",), ("b",))
         for name in "ab":
@@ -106,14 +106,15 @@
         host = Printer(limits__probing=True, tariffs__probe=0.002)
         host.list(*((name,) for name in "abcdefgh"))
         host.take(1)
+        told = []
         for _ in range(3):
-            for name in [line.split()[-1] for line in host.lines if "probe" in line and line not in host.told]:
-                host.told += [line for line in host.lines if line.endswith(name)]
-                host.report(name, 0 if name in "gh" else 3)
+            for line in [line for line in host.lines if "probe" in line and line not in told]:
+                told.append(line)
+                host.report(line[-1], 0 if line[-1] in "gh" else 3)
         compare(self, host, "waves")
 
     def test_connections_are_shared_out(self):
-        """300 proxies and 40 backends that charge for connections: a few a proxy, spread, also when some are sick."""
+        """300 proxies, 40 backends, connections at a price: a few a proxy, others when some are sick."""
         host, used = Printer(), {}
         for ordinal in range(300):
             one = Printer(ordinal=ordinal, instances=300, tariffs__connection=0.03)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -84,7 +84,7 @@
         compare(self, host, "rule_4")
 
     def test_rule_3_no_subscription(self):
-        """No call for the list went out in time (the host was stopped): it counts as told and sends no more."""
+        """No call for the list went out in time (the host stood still): it counts as told, sends no more."""
         host = Printer(discovery="subscribe", obligations__must_ask_in=8000.0, instances=0)
         host.list(("a",), scope=ports.CACHED)
         host.take(1, scheme=2)
--- a/tests/trace.py
+++ b/tests/trace.py
@@ -11,7 +11,7 @@
     """A host that writes each action down, at the time of the test's own clock."""
 
     def __init__(self, **more):
-        self.lines, self.now, self.wakes, self.sent, self.told = [], 0.0, [], {}, []
+        self.lines, self.now, self.wakes, self.sent = [], 0.0, [], {}
         terms = {"schemes.count": len(SCHEMES), "instances": 1, "step": 1.0, "limits.most_postings": 4,
                  "limits.cancel": True, "load_info.fields": "inflight", "load_info.via": "answers"}
         for at, (kind, group) in enumerate(SCHEMES):
