--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -84,7 +84,7 @@
         self.cold = proxy.term("obligations.cold", 0.0)
         self.cold_from = proxy.term("obligations.cold_from", 1.0)
         self.fall = max(proxy.term("obligations.fall", 1000.0), 1.0)
-        self.multiple, self.sum, self.summed = proxy.term("obligations.fall_multiple", 1.0), 0.0, 0.0
+        self.multiple = proxy.term("obligations.fall_multiple", 1.0)
         self.most = int(proxy.term("limits.most_postings", 1))
         self.copies = int(proxy.term("limits.second_copies", False))
 
@@ -93,11 +93,6 @@
         age = max(0.0, now - b.launched)
         return 1.0 if age >= self.cold else self.cold_from + (1 - self.cold_from) * age / self.cold
 
-    def flow(self, now, work=0.0):
-        """What this proxy sent to warm backends of late, in work: a sum that halves in the time of a fall."""
-        self.sum, self.summed = self.sum * 0.5 ** ((now - self.summed) / self.fall) + work, now
-        return self.sum
-
     def cold_room(self, b, now, work):
         """Rule 4: may this proxy send so much work to this backend now?"""
         if self.warmth(b, now) == 1.0:
@@ -107,10 +102,10 @@
         fresh = now - b.heard <= board.fresh_for and not (b.sent and b.sent[-1][0] > now - self.fall)
         if fresh and (b.others + b.own + 1) * work <= budget * self.fall / 2:
             return True
-        # This proxy's part of one core, less some slack, or what it sends a warm backend if that is more.
-        flow = self.flow(now) * 0.7 / max(board.width, 1)
+        # This proxy's part of one core, less some slack.  Not what it sends a warm backend, though machines have
+        # more cores: in a zone with too much traffic that pushed the small ones over.
         sharers = max(1.0, self.p.instances * board.width / max(board.ready, 1))
-        share = max(0.85 * self.fall / sharers, flow)
+        share = 0.85 * self.fall / sharers
         span = self.fall * max(1.0, work / budget / share)   # a txn over the budget waits longer for its turn
         while b.sent and b.sent[0][0] <= now - span:
             b.sent.popleft()
@@ -150,8 +145,6 @@
         b.waits_since = b.waits_since or now
         if self.warmth(b, now) < 1.0:
             b.sent.append((now, work))
-        else:
-            self.flow(now, work)
         self.p.host.post(txn.ref, b.ident, 0.0)
         return posting
 
@@ -352,9 +345,8 @@
         # What was slow is believed ever less, or it would never be tried again.
         return 1 + (b.pace - 1) * 0.5 ** ((now - b.learned) / (4 * self.age_limit))
 
-    def weight(self, b, now):
+    def weight(self, figure, pace):
         """The figure; a slow or cold backend, whose reports don't track real work, counts for more."""
-        figure, pace = self.figure(b, now), self.pace(b, now)
         return (figure + 1) * pace - 1 if pace > 1.6 else figure
 
     CROWD = 0.55                     # of the SLA time: a queue that takes longer only overdrives its backend
@@ -367,13 +359,13 @@
         for b in self.usable(now):
             if not free and (b in leave_out or not rules.drops_repeats(txn, b)):
                 continue
-            idle = work * self.pace(b, now)
-            takes = idle * self.stretch[bisect(BOUNDS, self.figure(b, now))]
-            if takes > max(self.CROWD * txn.scheme.sla, 1.5 * idle * self.stretch[0]):
+            figure, pace = self.figure(b, now), self.pace(b, now)
+            takes = work * pace * self.stretch[bisect(BOUNDS, figure)]
+            if takes > max(self.CROWD * txn.scheme.sla, 1.5 * work * pace * self.stretch[0]):
                 takes = INF          # crowded: no odds; out of the race where others were just asked
             if takes == INF and self.p.ask.few or not rules.cold_room(b, now, work):
                 continue
-            weight = self.weight(b, now)
+            weight = self.weight(figure, pace)
             least = best.get(b.zone == home)
             if least is None or weight < least[0]:
                 best[b.zone == home] = (weight, [(b, takes)])
@@ -455,7 +447,8 @@
         """Ask those that look lowest, unless one just heard of is idle; as far as the purse goes."""
         board = self.p.board
         usable = board.usable(now) if self.purse >= 1 else ()
-        if any(now - b.heard <= self.patience and board.weight(b, now) < 0.5 for b in usable):
+        if any(now - b.heard <= self.patience and board.weight(board.figure(b, now), board.pace(b, now)) < 0.5
+               for b in usable):
             self.purse += self.AT_ONCE
             return ()
         # By the figure alone: cold backends are asked like others, or nobody would see them idle.
