--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -102,8 +102,8 @@
         fresh = now - b.heard <= board.fresh_for and not (b.sent and b.sent[-1][0] > now - self.fall)
         if fresh and (b.others + b.own + 1) * work <= budget * self.fall / 2:
             return True
-        # This proxy's part of one core, less some slack.  Not what it sends a warm backend, though machines have
-        # more cores: in a zone with too much traffic that pushed the small ones over.
+        # This proxy's part of one core, less some slack.  Not what it sends a warm backend, though machines
+        # have more cores: on an overloaded day that pushed cold ones over.
         sharers = max(1.0, self.p.instances * board.width / max(board.ready, 1))
         share = 0.85 * self.fall / sharers
         span = self.fall * max(1.0, work / budget / share)   # a txn over the budget waits longer for its turn
@@ -219,7 +219,7 @@
         # Hundreds of proxies connected to all backends fill their tables, and none gets in any more.
         most = max(2, round(self.HALF_POINT / 2 * self.ready / self.links))
         home = [b for b in backends if b.zone == self.p.zone]
-        return home[:most] + [b for b in backends if b.zone != self.p.zone][:most - 1]
+        return home[:most] + [b for b in backends if b.zone != self.p.zone][:most - bool(home)]
 
     def listed(self, now, scope, lines):
         for ident, zone, _, cell, standing, _, launched in lines:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -128,4 +128,7 @@
                     one.proxy.board.bad(fit[0], 0.0)
                 host.say("   first one sick: " + " ".join(b.ident for b in one.proxy.board.usable(4.0)))
         host.say(f"proxies a backend: {min(used.values())} to {max(used.values())}")
+        one = Printer(ordinal=9, instances=300, tariffs__connection=0.03, zone=2)
+        one.list(*((f"b{n}", n % 2) for n in range(40)))
+        host.say("no backend at home: " + " ".join(b.ident for b in one.proxy.board.usable(0.0)))
         compare(self, host, "connections")
