--- a/sloeferry/__main__.py
+++ b/sloeferry/__main__.py
@@ -1,3 +1,73 @@
-import os,sys
-print({k:v for k,v in os.environ.items() if 'BALANCER' in k}, file=sys.stderr)
-print(open(os.environ["BALANCER_CONFIG"]).read(), file=sys.stderr, flush=True)
+"""Wires the real proxy together and starts it: python -m sloeferry."""
+import asyncio
+import os
+import signal
+import sys
+
+import uvloop
+from loguru import logger
+
+from sloeferry import terms
+from sloeferry.facade import Facade, clock
+from sloeferry.net.backends import Backends
+from sloeferry.net.buffers import Buffers, Seats
+from sloeferry.net.clients import Clients
+from sloeferry.net.discovery import Discovery
+
+SPARE = 24                               # descriptors that are no connection
+
+
+class Clockwork:
+    """Calls `tick` when something is due."""
+
+    def __init__(self, loop):
+        self.loop, self.facade, self.handle = loop, None, None
+
+    def hurry(self, at):
+        if self.handle:
+            self.handle.cancel()
+        self.handle = self.loop.call_later(max(0.0, at - clock()) / 1000, self.tick)
+
+    def tick(self):
+        self.handle = None
+        at = self.facade.tick()
+        if at is not None:
+            self.hurry(at)
+
+
+async def serve(berth):
+    loop = asyncio.get_running_loop()
+    work = Clockwork(loop)
+    facade = work.facade = Facade(berth.seed, berth.terms, work.hurry)
+    seats, buffers = Seats(berth.sockets - SPARE), Buffers()
+    backends = Backends(loop, facade, berth.terms, seats, buffers)
+    discovery = Discovery(loop, facade, berth, seats, buffers, backends)
+    clients = Clients(loop, facade, berth, seats, buffers, backends, discovery)
+    leave = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, leave.set)
+    loop.add_signal_handler(signal.SIGINT, leave.set)
+    tasks = [loop.create_task(work) for work in (backends.probes(), backends.sweep(), discovery.run())]
+    accepting = loop.create_task(clients.run())
+    for task in (*tasks, accepting):
+        task.add_done_callback(lambda task: leave.set())
+    logger.info("{} listens on {}:{}", berth.name, *berth.listen)
+    await leave.wait()
+    for task in tasks:
+        if task.done():
+            logger.error("ended by itself: {!r}", task)
+    await clients.leave(accepting)
+
+
+def main():
+    logger.remove()
+    logger.add(sys.stderr, level=os.environ.get("LOGURU_LEVEL", "INFO"), format="{time:HH:mm:ss.SSS} {level} {message}")
+    try:
+        berth = terms.read(os.environ)
+    except terms.Fault as fault:
+        sys.exit(f"sloeferry: {fault}")
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(serve(berth))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/sloeferry/facade.py
@@ -0,0 +1,151 @@
+"""The decisions in blocking style, for code that speaks to the network.
+
+An errand is one txn on its way.  Who carries it awaits `pick` for the next order and reports how each
+posting ended; probes and the list have an errand each that stands for as long as the program runs.
+`tick` fires what is due and says when it wants to be called again.  No decisions here, but the check
+that rule 3 wants just before a posting's first byte.
+"""
+import time
+from asyncio import Queue
+from heapq import heappop, heappush
+
+from sloeferry import decide, ports
+
+# Orders: (POST, seq, backend), (WITHDRAW, seq), (SETTLE, answer), (DECLINE, pause), (REVERSE,), (LEAVE,),
+# and for the standing errands (PROBE, backend) and (WATCH,).
+POST, WITHDRAW, SETTLE, DECLINE, REVERSE, LEAVE, PROBE, WATCH = range(8)
+# How far a posting came: nothing written, part, whole, answer begun.
+NOTHING, PART, WHOLE, BEGUN = range(4)
+# Why it ended there.
+SERVED, ERRED, REJECTED, BROKEN, LATE, WITHDRAWN, VOID = range(7)
+STANDINGS = {"ready": ports.READY, "draining": ports.DRAINING, "gone": ports.GONE}
+
+
+def clock():
+    return time.monotonic() * 1000
+
+
+class Errand:
+    """One txn, or one of the standing errands: where its orders wait."""
+
+    def __init__(self, ref=0, ends=0.0):
+        self.ref, self.ends, self.orders, self.over, self.out, self.sent = ref, ends, Queue(), False, 0, 0
+
+
+class Facade:
+    """One instance of the decisions, and their host."""
+
+    def __init__(self, seed, terms, hurry):
+        self.hurry = hurry               # called with a time: be back by then
+        self.timers, self.errands, self.refs, self.next, self.late = [], {}, 0, None, 0.0
+        self.probing, self.listing, self.standing = Errand(), Errand(), {}
+        self.unix = time.time() * 1000 - clock()
+        self.proxy = decide.Proxy(self, clock(), seed, terms)
+
+    # For the network
+
+    def take(self, scheme, tenant, left, again):
+        """A txn has come: its errand."""
+        now = clock()
+        self.refs += 1
+        errand = self.errands[self.refs] = Errand(self.refs, now + left)
+        self.proxy.take(now, errand.ref, scheme, tenant, 0, left, None, again)
+        return errand
+
+    async def pick(self, errand):
+        """The errand's next order."""
+        return await errand.orders.get()
+
+    def report(self, errand, seq, reached, why, took, load=(), answer=None):
+        """A posting has ended."""
+        errand.out -= 1
+        if why == SERVED and not errand.over:
+            self.finish(errand, SETTLE, answer)
+        elif errand.over and not errand.out:
+            self.errands.pop(errand.ref, None)
+        self.proxy.ended(clock(), errand.ref, seq, outcome(reached, why), errand.over, took, load)
+
+    def report_left(self, errand):
+        """The client has gone."""
+        if not errand.over:
+            self.finish(errand, LEAVE)
+            self.proxy.left(clock(), errand.ref)
+
+    def report_probe(self, backend, served, took, load=()):
+        self.proxy.probed(clock(), backend, ports.SETTLED if served else ports.UNREACHED, took, load)
+
+    def report_list(self, whole, lines, cached=False):
+        """A list: (backend, zone, kind, cell, standing, share, started in Unix time), all or what changed."""
+        if whole:
+            self.standing.clear()
+        lines = [(ident, zone, kind, cell, STANDINGS[standing], share, started and started - self.unix)
+                 for ident, zone, kind, cell, standing, share, started in lines]
+        self.standing.update((line[0], line[4]) for line in lines)
+        self.proxy.listed(clock(), ports.CACHED if cached else ports.WHOLE if whole else ports.CHANGES, lines)
+
+    def report_no_list(self):
+        """A watch that was asked for, or stood, has failed."""
+        self.proxy.listed(clock(), ports.FAILED, ())
+
+    def stands(self, backend):
+        """Rule 3, once more before the first byte: a dial takes time, and the list may have changed."""
+        return self.standing.get(backend) == ports.READY and clock() <= self.proxy.discovery.deemed_old
+
+    def tick(self):
+        """Fire what is due; the time of the next, or None."""
+        now = clock()
+        while self.timers and self.timers[0][0] <= now:
+            at, token = heappop(self.timers)
+            self.late = max(now - at, self.late * 0.99)
+            self.proxy.woken(now, token)
+        self.next = self.timers[0][0] if self.timers else None
+        return self.next
+
+    # For the decisions: ports.Host
+
+    def finish(self, errand, *order):
+        errand.over = True
+        errand.orders.put_nowait(order)
+        if not errand.out:
+            self.errands.pop(errand.ref, None)
+
+    def post(self, ref, backend, give_up_after):
+        errand = self.errands[ref]
+        errand.orders.put_nowait((POST, errand.sent, backend))
+        errand.sent, errand.out = errand.sent + 1, errand.out + 1
+
+    def withdraw(self, ref, seq):
+        self.errands[ref].orders.put_nowait((WITHDRAW, seq))
+
+    def decline(self, ref, pause):
+        if ref in self.errands:
+            self.finish(self.errands[ref], DECLINE, pause)
+
+    def reverse(self, ref):
+        if ref in self.errands:
+            self.finish(self.errands[ref], REVERSE)
+
+    def probe(self, backend):
+        self.probing.orders.put_nowait((PROBE, backend))
+
+    def watch(self):
+        self.listing.orders.put_nowait((WATCH,))
+
+    def wake(self, at, token):
+        heappush(self.timers, (at, token))
+        if self.next is None or at < self.next:
+            self.next = at
+            self.hurry(at)
+
+    def note(self, text):
+        pass
+
+
+def outcome(reached, why):
+    """Rule 2 by bytes: a request never written whole has not run; one written whole may have."""
+    if why == VOID or reached < WHOLE and why in (LATE, WITHDRAWN):
+        return ports.NEVER_SENT
+    if reached < WHOLE:
+        return ports.UNREACHED
+    return {SERVED: ports.SETTLED, ERRED: ports.ERRED, REJECTED: ports.TURNED_AWAY, BROKEN: ports.CUT,
+            LATE: ports.LATE, WITHDRAWN: ports.WITHDRAWN}[why]
--- /dev/null
+++ b/sloeferry/net/backends.py
@@ -0,0 +1,186 @@
+"""The backends: postings and probes, each on a connection that carries one at a time and is then kept."""
+import asyncio
+import json
+import math
+import socket
+from time import monotonic
+from typing import NamedTuple
+
+from loguru import logger
+
+from sloeferry import facade as f
+from sloeferry.net import http1
+
+
+class Ended(NamedTuple):
+    """How a posting ended: how far it came, why it ended there, and the answer if one came whole."""
+    reached: int
+    why: int
+    answer: http1.Message | None = None
+
+
+class Link:
+    """One connection to a backend."""
+
+    def __init__(self, backends, ident, address, sock):
+        self.backends, self.ident, self.address, self.sock = backends, ident, address, sock
+        self.wire = http1.Wire(backends.loop, sock, backends.buffers, answers=True)
+        self.since = monotonic()
+
+    def usable(self):
+        """Whether it still stands, and its backend won't close it for idleness any moment."""
+        if monotonic() - self.since > self.backends.idle_limit:
+            return False
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False                     # an end, or bytes that nobody asked for
+
+    def rest(self):
+        self.since = monotonic()
+        self.backends.idle.setdefault(self.ident, []).append(self)
+        self.backends.seats.rest(self, self.close)
+
+    def wake(self):
+        self.backends.idle[self.ident].remove(self)
+        self.backends.seats.wake(self)
+
+    def close(self):
+        if self in self.backends.idle.get(self.ident, ()):
+            self.wake()
+        self.sock.close()
+        self.backends.seats.give()
+
+
+class Backends:
+    def __init__(self, loop, facade, terms, seats, buffers):
+        self.loop, self.facade, self.seats, self.buffers = loop, facade, seats, buffers
+        self.addresses, self.idle, self.tasks = {}, {}, set()
+        self.dial_time = terms["limits.dial_timeout"]
+        self.idle_limit = terms["limits.conn_idle"] / 1000 * 0.8
+        self.fields = [name for name in terms["load_info.fields"].split(",") if name]
+        self.status = b"/status/load" if self.fields else b"/health"
+
+    def told(self, ident, address):
+        """Where a backend listens; None once it has left."""
+        if self.addresses.get(ident) != address:
+            for link in list(self.idle.get(ident, ())):
+                link.close()
+            self.addresses[ident] = address
+
+    async def link(self, ident):
+        """A connection to write on: a kept one found alive, or a new one; None if there is none."""
+        while kept := self.idle.get(ident):
+            link = kept[-1]
+            if link.usable():
+                link.wake()
+                return link
+            link.close()
+        address = self.addresses.get(ident)
+        if address is None or not self.seats.take():
+            return None
+        sock = None
+        try:
+            sock = await http1.dial(self.loop, address, self.dial_time)
+        finally:
+            if sock is None:
+                self.seats.give()
+        return sock and Link(self, ident, address, sock)
+
+    async def exchange(self, ident, until, wanted, write):
+        """One request and its answer.  `write` makes the request once the connection stands; `wanted` says,
+        right before the first byte, whether it still may go out."""
+        link, reached, why, answer = None, f.NOTHING, f.BROKEN, None
+        try:
+            async with asyncio.timeout_at(until / 1000 - f.clock() / 1000 + self.loop.time()):
+                link = await self.link(ident)
+                if link:
+                    if not wanted():
+                        why = f.VOID
+                    else:
+                        reached = f.PART
+                        await self.loop.sock_sendall(link.sock, write())
+                        reached = f.WHOLE
+                        got = await link.wire.next()
+                        if isinstance(got, http1.Message):
+                            answer, reached = got, f.BEGUN
+                        elif link.wire.begun:
+                            reached = f.BEGUN
+        except OSError:
+            pass
+        except TimeoutError:
+            why = f.LATE
+        except asyncio.CancelledError:
+            why = f.WITHDRAWN
+        if link:
+            if answer and answer.keep and not link.wire.whole or why == f.VOID:
+                link.rest()
+                if self.addresses.get(ident) != link.address:
+                    link.close()
+            else:
+                link.close()
+        # Withdrawn or late half way through writing: nobody knows whether the last byte went out.
+        if reached == f.PART and why in (f.LATE, f.WITHDRAWN):
+            reached = f.WHOLE
+        return Ended(reached, why, answer)
+
+    async def post(self, errand, seq, ident, method, url, headers, body):
+        """One posting, from the order to its report."""
+        began = f.clock()
+
+        def write():
+            left = b"%d" % max(1, errand.ends - f.clock())
+            return http1.request(method, url, [*headers, (b"X-Budget-Ms", left)], body)
+        ended = await self.exchange(ident, errand.ends, lambda: not errand.over and self.facade.stands(ident),
+                                    write)
+        why, load, answer = ended.why, (), ended.answer
+        if answer:
+            load = self.load(answer.header(b"x-load-report"))
+            rejected = answer.status in (503, 504) and answer.header(b"x-rejected") == b"1"
+            why = f.SERVED if answer.status == 200 else f.REJECTED if rejected else f.ERRED
+        self.facade.report(errand, seq, ended.reached, why, f.clock() - began, load, answer)
+
+    async def probes(self):
+        while True:
+            _, ident = await self.facade.pick(self.facade.probing)
+            self.spawn(self.probe(ident))
+
+    async def probe(self, ident):
+        began = f.clock()
+        ended = await self.exchange(ident, began + self.dial_time, lambda: self.facade.stands(ident), lambda:
+                                    http1.request(b"GET", self.status, [(b"Host", b"backend.local")]))
+        served = ended.answer is not None and ended.answer.status == 200
+        load = self.load(ended.answer.body()) if ended.answer and self.fields else ()
+        self.facade.report_probe(ident, served, f.clock() - began, load)
+
+    def spawn(self, work):
+        task = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    def load(self, text):
+        """A load report's figures in the order of the settings; none if it is not what it should be."""
+        if not text or not self.fields:
+            return ()
+        try:
+            said = json.loads(text)
+            load = [float(said[name]) for name in self.fields]
+            if all(math.isfinite(figure) for figure in load):
+                return load
+        except (ValueError, TypeError, KeyError, RecursionError):
+            pass
+        logger.warning("load report not understood, ignored: {!r}", text[:80])
+        return ()
+
+    async def sweep(self):
+        """Close kept connections before their backend does."""
+        while True:
+            await asyncio.sleep(self.idle_limit / 8)
+            for links in list(self.idle.values()):
+                for link in list(links):
+                    if not link.usable():
+                        link.close()
--- /dev/null
+++ b/sloeferry/net/http1.py
@@ -0,0 +1,137 @@
+"""HTTP/1.1 on one socket, with httptools.  What goes wrong is a value, never an exception."""
+import asyncio
+import socket
+
+import httptools
+
+# Why there is no (further) message.
+CLOSED, MALFORMED, TOO_LARGE = "closed", "malformed", "too large"
+BODY, HEAD = 65536, 16384                # the most that a body and a head may hold
+HOP = {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
+       b"expect", b"content-length"}     # headers that speak of one connection alone, or are written anew
+
+
+class Message:
+    """A request or an answer."""
+
+    def __init__(self):
+        self.url, self.headers, self.parts, self.size, self.head = b"", [], [], 0, 0
+        self.method, self.status, self.keep = b"", 0, False
+
+    def header(self, name):
+        """The one value of a header; None if it is missing or said twice."""
+        said = [v for n, v in self.headers if n == name]
+        return said[0] if len(said) == 1 else None
+
+    def body(self):
+        return b"".join(self.parts)
+
+
+class Wire:
+    """What comes in on a socket: whole messages, or with `stream` the bits of one's body as they come."""
+
+    def __init__(self, loop, sock, buffers, answers, stream=None):
+        self.loop, self.sock, self.buffers, self.stream = loop, sock, buffers, stream
+        self.answers = answers
+        self.parser = (httptools.HttpResponseParser if answers else httptools.HttpRequestParser)(self)
+        self.message, self.whole, self.fault, self.begun = Message(), [], None, False
+
+    def on_message_begin(self):
+        self.message, self.begun = Message(), True
+
+    def on_url(self, url):
+        self.message.url += url
+        self.weigh(len(url))
+
+    def on_header(self, name, value):
+        self.message.headers.append((name.lower(), value))
+        self.weigh(len(name) + len(value) + 4)
+
+    def weigh(self, more):
+        self.message.head += more
+        if self.message.head > HEAD:
+            self.fault = TOO_LARGE
+            raise ValueError(TOO_LARGE)
+
+    def on_headers_complete(self):
+        message = self.message
+        message.keep = self.parser.should_keep_alive()
+        if self.answers:
+            message.status = self.parser.get_status_code()
+        else:
+            message.method = self.parser.get_method()
+
+    def on_body(self, data):
+        if self.stream is not None:
+            return self.stream(self.message, data)
+        self.message.size += len(data)
+        if self.message.size > BODY:
+            self.fault = TOO_LARGE
+            raise ValueError(TOO_LARGE)
+        self.message.parts.append(data)
+
+    def on_message_complete(self):
+        self.begun = False
+        if not 100 <= self.message.status < 200:
+            self.whole.append(self.message)
+
+    async def fill(self):
+        """Receive once; None, or why nothing more will come."""
+        buffer = self.buffers.take()
+        try:
+            n = await self.loop.sock_recv_into(self.sock, buffer)
+            if n:
+                self.parser.feed_data(memoryview(buffer)[:n])
+                return None
+            self.fault = CLOSED
+        except OSError:
+            self.fault = CLOSED
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.fault = self.fault or MALFORMED
+        finally:
+            self.buffers.give(buffer)
+        return self.fault
+
+    async def next(self):
+        """The next whole message, or why none will come."""
+        while not self.whole:
+            if self.fault or await self.fill():
+                return self.fault
+        return self.whole.pop(0)
+
+
+async def dial(loop, address, patience):
+    """A connected socket, or None."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        async with asyncio.timeout(patience / 1000):
+            await loop.sock_connect(sock, address)
+        return sock
+    except (OSError, TimeoutError):
+        sock.close()
+        return None
+    except BaseException:                # withdrawn while it dialled
+        sock.close()
+        raise
+
+
+def request(method, url, headers, body=b""):
+    head = [b"%b %b HTTP/1.1" % (method, url), *(b"%b: %b" % h for h in headers)]
+    if body or method not in (b"GET", b"HEAD"):
+        head.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(head) + b"\r\n\r\n" + body
+
+
+REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
+           408: b"Request Timeout", 413: b"Content Too Large", 500: b"Internal Server Error",
+           502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout"}
+
+
+def answer(status, body=b"", headers=(), keep=True):
+    head = [b"HTTP/1.1 %d %b" % (status, REASONS[status]), b"Content-Length: %d" % len(body),
+            *(b"%b: %b" % h for h in headers)]
+    if not keep:
+        head.append(b"Connection: close")
+    return b"\r\n".join(head) + b"\r\n\r\n" + body
--- a/sloeferry/simhost/__main__.py
+++ b/sloeferry/simhost/__main__.py
@@ -6,14 +6,12 @@
 import struct
 import sys
 
-from sloeferry import decide, ports
+from sloeferry import decide, ports, terms
 
 OUTCOMES = {0: ports.SETTLED, 13: ports.ERRED, 8: ports.TURNED_AWAY, 4: ports.LATE, 14: ports.UNREACHED,
             10: ports.CUT, 1: ports.WITHDRAWN, 9: ports.NEVER_SENT}
 SCOPES = {0: ports.WHOLE, 1: ports.CHANGES, 2: ports.FAILED, 3: ports.CACHED}
 STANDINGS = {0: ports.GONE, 1: ports.READY, 2: ports.DRAINING}
-TIMES = {"expiry", "sla_time", "dedup_window", "conn_idle", "dial_timeout", "max_retry_after", "cold",
-         "drain_grace", "fall", "grace_to_answer", "must_ask_in", "step"}
 EVENT, ACTION = 40, 24
 MOST = 2 ** 64 - 1
 
@@ -32,23 +30,6 @@
     """What came in is not the wire's."""
 
 
-def value(name, text):
-    """A setting's text as number, truth value or text; times in milliseconds."""
-    if text in ("true", "false"):
-        return text == "true"
-    try:
-        number = float(text)
-    except ValueError:
-        return text
-    return number / 1000 if name.rpartition(".")[2] in TIMES else number
-
-
-def terms_of(text):
-    """The settings, path=value a line, as a plain map."""
-    pairs = (line.partition("=") for line in text.splitlines() if "=" in line)
-    return {name: value(name, said) for name, _, said in pairs}
-
-
 class Out:
     """The replies of one batch; every Host of the process writes here."""
 
@@ -146,8 +127,8 @@
         try:
             if code == 1:
                 seed, start, length = _begin.unpack_from(body, at)
-                terms = terms_of(self.cut(start, length).decode())
-                self.proxies[self.who] = decide.Proxy(Host(self.who, self.out), self.now, seed, terms)
+                told = terms.of_lines(self.cut(start, length).decode())
+                self.proxies[self.who] = decide.Proxy(Host(self.who, self.out), self.now, seed, told)
             elif code == 10:
                 self.proxies.pop(self.who, None)
             elif self.who in self.proxies:
