--- a/sloeferry/__main__.py
+++ b/sloeferry/__main__.py
@@ -1,5 +1,6 @@
 """Wires the real proxy together and starts it: python -m sloeferry."""
 import asyncio
+import math
 import os
 import signal
 import sys
@@ -26,13 +27,16 @@
     def hurry(self, at):
         if self.handle:
             self.handle.cancel()
-        self.handle = self.loop.call_later(max(0.0, at - clock()) / 1000, self.tick)
+        self.handle = self.loop.call_later(max(0, math.ceil(at - clock())) / 1000, self.tick)
 
     def tick(self):
         self.handle = None
-        at = self.facade.tick()
-        if at is not None:
-            self.hurry(at)
+        try:
+            self.facade.tick()
+        except Exception as fault:       # one decision that failed must not stop the clock of all others
+            logger.opt(exception=True).error("tick failed: {!r}", fault)
+        if self.facade.next is not None:
+            self.hurry(self.facade.next)
 
 
 async def serve(berth):
@@ -46,27 +50,32 @@
     leave = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, leave.set)
     loop.add_signal_handler(signal.SIGINT, leave.set)
-    tasks = [loop.create_task(work) for work in (backends.probes(), backends.sweep(), discovery.run())]
-    accepting = loop.create_task(clients.run())
-    for task in (*tasks, accepting):
+    tasks = [loop.create_task(work) for work in (
+        backends.probes(), backends.sweep(), discovery.run(), clients.sweep())]
+    for task in tasks:                   # none of them ends by itself
         task.add_done_callback(lambda task: leave.set())
+    clients.open()
     logger.info("{} listens on {}:{}", berth.name, *berth.listen)
     await leave.wait()
     for task in tasks:
         if task.done():
             logger.error("ended by itself: {!r}", task)
-    await clients.leave(accepting)
+    await clients.leave()
 
 
 def main():
     logger.remove()
-    logger.add(sys.stderr, level=os.environ.get("LOGURU_LEVEL", "INFO"), format="{time:HH:mm:ss.SSS} {level} {message}")
+    logger.add(sys.stderr, level=os.environ.get("LOGURU_LEVEL", "INFO"), diagnose=False,
+               format="{time:HH:mm:ss.SSS} {level} {message}")
     try:
         berth = terms.read(os.environ)
     except terms.Fault as fault:
         sys.exit(f"sloeferry: {fault}")
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(serve(berth))
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(serve(berth))
+    except OSError as fault:
+        sys.exit(f"sloeferry: listen: {berth.listen[0]}:{berth.listen[1]} can't be had: {fault.strerror}")
 
 
 if __name__ == "__main__":
--- a/sloeferry/facade.py
+++ b/sloeferry/facade.py
@@ -45,8 +45,9 @@
     # For the network
 
     def take(self, scheme, tenant, left, again):
-        """A txn has come: its errand."""
+        """A txn has come: its errand.  What the loop runs late comes off its time, or answers would too."""
         now = clock()
+        left -= min(self.late, left / 8)
         self.refs += 1
         errand = self.errands[self.refs] = Errand(self.refs, now + left)
         self.proxy.take(now, errand.ref, scheme, tenant, 0, left, None, again)
@@ -94,11 +95,13 @@
     def tick(self):
         """Fire what is due; the time of the next, or None."""
         now = clock()
-        while self.timers and self.timers[0][0] <= now:
-            at, token = heappop(self.timers)
-            self.late = max(now - at, self.late * 0.99)
-            self.proxy.woken(now, token)
-        self.next = self.timers[0][0] if self.timers else None
+        try:
+            while self.timers and self.timers[0][0] <= now:
+                at, token = heappop(self.timers)
+                self.late = max(now - at, self.late * 0.99)
+                self.proxy.woken(now, token)
+        finally:
+            self.next = self.timers[0][0] if self.timers else None
         return self.next
 
     # For the decisions: ports.Host
--- a/sloeferry/net/backends.py
+++ b/sloeferry/net/backends.py
@@ -6,10 +6,9 @@
 from time import monotonic
 from typing import NamedTuple
 
-from loguru import logger
-
 from sloeferry import facade as f
 from sloeferry.net import http1
+from sloeferry.net.log import warn
 
 
 class Ended(NamedTuple):
@@ -98,7 +97,7 @@
             async with asyncio.timeout_at(until / 1000 - f.clock() / 1000 + self.loop.time()):
                 link = await self.link(ident)
                 if link:
-                    if not wanted():
+                    if f.clock() >= until or not wanted():
                         why = f.VOID
                     else:
                         reached = f.PART
@@ -109,14 +108,14 @@
                             answer, reached = got, f.BEGUN
                         elif link.wire.begun:
                             reached = f.BEGUN
+        except TimeoutError:             # a kind of OSError, so it comes first
+            why = f.LATE
         except OSError:
             pass
-        except TimeoutError:
-            why = f.LATE
         except asyncio.CancelledError:
             why = f.WITHDRAWN
         if link:
-            if answer and answer.keep and not link.wire.whole or why == f.VOID:
+            if answer and answer.keep and not (link.wire.whole or link.wire.begun) or why == f.VOID:
                 link.rest()
                 if self.addresses.get(ident) != link.address:
                     link.close()
@@ -134,8 +133,14 @@
         def write():
             left = b"%d" % max(1, errand.ends - f.clock())
             return http1.request(method, url, [*headers, (b"X-Budget-Ms", left)], body)
-        ended = await self.exchange(ident, errand.ends, lambda: not errand.over and self.facade.stands(ident),
-                                    write)
+
+        def wanted():
+            return not errand.over and self.facade.stands(ident)
+        try:
+            ended = await self.exchange(ident, errand.ends, wanted, write)
+        except Exception as fault:       # whatever it was, the posting has ended, and may have run
+            warn("posting", "failed: {!r}", fault)
+            ended = Ended(f.WHOLE, f.BROKEN)
         why, load, answer = ended.why, (), ended.answer
         if answer:
             load = self.load(answer.header(b"x-load-report"))
@@ -173,7 +178,7 @@
                 return load
         except (ValueError, TypeError, KeyError, RecursionError):
             pass
-        logger.warning("load report not understood, ignored: {!r}", text[:80])
+        warn("load report", "not understood, ignored: {!r}", text[:80])
         return ()
 
     async def sweep(self):
--- a/sloeferry/net/buffers.py
+++ b/sloeferry/net/buffers.py
@@ -19,12 +19,14 @@
     """One seat a connection, whoever is at its other end.  A full table sheds those idle longest."""
 
     def __init__(self, most):
-        self.most, self.taken, self.idle = most, 0, {}       # idle: connection -> how to close it, oldest first
-
-    def take(self):
-        if self.taken >= self.most and self.idle:
-            next(iter(self.idle.values()))()
-        if self.taken >= self.most:
+        self.most, self.taken, self.idle = most, 0, {}       # idle: connection -> how to end it, oldest first
+
+    def take(self, spare=0):
+        """A seat, if `spare` others stay for whoever needs them more."""
+        while self.taken >= self.most - spare and self.idle:
+            connection = next(iter(self.idle))
+            self.idle.pop(connection)()
+        if self.taken >= self.most - spare:
             return False
         self.taken += 1
         return True
@@ -32,8 +34,8 @@
     def give(self):
         self.taken -= 1
 
-    def rest(self, connection, close):
-        self.idle[connection] = close
+    def rest(self, connection, end):
+        self.idle[connection] = end
 
     def wake(self, connection):
         self.idle.pop(connection, None)
--- a/sloeferry/net/clients.py
+++ b/sloeferry/net/clients.py
@@ -1,16 +1,21 @@
 """The clients: the listener, one connection each, /ready, and the way out after SIGTERM."""
 import asyncio
 import socket
+from time import monotonic
 
 from loguru import logger
 
 from sloeferry import facade as f
 from sloeferry.net import http1
+from sloeferry.net.log import warn
 
-IDLE, READING = 60.0, 5.0                # seconds: between requests, and for one that has begun to come
-STILL_COMING = 0.4                       # connections after SIGTERM
-AHEAD = 4                                # requests read before the one in hand is answered
-OURS = http1.HOP | {b"x-budget-ms"}      # what a backend is told anew
+IDLE, READING = 60.0, 5.0                # seconds: between requests, and for one to come or an answer to go
+LINGER = 0.5                             # seconds that a refused sender has to read why
+STILL_COMING, LAST = 0.4, 0.2            # seconds after SIGTERM: for connections, then for what they ask
+AT_ONCE, PAUSE = 64, 0.01                # connections accepted in a row; seconds until a full table is tried
+METHODS = (b"GET", b"POST", b"PUT", b"PATCH", b"DELETE")
+OURS = http1.HOP | {b"x-budget-ms"}      # of a request, what a backend is told anew
+KEPT_BACK = http1.HOP | {b"x-load-report", b"x-rejected"}      # of an answer, what is not the client's
 
 
 class Guest:
@@ -19,122 +24,136 @@
     def __init__(self, clients, sock):
         self.clients, self.sock, self.loop = clients, sock, clients.loop
         self.wire = http1.Wire(clients.loop, sock, clients.buffers, answers=False)
-        self.came, self.errand, self.closed, self.fault = asyncio.Event(), None, False, None
+        self.came, self.room = asyncio.Event(), asyncio.Event()
+        self.errand, self.busy, self.fault, self.fresh, self.ended = None, False, None, True, False
+        self.until = monotonic() + IDLE  # by then it must have sent a whole request
+        clients.guests.add(self)
         self.task = self.loop.create_task(self.serve())
         self.reader = self.loop.create_task(self.read())
 
     async def read(self):
-        """All that comes in; an end while a txn is out means that the client has gone."""
-        try:
-            while self.fault is None:
-                limit = None if self.errand else READING if self.wire.begun else IDLE
-                try:
-                    async with asyncio.timeout(limit):
-                        self.fault = await self.wire.fill()
-                except TimeoutError:
-                    if not self.errand:
-                        self.fault = "silent"
-                if len(self.wire.whole) > AHEAD:
-                    self.fault = http1.MALFORMED
-                if self.wire.whole or self.wire.begun:
-                    self.clients.seats.wake(self)
-                self.came.set()
-        finally:
-            if self.errand:
-                self.clients.facade.report_left(self.errand)
+        """Takes in what comes, one request ahead.  An end while a txn is out: the client has gone."""
+        wire = self.wire
+        while self.fault is None:
+            begun = wire.begun
+            self.fault = await wire.fill()
+            if wire.begun and not begun:
+                self.until = monotonic() + READING       # for all of it, or drops would hold it for ever
+            if wire.begun and wire.message.expects and not self.busy:
+                wire.message.expects = False
+                self.loop.create_task(self.send(b"HTTP/1.1 100 Continue\r\n\r\n"))
+            self.came.set()
+            while wire.whole and not self.fault:
+                self.room.clear()
+                await self.room.wait()
+        if self.errand:
+            self.clients.facade.report_left(self.errand)
 
     async def serve(self):
         try:
-            keep = True
-            while keep:
-                while not self.wire.whole and self.fault is None:
-                    if self.clients.leaving and not self.wire.begun:
-                        return
-                    self.came.clear()
-                    if not self.wire.begun:
-                        self.clients.seats.rest(self, self.close)
-                    await self.came.wait()
-                self.clients.seats.wake(self)
-                if self.wire.whole:
-                    keep = await self.answer(self.wire.whole.pop(0))
-                elif self.fault in (http1.MALFORMED, http1.TOO_LARGE):
-                    await self.send(http1.answer(413 if self.fault == http1.TOO_LARGE else 400, keep=False))
-                    return
-                else:
-                    return
-        except OSError:
+            while await self.one():
+                pass
+        except OSError:                  # the client has gone, or takes nothing more
             pass
+        except Exception as fault:       # exceptions stop here: this connection ends, no other
+            logger.opt(exception=True).error("connection failed: {!r}", fault)
         finally:
             self.end()
 
-    async def send(self, data):
-        async with asyncio.timeout(READING):
-            await self.loop.sock_sendall(self.sock, data)
+    async def one(self):
+        """The next request and its answer; whether another may follow."""
+        while not self.wire.whole and self.fault is None:
+            if self.clients.done_with(self):
+                return False
+            self.came.clear()
+            self.clients.seats.rest(self, self.end)
+            await self.came.wait()
+        self.clients.seats.wake(self)
+        if not self.wire.whole:
+            if self.fault != http1.CLOSED:
+                await self.send(http1.answer(413 if self.fault == http1.TOO_LARGE else 400, keep=False))
+                await self.linger()
+            return False
+        message, self.busy, self.fresh = self.wire.whole.pop(0), True, False
+        self.room.set()
+        status, body, headers = await self.answer(message)
+        keep = message.keep and not self.clients.leaving and self.fault is None
+        await self.send(http1.answer(status, body, headers, keep))
+        self.busy, self.until = False, monotonic() + IDLE
+        return keep
 
     async def answer(self, message):
-        """One request, answered; whether the connection stays."""
+        """Status, body and headers for one request."""
         if message.url.partition(b"?")[0] == b"/ready" and message.method == b"GET":
             ready = self.clients.discovery.ready.is_set() and not self.clients.leaving
-            status, body, headers = 200 if ready else 503, b"", ()
-        else:
-            status, body, headers = await self.txn(message)
-        if status is None:
-            return False
-        keep = message.keep and not self.clients.leaving
-        try:
-            await self.send(http1.answer(status, body, headers, keep))
-        except TimeoutError:
-            return False
-        return keep
-
-    async def txn(self, message):
-        """A txn from its request to its answer: status, body, headers; status None if nobody waits."""
+            return 200 if ready else 503, b"", ()
+        if message.method not in METHODS:
+            return 405, b"", ()
         errand = self.clients.taken(message)
         if errand is None:
             return 400, b"", ()
-        facade, backends, out = self.clients.facade, self.clients.backends, {}
-        headers = [h for h in message.headers if h[0] not in OURS]
-        body = message.body()
         self.errand = errand
+        if self.fault:                   # it had gone before its turn came
+            self.clients.facade.report_left(errand)
         try:
-            while True:
-                order, *what = await facade.pick(errand)
-                if order == f.POST:
-                    seq, ident = what
-                    out[seq] = backends.spawn(backends.post(errand, seq, ident, message.method, message.url,
-                                                            headers, body))
-                elif order == f.WITHDRAW:
-                    out[what[0]].cancel()
-                elif order == f.SETTLE:
-                    kind = what[0].header(b"content-type")
-                    return 200, what[0].body(), [(b"Content-Type", kind)] if kind else ()
-                elif order == f.DECLINE:
-                    return 503, b"", [(b"Retry-After", b"%.3f" % (what[0] / 1000))] if what[0] else ()
-                elif order == f.REVERSE:
-                    return 504, b"", ()
-                else:
-                    return None, b"", ()
+            return await self.txn(errand, message)
         finally:
             self.errand = None
 
-    def close(self):
-        """From outside: this connection is idle and its seat is needed, or the program ends."""
-        self.task.cancel()
+    async def txn(self, errand, message):
+        """Carries out the orders for one txn until one of them ends it."""
+        facade, backends, out = self.clients.facade, self.clients.backends, {}
+        headers, body = [h for h in message.headers if h[0] not in OURS], message.body()
+        while True:
+            order, *what = await facade.pick(errand)
+            if order == f.POST:
+                seq, ident = what
+                out[seq] = backends.spawn(backends.post(errand, seq, ident, message.method, message.url,
+                                                        headers, body))
+            elif order == f.WITHDRAW:
+                await asyncio.sleep(0)   # a task cancelled before its first step would never report
+                out[what[0]].cancel()
+            elif order == f.SETTLE:
+                return 200, what[0].body(), [h for h in what[0].headers if h[0] not in KEPT_BACK]
+            elif order == f.DECLINE:
+                return 503, b"", [(b"Retry-After", b"%.3f" % (what[0] / 1000))] if what[0] else ()
+            else:
+                return 504, b"", ()
+
+    async def send(self, data):
+        async with asyncio.timeout(READING):
+            await self.loop.sock_sendall(self.sock, data)
+
+    async def linger(self):
+        """Closed over unread bytes, a socket resets, and the answer is lost with it."""
+        self.sock.shutdown(socket.SHUT_WR)
+        buffer = self.clients.buffers.take()
+        try:
+            async with asyncio.timeout(LINGER):
+                while await self.loop.sock_recv_into(self.sock, buffer):
+                    pass
+        finally:
+            self.clients.buffers.give(buffer)
 
     def end(self):
-        if not self.closed:
-            self.closed = True
-            self.reader.cancel()
-            self.clients.guests.discard(self)
-            self.clients.seats.wake(self)
-            self.clients.seats.give()
-            self.sock.close()
+        """Closes the connection, also from outside: it is idle and its seat is needed, or it took too long."""
+        if self.ended:
+            return
+        self.ended = True
+        self.reader.cancel()
+        if asyncio.current_task() is not self.task:
+            self.task.cancel()
+        self.clients.guests.discard(self)
+        self.clients.seats.wake(self)
+        self.clients.seats.give()
+        self.sock.close()
 
 
 class Clients:
     def __init__(self, loop, facade, berth, seats, buffers, backends, discovery):
         self.loop, self.facade, self.seats, self.buffers = loop, facade, seats, buffers
-        self.backends, self.discovery, self.leaving, self.guests = backends, discovery, False, set()
+        self.backends, self.discovery, self.guests = backends, discovery, set()
+        self.leaving = self.left = False
         self.schemes, self.tenants = berth.schemes(), berth.tenants()
         self.keyed = {at for at in self.schemes.values()
                       if berth.terms.get(f"schemes.{at}.idempotency") == "dedup"}
@@ -151,50 +170,79 @@
             return (message.header(name) or b"").decode("latin-1")
         scheme, budget = self.schemes.get(text(b"x-call-class")), text(b"x-budget-ms")
         tenant = self.tenants.get(text(b"x-caller")) if self.tenants else 0
-        if (scheme is None or tenant is None or not text(b"x-call-id") or not budget.isdecimal()
-                or len(budget) > 9 or not int(budget)
+        if (scheme is None or tenant is None or not text(b"x-call-id") or not text(b"host")
+                or not (budget.isascii() and budget.isdecimal() and len(budget) < 10 and int(budget))
                 or scheme in self.keyed and not text(b"idempotency-key")):
             return None
-        return self.facade.take(scheme, tenant, min(float(budget), self.expiry[scheme]),
-                                text(b"x-again") == "1")
+        # One read ahead of its turn has waited here already.
+        left = min(float(budget), self.expiry[scheme]) - (monotonic() - message.at) * 1000
+        return self.facade.take(scheme, tenant, max(1.0, left), text(b"x-again") == "1")
 
-    async def run(self):
-        while True:
+    # The listener
+
+    def open(self):
+        if not self.left:
+            self.loop.add_reader(self.sock, self.accept)
+
+    def accept(self):
+        """Half of all seats are for clients: a txn needs one at either end.  With none free they wait outside."""
+        for _ in range(AT_ONCE):
+            if not self.seats.take(spare=self.seats.most // 2):
+                return self.pause()
             try:
-                sock, _ = await self.loop.sock_accept(self.sock)
+                sock, _ = self.sock.accept()
             except OSError as fault:
-                logger.warning("accept: {}", fault)
-                await asyncio.sleep(0.05)
-                continue
-            self.welcome(sock)
-
-    def welcome(self, sock):
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        if self.seats.take():
-            self.guests.add(Guest(self, sock))
-        else:
-            sock.close()
-
-    async def leave(self, accepting):
-        """After SIGTERM: take what still comes for a while, end what is idle, wait for the rest."""
+                self.seats.give()
+                if not isinstance(fault, (BlockingIOError, ConnectionAbortedError)):
+                    warn("accept", "{}", fault)
+                    self.pause()
+                return
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            Guest(self, sock)
+
+    def pause(self):
+        self.loop.remove_reader(self.sock)
+        self.loop.call_later(PAUSE, self.open)
+
+    async def sweep(self):
+        """Ends connections that have been idle, or half way through a request, for too long."""
+        while True:
+            await asyncio.sleep(READING / 5)
+            for guest in list(self.guests):
+                if not guest.busy and not guest.wire.whole and monotonic() > guest.until:
+                    guest.end()
+
+    # The way out
+
+    def done_with(self, guest):
+        """After SIGTERM: whether an idle connection may end.  One that has not asked yet has a little time."""
+        if not self.leaving or guest.wire.begun or guest.fresh and not self.left:
+            return False
+        try:
+            guest.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False                     # a request, or an end, is there to be read
+
+    async def leave(self):
+        """Takes what still comes for a while, ends what is idle, waits for the rest."""
         self.leaving = True
         logger.info("leaving, {} connections", len(self.guests))
         self.nudge()
         await asyncio.sleep(STILL_COMING)
-        accepting.cancel()
-        while True:                      # what the machine has accepted and nobody has fetched yet
-            try:
-                sock, _ = self.sock.accept()
-            except OSError:
-                break
-            self.welcome(sock)
+        self.accept()                    # what the machine has accepted and nobody has fetched yet
+        self.loop.remove_reader(self.sock)
         self.sock.close()
+        await asyncio.sleep(LAST)
+        self.left = True
         while self.guests:
             self.nudge()
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(PAUSE)
 
     def nudge(self):
-        """Those that wait for a next request look up, and see that none will be taken."""
+        """Those that wait for a request look up, and see whether one will still be taken."""
         for guest in self.guests:
             guest.came.set()
--- a/sloeferry/net/discovery.py
+++ b/sloeferry/net/discovery.py
@@ -2,15 +2,16 @@
 import asyncio
 import json
 import math
+import socket
 
 from loguru import logger
 
-from sloeferry import facade as f
 from sloeferry.net import http1
+from sloeferry.net.log import warn
 
 PHASES = {"active": "ready", "leaving": "draining", "left": "gone"}
-SILENCE = 3.0                            # a watch says something every 2 s
-LINE = 1 << 20                           # the longest line that is read
+SILENCE = 2.5                            # seconds; a watch says something every 2 s
+LINE = 1 << 22                           # the longest line that is read, in bytes
 
 
 class Discovery:
@@ -19,33 +20,40 @@
         self.address, self.patience = berth.discovery, berth.terms["obligations.must_ask_in"] / 4
         self.zones, self.kinds = berth.places("zones"), berth.places("kinds")
         self.pushed = berth.terms["discovery"] != "subscribe"
-        self.known, self.revision, self.task, self.ready = {}, None, None, asyncio.Event()
+        self.known, self.revision, self.standing, self.ready = {}, None, False, asyncio.Event()
         if berth.known:
             self.take(berth.known, cached=True)
 
     async def run(self):
-        """A watch whenever one is wanted; where changes come unasked, always."""
+        """One watch at the start, without being asked: until it is in, no client is served.  Then one whenever
+        one is wanted; where changes come unasked, always."""
+        watch = self.loop.create_task(self.watch())
         while True:
-            if not self.pushed:
-                await self.facade.pick(self.facade.listing)
-            if self.task and not self.task.done():
-                continue                 # it stands, or was just asked for: its next line is the answer
-            self.task = self.loop.create_task(self.watch())
             if self.pushed:
-                await self.task
-                await asyncio.sleep(self.patience / 16000)
+                await watch
+                await asyncio.sleep(self.patience / 8000)
+            else:
+                await self.facade.pick(self.facade.listing)
+            if watch.done():
+                watch = self.loop.create_task(self.watch())
+            elif self.standing:          # it stands already, and all it said has been passed on
+                self.facade.report_list(False, ())
 
     async def watch(self):
         """One watch, from its dial to its end; its end is a failed call."""
-        sock = await http1.dial(self.loop, self.address, self.patience) if self.seats.take() else None
         why = "no connection"
-        if sock:
-            try:
-                why = await self.lines(sock)
-            finally:
-                sock.close()
-                self.seats.give()
+        try:
+            sock = await http1.dial(self.loop, self.address, self.patience) if self.seats.take() else None
+            if sock:
+                try:
+                    why = await self.lines(sock)
+                finally:
+                    sock.close()
+                    self.seats.give()
+        except Exception as fault:       # never the end of the program: the list as known goes on serving
+            why = repr(fault)
         logger.info("watch ended: {}", why)
+        self.standing = False
         self.ready.set()
         self.facade.report_no_list()
 
@@ -54,32 +62,32 @@
         rest, lines = bytearray(), []
 
         def stream(message, data):
-            rest.extend(data)
             if message.status == 200:
-                *whole, last = rest.split(b"\n")
-                lines.extend(whole)
-                rest[:] = last
+                rest.extend(data)
+                if b"\n" in data:
+                    *whole, last = rest.split(b"\n")
+                    lines.extend(whole)
+                    rest[:] = last
         wire = http1.Wire(self.loop, sock, self.buffers, answers=True, stream=stream)
         after = "" if self.revision is None else f"&index={self.revision}"
-        url = f"/v1/endpoints?stream=1{after}".encode()
         host = "{}:{}".format(*self.address).encode()
-        patience = self.patience / 1000  # a call waits its turn, a standing watch does not
+        ask = http1.request(b"GET", f"/v1/endpoints?stream=1{after}".encode(), [(b"Host", host)])
         try:
-            async with asyncio.timeout(patience) as end:
-                await self.loop.sock_sendall(sock, http1.request(b"GET", url, [(b"Host", host)]))
-                while not (fault := await wire.fill()) and not wire.whole and len(rest) < LINE:
-                    if wire.message.status == 200 and lines:
+            # A call waits its turn at discovery; a watch that stands says something now and then.
+            async with asyncio.timeout(self.patience / 1000) as end:
+                await self.loop.sock_sendall(sock, ask)
+                fault = None
+                while not fault and not wire.whole and len(rest) < LINE:
+                    fault = await wire.fill()
+                    if lines:
                         end.reschedule(self.loop.time() + SILENCE)
-                    for line in lines:
-                        self.line(bytes(line))
-                    lines.clear()
-                if wire.message.status not in (0, 200):
-                    return f"answered {wire.message.status}"
-                return fault or "the answer ended"
+                    while lines:
+                        self.line(lines.pop(0))
         except TimeoutError:
             return "silent"
-        except OSError as fault:
-            return str(fault)
+        except OSError as broken:
+            return str(broken)
+        return fault or f"answered {wire.message.status}, ended"
 
     def line(self, text):
         if not text.strip():
@@ -88,42 +96,44 @@
             said = json.loads(text)
         except (ValueError, RecursionError):
             said = None
-        if not isinstance(said, dict):
-            return logger.warning("list line not understood, ignored: {!r}", text[:80])
         self.take(said)
 
     def take(self, said, cached=False):
-        revision, members = said.get("revision"), said.get("members")
+        """A list or what changed in it, in discovery's form."""
+        revision, members = (said.get("revision"), said.get("members")) if isinstance(said, dict) else (None, None)
         if not isinstance(revision, int) or not isinstance(members, list):
-            return logger.warning("list not understood, ignored: {!r}", str(said)[:80])
-        whole, lines = bool(said.get("complete")), []
+            return warn("list", "not understood, ignored: {!r}", str(said)[:120])
+        whole, lines = said.get("complete") is True, {}
         for member in members:
             line = self.member(member)
             if line:
-                lines.append(line)
-        self.known = {line[0]: line for line in lines} if whole else {**self.known, **{x[0]: x for x in lines}}
-        self.revision = revision
-        if whole:
-            for ident in set(self.backends.addresses) - set(self.known):
-                self.backends.told(ident, None)
+                lines[line[0]] = line
+        self.known, self.revision = lines if whole else self.known | lines, revision
+        for ident in set(self.backends.addresses) - set(self.known):
+            self.backends.told(ident, None)
         if not cached:
+            self.standing = True
             self.ready.set()
-        self.facade.report_list(whole, lines, cached)
+        self.facade.report_list(whole, list(lines.values()), cached)
 
     def member(self, said):
         """One entry; one that can't be read stays as it was known."""
+        ident = said.get("id") if isinstance(said, dict) else None
+        if not isinstance(ident, str):
+            return warn("list entry", "without an id, ignored: {!r}", str(said)[:120])
         try:
-            ident, standing = said["id"], PHASES[said["phase"]]
+            standing = PHASES[said["phase"]]
             host, _, port = said["host_port"].rpartition(":")
+            address = host, int(port)
+            socket.inet_aton(host)
             share, started = float(said.get("size", 1.0)), float(said.get("up_since_ms") or 0)
-            if not (isinstance(ident, str) and host and 0 < int(port) < 65536
-                    and math.isfinite(share) and math.isfinite(started)):
+            if not (host.count(".") == 3 and 0 < address[1] < 65536 and math.isfinite(share + started)):
                 raise ValueError
             line = (ident, self.zones.get(said.get("locality"), len(self.zones)),
                     self.kinds.get(said.get("flavor"), len(self.kinds)), int(said.get("cell", 0)), standing,
                     share, started)
-        except (KeyError, TypeError, ValueError, AttributeError):
-            logger.warning("list entry not understood, ignored: {!r}", str(said)[:120])
-            return self.known.get(said.get("id")) if isinstance(said, dict) else None
-        self.backends.told(ident, None if standing == "gone" else (host, int(port)))
+        except (KeyError, TypeError, ValueError, AttributeError, OSError, OverflowError):
+            warn("list entry", "not understood, ignored: {!r}", str(said)[:120])
+            return self.known.get(ident)
+        self.backends.told(ident, None if standing == "gone" else address)
         return line
--- a/sloeferry/net/http1.py
+++ b/sloeferry/net/http1.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 on one socket, with httptools.  What goes wrong is a value, never an exception."""
 import asyncio
 import socket
+from time import monotonic
 
 import httptools
 
@@ -16,7 +17,7 @@
 
     def __init__(self):
         self.url, self.headers, self.parts, self.size, self.head = b"", [], [], 0, 0
-        self.method, self.status, self.keep = b"", 0, False
+        self.method, self.status, self.keep, self.expects, self.at = b"", 0, False, False, 0.0
 
     def header(self, name):
         """The one value of a header; None if it is missing or said twice."""
@@ -60,6 +61,7 @@
             message.status = self.parser.get_status_code()
         else:
             message.method = self.parser.get_method()
+            message.expects = (message.header(b"expect") or b"").lower() == b"100-continue"
 
     def on_body(self, data):
         if self.stream is not None:
@@ -71,7 +73,7 @@
         self.message.parts.append(data)
 
     def on_message_complete(self):
-        self.begun = False
+        self.begun, self.message.at = False, monotonic()
         if not 100 <= self.message.status < 200:
             self.whole.append(self.message)
 
@@ -80,7 +82,7 @@
         buffer = self.buffers.take()
         try:
             n = await self.loop.sock_recv_into(self.sock, buffer)
-            if n:
+            if n:                        # an end also ends an answer of no stated length: cut, for all we know
                 self.parser.feed_data(memoryview(buffer)[:n])
                 return None
             self.fault = CLOSED
