--- a/sloeferry/__main__.py
+++ b/sloeferry/__main__.py
@@ -56,11 +56,15 @@
         task.add_done_callback(lambda task: leave.set())
     clients.open()
     logger.info("{} listens on {}:{}", berth.name, *berth.listen)
-    await leave.wait()
-    for task in tasks:
-        if task.done():
-            logger.error("ended by itself: {!r}", task)
-    await clients.leave()
+    try:
+        await leave.wait()
+        for task in tasks:
+            if task.done():
+                logger.error("ended by itself: {!r}", task)
+        await clients.leave()
+    finally:
+        clients.close()
+        backends.close()
 
 
 def main():
--- a/sloeferry/net/backends.py
+++ b/sloeferry/net/backends.py
@@ -63,6 +63,10 @@
         self.fields = [name for name in terms["load_info.fields"].split(",") if name]
         self.status = b"/status/load" if self.fields else b"/health"
 
+    def close(self):
+        for ident in list(self.idle):
+            self.told(ident, None)
+
     def told(self, ident, address):
         """Where a backend listens; None once it has left."""
         if self.addresses.get(ident) != address:
--- a/sloeferry/net/clients.py
+++ b/sloeferry/net/clients.py
@@ -181,9 +181,14 @@
     # The listener
 
     def open(self):
-        if not self.left:
+        if self.sock.fileno() >= 0:
             self.loop.add_reader(self.sock, self.accept)
 
+    def shut(self):
+        if self.sock.fileno() >= 0:
+            self.loop.remove_reader(self.sock)
+            self.sock.close()
+
     def accept(self):
         """Half of all seats are for clients: a txn needs one at either end.  With none free they wait outside."""
         for _ in range(AT_ONCE):
@@ -215,6 +220,11 @@
 
     # The way out
 
+    def close(self):
+        self.shut()
+        for guest in list(self.guests):
+            guest.end()
+
     def done_with(self, guest):
         """After SIGTERM: whether an idle connection may end.  One that has not asked yet has a little time."""
         if not self.leaving or guest.wire.begun or guest.fresh and not self.left:
@@ -234,8 +244,7 @@
         self.nudge()
         await asyncio.sleep(STILL_COMING)
         self.accept()                    # what the machine has accepted and nobody has fetched yet
-        self.loop.remove_reader(self.sock)
-        self.sock.close()
+        self.shut()
         await asyncio.sleep(LAST)
         self.left = True
         while self.guests:
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,188 @@
+"""The proxy on loopback: what each peer sees.  Nothing here is decided by how long anything takes."""
+import asyncio
+import os
+import signal
+import unittest
+
+import uvloop
+from loguru import logger
+
+from sloeferry import terms
+from sloeferry.net.backends import Backends
+from sloeferry.net.buffers import Buffers, Seats
+from tests.trace import Harbour, answer, compare
+
+
+class Sockets(unittest.TestCase):
+    def setUp(self):
+        logger.remove()
+
+    def play(self, story, name, *harbours):
+        """One story with each harbour; one kept trace of all."""
+        lines = []
+
+        async def day(harbour):
+            async with harbour:
+                await story(harbour)
+        for harbour in harbours:
+            harbour.lines = lines
+            with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+                runner.run(asyncio.wait_for(day(harbour), 60))
+        compare(self, harbour, name)
+
+    def test_passing_on(self):
+        """Method, path, query, body, id and key go on unchanged, the answer comes back; connections are kept."""
+        async def story(h):
+            client = await h.open()
+            await h.call("keyed", "some body", client)
+            await h.call("safe", connection=client)
+            await h.call("safe", connection=client, X_Budget_Ms="99999999")
+        self.play(story, "sockets_passing_on", Harbour({"b": answer("done", 200, 'X-Load-Report: {"inflight":1}')}))
+
+    def test_bytes(self):
+        """What may have run is told by bytes: once-only is declined only where nothing ran, else reversed;
+        repeatable goes on to the other backend; a backend's own 429 or 503 is never passed on."""
+        cases = (("cut", b""), ("erred", answer("no", 500)), ("foreign", answer("no", 429)),
+                          ("busy", answer("no", 503)), ("rejected", answer("no", 503, "X-Rejected: 1")),
+                          ("half", b"HTTP/1.1 200 X\r\nContent-Length: 99\r\n\r\nhalf, Connection: close"),
+                          ("endless", b"HTTP/1.1 200 X\r\n\r\nno end told, Connection: close"),
+                          ("huge", answer("x" * 70000)), ("nonsense", b"220 who is there?\r\n\r\n"))
+        harbours = []
+        for case, bad in cases:
+            for scheme in ("once", "safe"):
+                def script(n, bad=bad):
+                    return bad if n == 1 else answer()
+                harbours.append(Harbour({"b": script, "c": script}))
+                harbours[-1].case = case, scheme
+        harbours.append(Harbour({}, known=["nobody"]))
+        harbours[-1].case = "refused", "once"
+
+        async def story(h):
+            h.say(f"-- {h.case[0]}")
+            await h.call(h.case[1])
+        self.play(story, "sockets_bytes", *harbours)
+
+    def test_silent(self):
+        """Nothing comes back: a final answer all the same, and before the client gives up."""
+        async def story(h):
+            await h.call("once")
+            await h.call("safe")
+        self.play(story, "sockets_silent", Harbour({"b": None}, expiry=300))
+
+    def test_dead_connection(self):
+        """A kept connection that its backend has closed is found before anything is written to it."""
+        async def story(h):
+            for _ in range(3):
+                await h.call("once")
+                for writer in h.writers:
+                    writer.close()
+                await asyncio.sleep(0.05)        # for the end to arrive
+        self.play(story, "sockets_dead_connection", Harbour({"b": answer()}))
+
+    def test_bad_input(self):
+        """A plain 4xx or a close for whatever is no good request, and the next good one is served."""
+        async def story(h):
+            bad = {"X_Call_Id": None, "X_Call_Class": "unheard", "X_Caller": "nobody", "X_Budget_Ms": "soon",
+                   "Host": None}
+            for name, value in bad.items():
+                await h.call("safe", **{name: value})
+            await h.call("keyed", Idempotency_Key=None)
+            await h.call("safe", X_Budget_Ms="-1")
+            await h.call("safe", X_Budget_Ms="²")
+            for text in (b"\x00\xff\x16\x03\x01 nonsense\r\n\r\n", "GET / HTTP/1.1\r\nbad header\r\n\r\n",
+                         "POST /api HTTP/1.1\r\nContent-Length: -4\r\n\r\n", "CONNECT a:1 HTTP/1.1\r\n\r\n",
+                         "OPTIONS * HTTP/1.1\r\nHost: x\r\n\r\n", "GET /" + "x" * 20000 + " HTTP/1.1\r\n\r\n",
+                         "GET / HTTP/1.1\r\n" + "A: b\r\n" * 5000 + "\r\n",
+                         "POST /api HTTP/1.1\r\nContent-Length: 70000\r\n\r\n" + "x" * 70000):
+                h.say(f"client sends: {text[:30]!r}")
+                await h.ask(text)
+            for part in ("", "GET /api HTTP/1.1\r\nX-Call", "POST /api HTTP/1.1\r\nContent-Length: 9\r\n\r\nxx"):
+                _, writer = await h.open()
+                writer.write(part.encode())
+                writer.close()           # gone half way
+            await h.call("safe")
+        self.play(story, "sockets_bad_input", Harbour({"b": answer()}))
+
+    def test_client_gone(self):
+        """A client that leaves while its txn is out takes nobody with it."""
+        async def story(h):
+            _, writer = await h.open()
+            writer.write(b"POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: c0\r\nX-Call-Class: once\r\nX-Caller: acme\r\n"
+                         b"X-Budget-Ms: 900\r\nContent-Length: 0\r\n\r\n")
+            while not h.asked:
+                await asyncio.sleep(0.01)
+            writer.transport.abort()
+            await h.call("safe")
+        self.play(story, "sockets_client_gone", Harbour({"b": lambda n: answer() if n > 1 else None}))
+
+    def test_list(self):
+        """Changes act; what can't be read is ignored; with discovery down the list as last held serves."""
+        async def story(h):
+            await h.call("safe")
+            h.tell("{ nonsense")
+            h.tell('{"revision":"x","members":3}')
+            h.tell('{"revision":3,"complete":false,"members":[3,{"id":[]},{"id":"b","phase":"odd"},{"id":"z"}]}')
+            h.tell('{"revision":3,"complete":false,"members":[{"id":"b","host_port":"name:1","phase":"active"}]}')
+            await asyncio.sleep(0.1)
+            await h.call("safe")
+            h.list(("b", "leaving"), complete=False)
+            await asyncio.sleep(0.1)
+            await h.call("safe")
+            h.list("b", complete=False)
+            await asyncio.sleep(0.1)
+            await h.call("safe")
+        self.play(story, "sockets_list", Harbour({"b": answer()}))
+
+        async def down(h):
+            await h.call("safe")
+        self.play(down, "sockets_list_down", Harbour({"b": answer()}, known=["b"]))
+
+    def test_withdrawn_after_dial(self):
+        """Rule 3 counts the first byte: a backend that left the list during the dial gets none."""
+        async def story(h):
+            backends = Backends(asyncio.get_running_loop(), None, {**terms.DEFAULTS}, Seats(9), Buffers())
+            backends.told("b", ("127.0.0.1", h.ports["b"]))
+            for wanted in (True, False):
+                ended = await backends.exchange("b", 1e12, lambda: wanted, lambda: b"GET /x HTTP/1.1\r\n\r\n")
+                h.say(f"wanted {wanted}: reached {ended.reached}, why {ended.why}")
+            task = backends.spawn(backends.exchange("b", 1e12, lambda: True, lambda: b"GET /y HTTP/1.1\r\n\r\n"))
+            while h.asked < 2:
+                await asyncio.sleep(0.01)
+            task.cancel()
+            ended = await task
+            h.say(f"withdrawn: reached {ended.reached}, why {ended.why}, {len(backends.idle['b'])} kept")
+        self.play(story, "sockets_withdrawn", Harbour({"b": lambda n: answer() if n < 2 else None}))
+
+    def test_leaving(self):
+        """SIGTERM: what is out is answered, what still comes too, then the program ends by itself."""
+        held = asyncio.Event()
+
+        async def story(h):
+            idle, fresh = await h.open(), await h.open()
+            await h.call("safe", connection=idle)
+            slow = asyncio.get_running_loop().create_task(h.call("safe"))
+            while h.asked < 2:
+                await asyncio.sleep(0.01)
+            os.kill(os.getpid(), signal.SIGTERM)
+            h.say("SIGTERM")
+            h.say(f"the idle connection ends: {await idle[0].read() == b''}")
+            await h.call("safe", connection=fresh)
+            await h.call("safe")
+            held.set()
+            await slow
+            await h.proxy
+            h.say("the program has ended")
+        self.play(story, "sockets_leaving", Harbour({"b": lambda n: held if n == 2 else answer()}))
+
+    def test_full_table(self):
+        """Idle connections give way to those that ask."""
+        async def story(h):
+            idle = [await h.open() for _ in range(60)]
+            for _ in range(3):
+                await h.call("safe")
+            h.say(f"some idle ones were ended: {sum(r.at_eof() for r, _ in idle) > 0}")
+        self.play(story, "sockets_full_table", Harbour({"b": answer()}, sockets=64))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/trace.py
+++ b/tests/trace.py
@@ -1,8 +1,15 @@
-"""The one helper of the tests: a host that prints every decision, and the comparison with a kept trace."""
+"""The one helper of the tests: a host that prints every decision, peers on loopback that print what they see,
+and the comparison with a kept trace."""
+import asyncio
+import contextlib
 import difflib
+import functools
+import json
 import pathlib
+import re
+import tempfile
 
-from sloeferry import decide, ports
+from sloeferry import __main__ as start, decide, ports, terms
 
 SCHEMES = [("retryable", "all"), ("dedup", "zone"), ("fragile", "all")]
 
@@ -72,3 +79,145 @@
     kept = (pathlib.Path(__file__).parent / "kept" / name).read_text().splitlines()
     diff = list(difflib.unified_diff(kept, printer.lines, "kept", "now", lineterm=""))
     test.assertFalse(diff, "\n" + "\n".join(diff))
+
+
+class Harbour:
+    """The real proxy on loopback between a client, backends and a discovery that the test plays.
+
+    What the peers see is written down in `lines`, as the decisions are by Printer.
+    """
+    SCHEMES = [("safe", "retryable"), ("keyed", "dedup"), ("once", "fragile")]
+
+    def __init__(self, backends, known=None, sockets=256, expiry=3000, **limits):
+        self.lines, self.scripts, self.servers = [], backends, []
+        self.known, self.sockets, self.expiry, self.limits = known, sockets, expiry, limits
+        self.revision, self.watches, self.writers, self.ports, self.count = 1, [], [], {}, {}
+        self.shown, self.asked = {}, 0
+
+    def say(self, text):
+        self.lines.append(text)
+
+    async def __aenter__(self):
+        for name, script in self.scripts.items():
+            self.ports[name] = await self.listen(functools.partial(self.backend, name, script))
+        discovery = await self.listen(self.discovery)
+        self.port = await self.listen(None)      # any that is free
+        settings = {"schemes": [{"name": n, "idempotency": kind, "group": "all", "expiry": self.expiry * 1000,
+                                 "sla_time": self.expiry * 900, "dedup_window": 30000000} for n, kind in self.SCHEMES],
+                    "tenants": [{"name": "acme"}], "discovery": "subscribe", "zones": ["a"], "kinds": ["m"],
+                    "load_info": {"via": "answers", "fields": ["inflight"]},
+                    "obligations": {"must_ask_in": 4000000}, "instances": 1, "ordinal": 0, "zone": 0,
+                    "limits": {"most_postings": 3, "dial_timeout": 250000, "conn_idle": 10000000, **self.limits}}
+        told = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{discovery}",
+                "seed": "7", "limits": {"sockets": self.sockets}, "settings": settings}
+        if self.known:
+            told["known"] = {"revision": 0, "complete": True, "members": self.members(*self.known)}
+        with tempfile.NamedTemporaryFile("w") as file:
+            json.dump(told, file)
+            file.flush()
+            berth = terms.read({"BALANCER_CONFIG": file.name})
+        self.proxy = asyncio.get_running_loop().create_task(start.serve(berth))
+        while "200" not in await self.ask("GET /ready HTTP/1.1\r\n\r\n", quiet=True):
+            await asyncio.sleep(0.01)
+        return self
+
+    async def __aexit__(self, *_):
+        self.proxy.cancel()
+        await asyncio.wait([self.proxy])
+        for end in (*self.servers, *self.writers, *self.watches):
+            end.close()
+        await asyncio.sleep(0.01)        # for the peers to see their connections end
+
+    async def listen(self, answer):
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        if answer:
+            self.servers.append(server)
+        else:
+            server.close()
+        return port
+
+    # What the peers do
+
+    def members(self, *lines):
+        """Lines: name or (name, phase); no such backend: a port where nobody listens."""
+        lines = [line if isinstance(line, tuple) else (line, "active") for line in lines]
+        return [{"id": name, "host_port": f"127.0.0.1:{self.ports.get(name, 1)}", "locality": "a", "flavor": "m",
+                 "cell": 0, "phase": phase, "size": 1.0, "up_since_ms": 0} for name, phase in lines]
+
+    def tell(self, text):
+        """One line to all watches."""
+        for writer in self.watches:
+            writer.write(b"%x\r\n%b\n\r\n" % (len(text) + 1, text.encode()))
+
+    def list(self, *lines, complete=True):
+        self.revision += 1
+        self.tell(json.dumps({"revision": self.revision, "complete": complete, "members": self.members(*lines)}))
+
+    async def discovery(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        if self.known:
+            return writer.close()        # this one is down
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self.watches.append(writer)
+        self.list(*self.scripts)
+
+    async def backend(self, name, script, reader, writer):
+        """A script says what to write for the nth request of all, b"" to close, None for nothing, an event to wait for."""
+        self.writers.append(writer)
+        shown = self.shown.setdefault(name, f"backend {len(self.shown) + 1}")     # in the order they are met
+        connection = self.count["connections", name] = self.count.get(("connections", name), 0) + 1
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                size = re.search(r"(?i)content-length: (\d+)", head)
+                body = (await reader.readexactly(int(size[1]))).decode() if size else ""
+                kept = sorted(line for line in head.split("\r\n")[1:]
+                              if line.lower().startswith(("x-call-id", "idempotency")))
+                self.say(f"  {shown}, connection {connection}: {head.splitlines()[0]}  {body} {kept}")
+                self.asked += 1
+                what = script(self.asked) if callable(script) else script
+                if isinstance(what, asyncio.Event):
+                    await what.wait()
+                    what = answer("late")
+                if what is not None:
+                    writer.write(what)
+                    if not what or b"Connection: close" in what:
+                        return writer.close()
+
+    async def open(self):
+        connection = await asyncio.open_connection("127.0.0.1", self.port)
+        self.writers.append(connection[1])
+        return connection
+
+    async def ask(self, text, connection=None, quiet=False):
+        """One request, on a connection of its own unless one is given: what comes back, in a line."""
+        try:
+            reader, writer = connection or await self.open()
+            writer.write(text if isinstance(text, bytes) else text.encode())
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            size = int(re.search(r"(?i)content-length: (\d+)", head)[1])
+            body = (await reader.readexactly(size)).decode()
+            came = " ".join([head.split()[1], body[:40], *(re.findall(r"(?i)connection: close|retry-after.*\d", head))])
+        except (OSError, asyncio.IncompleteReadError) as fault:
+            came = "closed without a word" if isinstance(fault, asyncio.IncompleteReadError) else "reset"
+        if not connection and came != "reset":
+            writer.close()
+        if not quiet:
+            self.say(f"client gets: {came}")
+        return came
+
+    async def call(self, scheme="safe", body="", connection=None, **headers):
+        """A well-formed request, with some headers changed (None: left out)."""
+        self.say(f"client asks: {scheme} {body}")
+        said = {"Host": "backend.local", "X-Call-Id": "c1", "X-Call-Class": scheme, "X-Caller": "acme",
+                "X-Budget-Ms": str(self.expiry), "Idempotency-Key": None if scheme == "safe" else "k1",
+                "Content-Length": len(body) if body else None}
+        said.update({name.replace("_", "-"): value for name, value in headers.items()})
+        lines = [f"{'GET' if scheme == 'safe' else 'POST'} /api?q=1 HTTP/1.1",
+                 *(f"{name}: {value}" for name, value in said.items() if value is not None)]
+        return await self.ask("\r\n".join(lines) + "\r\n\r\n" + body, connection)
+
+
+def answer(body="done", status=200, *headers):
+    return "\r\n".join([f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}", *headers, "", body]).encode()
