--- a/sloeferry/__main__.py
+++ b/sloeferry/__main__.py
@@ -15,7 +15,7 @@
 from sloeferry.net.clients import Clients
 from sloeferry.net.discovery import Discovery
 
-SPARE = 24                               # descriptors that are no connection
+SPARE = 32                               # descriptors that are no connection
 
 
 class Clockwork:
--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -25,14 +25,11 @@
     """What the operators promise for one scheme of txns, and how long its postings take."""
 
     def __init__(self, terms, at):
-        def term(name, default):
-            return terms.get(f"schemes.{at}.{name}", default)
-        self.expiry = term("expiry", 1000.0)
-        self.sla = term("sla_time", self.expiry)
-        self.gain = term("gain", 1.0)
-        self.kind = {"retryable": "repeatable", "dedup": "referenced"}.get(
-            term("idempotency", ""), "once-only")
-        self.group, self.window = term("group", "all"), term("dedup_window", 0.0)
+        def term(name):
+            return terms[f"schemes.{at}.{name}"]
+        self.expiry, self.sla, self.gain = term("expiry"), term("sla_time"), term("gain")
+        self.kind = {"retryable": "repeatable", "dedup": "referenced"}.get(term("idempotency"), "once-only")
+        self.group, self.window = term("group"), term("dedup_window")
         self.took = Histogram(self.sla, 200, [self.sla / 4] * 4)    # of sends to a backend found idle
         self.most_left = 0.0                                         # the longest patience seen
 
@@ -81,12 +78,12 @@
 
     def __init__(self, proxy):
         self.p = proxy
-        self.cold = proxy.term("obligations.cold", 0.0)
-        self.cold_from = proxy.term("obligations.cold_from", 1.0)
-        self.fall = max(proxy.term("obligations.fall", 1000.0), 1.0)
-        self.multiple = proxy.term("obligations.fall_multiple", 1.0)
-        self.most = int(proxy.term("limits.most_postings", 1))
-        self.copies = int(proxy.term("limits.second_copies", False))
+        self.cold = proxy.term("obligations.cold")
+        self.cold_from = proxy.term("obligations.cold_from")
+        self.fall = proxy.term("obligations.fall")
+        self.multiple = proxy.term("obligations.fall_multiple")
+        self.most = int(proxy.term("limits.most_postings"))
+        self.copies = int(proxy.term("limits.second_copies"))
 
     def warmth(self, b, now):
         """The least part of its capacity that a backend has by now; 1 once it is warm."""
@@ -165,9 +162,9 @@
 
     def __init__(self, proxy, now):
         self.p, self.fails, self.waiting, self.deemed_old = proxy, 0, 0, INF
-        self.asks = proxy.term("discovery", "automatic") == "subscribe"
+        self.asks = proxy.term("discovery") == "subscribe"
         if self.asks:
-            self.patience = proxy.term("obligations.must_ask_in", 10000.0)
+            self.patience = proxy.term("obligations.must_ask_in")
             self.deemed_old = now + self.patience
             turn = (proxy.ordinal + proxy.rng.random()) / proxy.instances
             proxy.later(now + turn * self.patience / 4, self.ask)
@@ -200,19 +197,19 @@
     def __init__(self, proxy, now):
         self.p, self.all, self.order = proxy, {}, []
         self.open, self.mine, self.known = [], [], {}     # listed as ready; used here; with news of late
-        fields = str(proxy.term("load_info.fields", "")).split(",")
+        fields = proxy.term("load_info.fields").split(",")
         self.field = fields.index("inflight") if "inflight" in fields else None
-        self.by_probe = proxy.term("load_info.via", "none") == "probe"
+        self.by_probe = proxy.term("load_info.via") == "probe"
         self.age_limit, self.probe_every = 2000.0, 1000.0      # the design's own figures
-        self.tariff, self.cross = proxy.term("tariffs.probe", 0.0), proxy.term("tariffs.cross_zone", 0.0)
-        self.probing = proxy.term("limits.probing", False)
+        self.tariff, self.cross = proxy.term("tariffs.probe"), proxy.term("tariffs.cross_zone")
+        self.probing = proxy.term("limits.probing")
         self.curve = [Histogram(1.0, 60) for _ in LEVELS]      # how a posting stretches with the figure
         self.stretch = [1.0 + f for f in LEVELS]
         self.fit, self.ready, self.width, self.mean, self.turnover = [], 0, 0, [0.0, 0.0], 1.0
         self.looked, self.fresh_for = -INF, 4 * proxy.step
         self.spread = Histogram(1.0, 400, [0.5, 0.7, 1.0, 1.4, 2.0])
         self.smooth()
-        self.links = proxy.term("tariffs.connection", 0.0) * proxy.instances / 100
+        self.links = proxy.term("tariffs.connection") * proxy.instances / 100
 
     def few(self, backends):
         """Where open connections have a price: this proxy's share of the backends, at home and away."""
@@ -426,8 +423,8 @@
 
     def __init__(self, proxy, after):
         self.p, self.after, self.waiting, self.purse = proxy, after, [], 0.0
-        tariff = proxy.term("tariffs.probe", 0.0)
-        by_answers = proxy.term("load_info.via", "none") == "answers" and proxy.term("limits.probing", False)
+        tariff = proxy.term("tariffs.probe")
+        by_answers = proxy.term("load_info.via") == "answers" and proxy.term("limits.probing")
         # A point and a half in a hundred, for asking in vain alone: where all are busy, more finds no place.
         self.few = 0 if not by_answers else min(16, int(0.015 / tariff)) if tariff else 8
         self.patience = 4 * proxy.step
@@ -481,7 +478,7 @@
 
     def __init__(self, proxy, after):
         self.p, self.after, self.held, self.ticking = proxy, after, [], False
-        self.by_work = proxy.term("gain_per", "request") == "work"
+        self.by_work = proxy.term("gain_per") == "work"
 
     def take(self, txn, now):
         self.held.append(txn)
@@ -523,7 +520,7 @@
         self.drain(now)
 
     def decline(self, txn):
-        self.p.ledger.end(txn, txn.scheme.typical() if self.p.term("limits.retry_after", False) else 0.0)
+        self.p.ledger.end(txn, txn.scheme.typical() if self.p.term("limits.retry_after") else 0.0)
 
 
 class Reposting:
@@ -551,7 +548,7 @@
             b, odds, takes = p.board.choose(txn, now, [x.backend for x in txn.postings])
             if odds > 0.3 and rules.copies:
                 return self.post(txn, b, now, takes)
-            if odds > 0.3 and p.term("limits.cancel", False):
+            if odds > 0.3 and p.term("limits.cancel"):
                 return p.host.withdraw(txn.ref, txn.postings.index(posting))
         p.later(now + txn.scheme.typical() / 4, self.review, txn, posting)
 
@@ -576,11 +573,9 @@
     def __init__(self, host, now, seed, terms):
         self.host, self.terms, self.rng = host, terms, Random(seed)
         self.timers, self.token, self.gap, self.last = {}, 0, 50.0, now      # gap: between txns taken
-        self.step = self.term("step", 1.0)
-        self.instances, self.ordinal = max(1, int(self.term("instances", 1))), int(self.term("ordinal", 0))
-        self.zone, self.turn = self.term("zone", 0), self.ordinal * 0.618034 % 1    # spread over the bank
-        if "schemes.count" not in terms:
-            raise ValueError("setting schemes.count is missing")
+        self.step = self.term("step")
+        self.instances, self.ordinal = int(self.term("instances")), int(self.term("ordinal"))
+        self.zone, self.turn = self.term("zone"), self.ordinal * 0.618034 % 1    # spread over the bank
         self.schemes = [Scheme(terms, at) for at in range(int(terms["schemes.count"]))]
         self.mean_gain = sum(s.gain for s in self.schemes) / len(self.schemes)
         self.rules, self.discovery, self.board = Rules(self), Discovery(self, now), Board(self, now)
@@ -589,8 +584,8 @@
         self.ask = Ask(self, self.gate)
         self.ledger = Ledger(self, self.ask)
 
-    def term(self, name, default):
-        return self.terms.get(name, default)
+    def term(self, name):
+        return self.terms[name]
 
     def later(self, at, do, *what):
         self.token += 1
--- a/sloeferry/facade.py
+++ b/sloeferry/facade.py
@@ -47,7 +47,7 @@
     def take(self, scheme, tenant, left, again):
         """A txn has come: its errand.  What the loop runs late comes off its time, or answers would too."""
         now = clock()
-        left -= min(self.late, left / 8)
+        left -= min(self.late, left / 2)
         self.refs += 1
         errand = self.errands[self.refs] = Errand(self.refs, now + left)
         self.proxy.take(now, errand.ref, scheme, tenant, 0, left, None, again)
@@ -98,7 +98,7 @@
         try:
             while self.timers and self.timers[0][0] <= now:
                 at, token = heappop(self.timers)
-                self.late = max(now - at, self.late * 0.99)
+                self.late = max(now - at, self.late * 0.95)
                 self.proxy.woken(now, token)
         finally:
             self.next = self.timers[0][0] if self.timers else None
--- a/sloeferry/net/clients.py
+++ b/sloeferry/net/clients.py
@@ -12,7 +12,7 @@
 IDLE, READING = 60.0, 5.0                # seconds: between requests, and for one to come or an answer to go
 LINGER = 0.5                             # seconds that a refused sender has to read why
 STILL_COMING, LAST = 0.4, 0.2            # seconds after SIGTERM: for connections, then for what they ask
-AT_ONCE, PAUSE = 64, 0.01                # connections accepted in a row; seconds until a full table is tried
+AT_ONCE, PAUSE = 16, 0.01                # connections accepted in a row; seconds until a full table is tried
 METHODS = (b"GET", b"POST", b"PUT", b"PATCH", b"DELETE")
 OURS = http1.HOP | {b"x-budget-ms"}      # of a request, what a backend is told anew
 KEPT_BACK = http1.HOP | {b"x-load-report", b"x-rejected"}      # of an answer, what is not the client's
@@ -154,9 +154,8 @@
         self.loop, self.facade, self.seats, self.buffers = loop, facade, seats, buffers
         self.backends, self.discovery, self.guests = backends, discovery, set()
         self.leaving = self.left = False
-        self.schemes, self.tenants = berth.schemes(), berth.tenants()
-        self.keyed = {at for at in self.schemes.values()
-                      if berth.terms.get(f"schemes.{at}.idempotency") == "dedup"}
+        self.schemes, self.tenants = berth.named("schemes"), berth.named("tenants")
+        self.keyed = {at for at in self.schemes.values() if berth.terms[f"schemes.{at}.idempotency"] == "dedup"}
         self.expiry = {at: berth.terms[f"schemes.{at}.expiry"] for at in self.schemes.values()}
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/sloeferry/ports.py
+++ b/sloeferry/ports.py
@@ -3,7 +3,8 @@
 A host (the bench's adapter today, the daemon later) makes one `decide.Proxy` an instance, as
 `Proxy(host, now, seed, terms)`, and calls it as `Front` says.  Times are float milliseconds of the
 host's clock; refs, backends and seqs stay as the host gives them.  `terms` is a plain map of the
-setting names to values: numbers, truth values and text already decoded, times in milliseconds.
+setting names to values: numbers, truth values and text already decoded, times in milliseconds, and
+complete, as terms.py makes it.
 Every call carries the time `now`; between calls nothing happens.
 """
 from typing import Any, Mapping, Protocol, Sequence
--- a/sloeferry/simhost/__main__.py
+++ b/sloeferry/simhost/__main__.py
@@ -127,7 +127,7 @@
         try:
             if code == 1:
                 seed, start, length = _begin.unpack_from(body, at)
-                told = terms.of_lines(self.cut(start, length).decode())
+                told = terms.complete(terms.of_lines(self.cut(start, length).decode()))
                 self.proxies[self.who] = decide.Proxy(Host(self.who, self.out), self.now, seed, told)
             elif code == 10:
                 self.proxies.pop(self.who, None)
--- a/sloeferry/terms.py
+++ b/sloeferry/terms.py
@@ -1,7 +1,8 @@
 """The one place where configuration is read, checked and given defaults; a fault names its key.
 
-The settings come as nested JSON to the proxy and as lines of path=value to the simulator's adapter;
-both end as the same plain map of dotted names to values, its times in float milliseconds.
+The settings come as nested JSON to the proxy and as lines of path=value to the simulator's adapter.
+Both end as the same plain map of dotted names to values, its times in float milliseconds, complete:
+whoever reads it finds every name below.
 """
 import json
 import math
@@ -9,9 +10,18 @@
 
 TIMES = {"expiry", "sla_time", "dedup_window", "conn_idle", "dial_timeout", "max_retry_after", "cold",
          "drain_grace", "fall", "grace_to_answer", "must_ask_in", "step"}     # given in microseconds
-DEFAULTS = {"limits.dial_timeout": 250.0, "limits.conn_idle": 10000.0, "limits.retry_after": False,
-            "obligations.must_ask_in": 10000.0, "load_info.fields": "", "step": 1.0, "discovery": "automatic",
-            "tenants.count": 0, "zones": "", "kinds": ""}
+DEFAULTS = {
+    "discovery": "automatic", "gain_per": "request", "instances": 1, "kinds": "", "ordinal": 0, "step": 1.0,
+    "tenants.count": 0, "zone": 0, "zones": "",
+    "limits.cancel": False, "limits.conn_idle": 10000.0, "limits.dial_timeout": 250.0,
+    "limits.most_postings": 1, "limits.probing": False, "limits.retry_after": False,
+    "limits.second_copies": False, "load_info.fields": "", "load_info.via": "none",
+    "obligations.cold": 0.0, "obligations.cold_from": 1.0, "obligations.fall": 1000.0,
+    "obligations.fall_multiple": 1.0, "obligations.must_ask_in": 10000.0,
+    "tariffs.connection": 0.0, "tariffs.cross_zone": 0.0, "tariffs.probe": 0.0}
+SCHEME = {"dedup_window": 0.0, "expiry": 1000.0, "gain": 1.0, "group": "all", "idempotency": "fragile"}
+ABOVE_NOUGHT = {"expiry", "sla_time", "conn_idle", "dial_timeout", "must_ask_in", "fall", "step", "instances",
+                "most_postings", "cold_from"}
 
 
 class Fault(Exception):
@@ -28,14 +38,8 @@
     known: Mapping[str, Any]
     terms: Mapping[str, Any]
 
-    def schemes(self):
-        return self.named("schemes")
-
-    def tenants(self):
-        return self.named("tenants")
-
     def named(self, what):
-        """The index of each name in a list of the terms."""
+        """The index of each name in a list of objects of the terms."""
         return {self.terms[f"{what}.{at}.name"]: at for at in range(int(self.terms[f"{what}.count"]))}
 
     def places(self, what):
@@ -65,59 +69,51 @@
 
 def of_tree(node, path=""):
     """The settings, nested, as the same plain map."""
-    if isinstance(node, dict):
-        flat = {}
-        for name, below in node.items():
+    if isinstance(node, list) and not any(isinstance(item, (dict, list)) for item in node):
+        node = ",".join(str(item) for item in node)
+    if isinstance(node, (dict, list)):
+        flat = {f"{path}.count": len(node)} if isinstance(node, list) else {}
+        for name, below in node.items() if isinstance(node, dict) else enumerate(node):
             flat.update(of_tree(below, f"{path}.{name}" if path else name))
         return flat
-    if isinstance(node, list):
-        if any(isinstance(item, (dict, list)) for item in node):
-            flat = {f"{path}.count": len(node)}
-            for at, item in enumerate(node):
-                flat.update(of_tree(item, f"{path}.{at}"))
-            return flat
-        node = ",".join(str(item) for item in node)
-        return {path: node}
     return {path: node if path.endswith(".name") else value(path, node)}
 
 
-def address(text, key):
-    host, colon, port = str(text).rpartition(":")
-    if not (host and colon and port.isdecimal() and 0 < int(port) < 65536):
+def checked(key, said, default):
+    """A setting that must be of its default's kind."""
+    if isinstance(default, str):
+        return str(said)
+    if isinstance(default, bool):
+        if not isinstance(said, bool):
+            raise Fault(f"settings.{key}: {said!r} is neither true nor false")
+    elif isinstance(said, bool) or not isinstance(said, (int, float)) or not math.isfinite(said) or said < 0:
+        raise Fault(f"settings.{key}: {said!r} is not a number from 0 up")
+    elif not said and key.rpartition(".")[2] in ABOVE_NOUGHT:
+        raise Fault(f"settings.{key}: must be above 0")
+    return said
+
+
+def complete(told):
+    """The settings checked, and with defaults for what was not said."""
+    told = {key: said for key, said in told.items() if said is not None}
+    count = told.get("schemes.count")
+    if isinstance(count, bool) or not isinstance(count, (int, float)) or count < 1:
+        raise Fault("settings.schemes: missing, or no list of one scheme or more")
+    defaults = dict(DEFAULTS)
+    for at in range(int(count)):
+        defaults.update({f"schemes.{at}.{name}": default for name, default in SCHEME.items()})
+        expiry = f"schemes.{at}.expiry"
+        defaults[f"schemes.{at}.sla_time"] = checked(expiry, told.get(expiry, SCHEME["expiry"]), 0.0)
+    return {**told, **{key: checked(key, told.get(key, default), default) for key, default in defaults.items()}}
+
+
+def address(key, text):
+    host, _, port = str(text).rpartition(":")
+    if not (host and port.isascii() and port.isdecimal() and 0 < int(port) < 65536):
         raise Fault(f"{key}: {text!r} is not an address of the form host:port")
     return host, int(port)
 
 
-def number(terms, key, least, above=False):
-    said = terms.get(key)
-    good = isinstance(said, (int, float)) and not isinstance(said, bool) and math.isfinite(said)
-    if not good or said < least or above and said == least:
-        raise Fault(f"settings.{key}: {said!r} is not a number {'above' if above else 'from'} {least}"
-                    f"{' up' if not above else ''}")
-
-
-def checked(terms):
-    """The settings with defaults, once they are found to make sense."""
-    terms = {**DEFAULTS, **terms}
-    if "schemes.count" not in terms:
-        raise Fault("settings.schemes: missing, or no list of objects")
-    for at in range(int(terms["schemes.count"])):
-        for name in ("expiry", "sla_time"):
-            number(terms, f"schemes.{at}.{name}", 0, above=True)
-    for what in ("schemes", "tenants"):
-        for at in range(int(terms[f"{what}.count"])):
-            if not isinstance(terms.get(f"{what}.{at}.name"), str):
-                raise Fault(f"settings.{what}.{at}.name: missing or no text")
-    for key in ("limits.dial_timeout", "limits.conn_idle", "obligations.must_ask_in", "step"):
-        number(terms, key, 0, above=True)
-    for key in ("load_info.fields", "zones", "kinds", "discovery"):
-        if not isinstance(terms[key], str):
-            raise Fault(f"settings.{key}: {terms[key]!r} is no text or list of names")
-    if terms.get("limits.most_postings", 1) is not None:
-        number({"limits.most_postings": 1, **terms}, "limits.most_postings", 1)
-    return terms
-
-
 def read(environ):
     """All that an instance is told: the file that BALANCER_CONFIG names; the other variables go before it."""
     path = environ.get("BALANCER_CONFIG")
@@ -125,28 +121,29 @@
         raise Fault("BALANCER_CONFIG: not set; it names the configuration file")
     try:
         with open(path, encoding="utf-8") as file:
-            said = json.load(file)
+            told = json.load(file)
     except OSError as fault:
         raise Fault(f"BALANCER_CONFIG: {path} can't be read: {fault.strerror}") from None
-    except ValueError as fault:
+    except (ValueError, RecursionError) as fault:
         raise Fault(f"BALANCER_CONFIG: {path} is not JSON: {fault}") from None
-    if not isinstance(said, dict):
+    if not isinstance(told, dict):
         raise Fault(f"BALANCER_CONFIG: {path} holds no object")
-    said = {**said, **{key: environ[name] for key, name in (
-        ("name", "BALANCER_NAME"), ("listen", "BALANCER_LISTEN"), ("discovery", "BALANCER_DISCOVERY"))
-        if environ.get(name)}}
+    for key in ("name", "listen", "discovery"):
+        told[key] = environ.get(f"BALANCER_{key.upper()}") or told.get(key, "")
     for key in ("settings", "known", "limits"):
-        if not isinstance(said.get(key, {}), dict):
-            raise Fault(f"{key}: no object")
-    if "settings" not in said:
-        raise Fault("settings: missing")
+        if not isinstance(told.setdefault(key, {}), dict):
+            raise Fault(f"{key}: is no object")
     try:
-        seed = int(str(said.get("seed", "0")), 16)
+        seed = int(str(told.get("seed", "0")), 16)
     except ValueError:
-        raise Fault(f"seed: {said['seed']!r} is no hexadecimal number") from None
-    sockets = said.get("limits", {}).get("sockets", 1024)
-    if not isinstance(sockets, int) or sockets < 64:
-        raise Fault(f"limits.sockets: {sockets!r} is no number from 64 up")
-    return Berth(str(said.get("name", "")), address(said.get("listen", ""), "listen"),
-                 address(said.get("discovery", ""), "discovery"), seed, sockets,
-                 said.get("known", {}), checked(of_tree(said["settings"])))
+        raise Fault(f"seed: {told['seed']!r} is no hexadecimal number") from None
+    sockets = told["limits"].get("sockets", 1024)
+    if isinstance(sockets, bool) or not isinstance(sockets, int) or sockets < 64:
+        raise Fault(f"limits.sockets: {sockets!r} is not a whole number from 64 up")
+    terms = complete(of_tree(told["settings"]))
+    for what in ("schemes", "tenants"):
+        for at in range(int(terms[f"{what}.count"])):
+            if not isinstance(terms.get(f"{what}.{at}.name"), str):
+                raise Fault(f"settings.{what}.{at}.name: missing, or no text")
+    return Berth(str(told["name"]), address("listen", told["listen"]), address("discovery", told["discovery"]),
+                 seed, sockets, told["known"], terms)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -85,7 +85,7 @@
 
     def test_rule_3_no_subscription(self):
         """No call for the list went out in time (the host stood still): it counts as told, sends no more."""
-        host = Printer(discovery="subscribe", obligations__must_ask_in=8000.0, instances=0)
+        host = Printer(discovery="subscribe", obligations__must_ask_in=8000.0)
         host.list(("a",), scope=ports.CACHED)
         host.take(1, scheme=2)
         host.now = 8001.0
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -140,7 +140,7 @@
     def test_withdrawn_after_dial(self):
         """Rule 3 counts the first byte: a backend that left the list during the dial gets none."""
         async def story(h):
-            backends = Backends(asyncio.get_running_loop(), None, {**terms.DEFAULTS}, Seats(9), Buffers())
+            backends = Backends(asyncio.get_running_loop(), None, terms.DEFAULTS, Seats(9), Buffers())
             backends.told("b", ("127.0.0.1", h.ports["b"]))
             for wanted in (True, False):
                 ended = await backends.exchange("b", 1e12, lambda: wanted, lambda: b"GET /x HTTP/1.1\r\n\r\n")
--- a/tests/trace.py
+++ b/tests/trace.py
@@ -14,19 +14,26 @@
 SCHEMES = [("retryable", "all"), ("dedup", "zone"), ("fragile", "all")]
 
 
+class Lines:
+    """A trace that a test writes down by itself."""
+
+    def __init__(self):
+        self.lines = []
+
+
 class Printer:
     """A host that writes each action down, at the time of the test's own clock."""
 
     def __init__(self, **more):
         self.lines, self.now, self.wakes, self.sent = [], 0.0, [], {}
-        terms = {"schemes.count": len(SCHEMES), "instances": 1, "step": 1.0, "limits.most_postings": 4,
-                 "limits.cancel": True, "load_info.fields": "inflight", "load_info.via": "answers"}
+        told = {"schemes.count": len(SCHEMES), "instances": 1, "step": 1.0, "limits.most_postings": 4,
+                "limits.cancel": True, "load_info.fields": "inflight", "load_info.via": "answers"}
         for at, (kind, group) in enumerate(SCHEMES):
-            terms.update({f"schemes.{at}.{name}": value for name, value in (
+            told.update({f"schemes.{at}.{name}": value for name, value in (
                 ("idempotency", kind), ("group", group), ("sla_time", 700.0), ("expiry", 1000.0),
                 ("gain", 1.0), ("dedup_window", 300.0))})
-        terms.update({name.replace("__", "."): value for name, value in more.items()})
-        self.proxy = decide.Proxy(self, 0.0, 7, terms)
+        told.update({name.replace("__", "."): value for name, value in more.items()})
+        self.proxy = decide.Proxy(self, 0.0, 7, terms.complete(told))
 
     def say(self, text):
         self.lines.append(f"{self.now:7.1f}  {text}")
