--- a/sloeferry/net/backends.py
+++ b/sloeferry/net/backends.py
@@ -6,6 +6,8 @@
 from time import monotonic
 from typing import NamedTuple
 
+from loguru import logger
+
 from sloeferry import facade as f
 from sloeferry.net import http1
 from sloeferry.net.log import warn
@@ -168,9 +170,14 @@
     def spawn(self, work):
         task = self.loop.create_task(work)
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(self.ended)
         return task
 
+    def ended(self, task):
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception():
+            logger.opt(exception=task.exception()).error("posting or probe failed: {!r}", task.exception())
+
     def load(self, text):
         """A load report's figures in the order of the settings; none if it is not what it should be."""
         if not text or not self.fields:
--- a/sloeferry/net/clients.py
+++ b/sloeferry/net/clients.py
@@ -10,6 +10,7 @@
 from sloeferry.net.log import warn
 
 IDLE, READING = 60.0, 5.0                # seconds: between requests, and for one to come or an answer to go
+OVERDUE = 0.025                          # past a txn's expiry, when its answer no longer waits for decisions
 LINGER = 0.5                             # seconds that a refused sender has to read why
 STILL_COMING, LAST = 0.4, 0.2            # seconds after SIGTERM: for connections, then for what they ask
 AT_ONCE, PAUSE = 16, 0.01                # connections accepted in a row; seconds until a full table is tried
@@ -89,14 +90,20 @@
             return 200 if ready else 503, b"", ()
         if message.method not in METHODS:
             return 405, b"", ()
-        errand = self.clients.taken(message)
-        if errand is None:
-            return 400, b"", ()
-        self.errand = errand
-        if self.fault:                   # it had gone before its turn came
-            self.clients.facade.report_left(errand)
         try:
-            return await self.txn(errand, message)
+            errand = self.errand = self.clients.taken(message)
+            if errand is None:
+                return 400, b"", ()
+            if self.fault:               # it had gone before its turn came
+                self.clients.facade.report_left(errand)
+            # The decisions answer before that; should they fail, the client is answered all the same.
+            async with asyncio.timeout((errand.ends - f.clock()) / 1000 + OVERDUE):
+                return await self.txn(errand, message)
+        except Exception as fault:
+            logger.opt(exception=True).error("txn failed: {!r}", fault)
+            if self.errand:
+                self.clients.facade.report_left(self.errand)
+            return 504, b"", ()
         finally:
             self.errand = None
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -3,11 +3,12 @@
 import os
 import signal
 import unittest
+from unittest import mock
 
 import uvloop
 from loguru import logger
 
-from sloeferry import terms
+from sloeferry import decide, terms
 from sloeferry.net.backends import Backends
 from sloeferry.net.buffers import Buffers, Seats
 from tests.trace import Harbour, answer, compare
@@ -174,6 +175,19 @@
             h.say("the program has ended")
         self.play(story, "sockets_leaving", Harbour({"b": lambda n: held if n == 2 else answer()}))
 
+    def test_failing_decisions(self):
+        """A decision that raises, or never comes, takes one txn with it: answered in time, and others go on."""
+        async def story(h):
+            with mock.patch.object(decide.Proxy, "take", side_effect=ZeroDivisionError):
+                await h.call("once")
+            with mock.patch.object(decide.Proxy, "take"):
+                await h.call("once")
+            await h.call("safe")
+            with mock.patch.object(decide.Proxy, "ended", side_effect=ZeroDivisionError):
+                await h.call("safe")
+            await h.call("safe")
+        self.play(story, "sockets_failing_decisions", Harbour({"b": answer()}, expiry=300))
+
     def test_full_table(self):
         """Idle connections give way to those that ask."""
         async def story(h):
