--- a/sloeferry/net/clients.py
+++ b/sloeferry/net/clients.py
@@ -69,7 +69,7 @@
             self.came.clear()
             self.clients.seats.rest(self, self.end)
             await self.came.wait()
-            self.clients.seats.wake(self)        # something came: it is not idle, though no request is whole yet
+            self.clients.seats.wake(self)        # something came, if not a whole request: not idle
         if not self.wire.whole:
             if self.fault != http1.CLOSED:
                 await self.send(http1.answer(413 if self.fault == http1.TOO_LARGE else 400, keep=False))
@@ -143,7 +143,7 @@
             self.clients.buffers.give(buffer)
 
     def end(self):
-        """Closes the connection, also from outside: it is idle and its seat is needed, or it took too long."""
+        """Closes the connection, also from outside: its seat is needed, or it took too long."""
         if self.ended:
             return
         self.ended = True
@@ -162,8 +162,7 @@
         self.backends, self.discovery, self.guests = backends, discovery, set()
         self.leaving = self.left = False
         self.schemes, self.tenants = berth.named("schemes"), berth.named("tenants")
-        self.keyed = {at for at in self.schemes.values() if berth.terms[f"schemes.{at}.idempotency"] == "dedup"}
-        self.expiry = {at: berth.terms[f"schemes.{at}.expiry"] for at in self.schemes.values()}
+        self.terms = berth.terms
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.setblocking(False)
@@ -178,10 +177,10 @@
         tenant = self.tenants.get(text(b"x-caller")) if self.tenants else 0
         if (scheme is None or tenant is None or not text(b"x-call-id") or not text(b"host")
                 or not (budget.isascii() and budget.isdecimal() and len(budget) < 10 and int(budget))
-                or scheme in self.keyed and not text(b"idempotency-key")):
+                or self.terms[f"schemes.{scheme}.idempotency"] == "dedup" and not text(b"idempotency-key")):
             return None
         # One read ahead of its turn has waited here already.
-        left = min(float(budget), self.expiry[scheme]) - (monotonic() - message.at) * 1000
+        left = min(float(budget), self.terms[f"schemes.{scheme}.expiry"]) - (monotonic() - message.at) * 1000
         return self.facade.take(scheme, tenant, max(1.0, left), text(b"x-again") == "1")
 
     # The listener
@@ -196,7 +195,7 @@
             self.sock.close()
 
     def accept(self):
-        """Half of all seats are for clients: a txn needs one at either end.  With none free they wait outside."""
+        """Half of all seats are for clients: a txn needs one at either end.  The rest wait outside."""
         for _ in range(AT_ONCE):
             if not self.seats.take(spare=self.seats.most // 2):
                 return self.pause()
@@ -232,7 +231,7 @@
             guest.end()
 
     def done_with(self, guest):
-        """After SIGTERM: whether an idle connection may end.  One that has not asked yet has a little time."""
+        """After SIGTERM: whether an idle connection may end.  One that never asked has a little time."""
         if not self.leaving or guest.wire.begun or guest.fresh and not self.left:
             return False
         try:
--- a/sloeferry/net/discovery.py
+++ b/sloeferry/net/discovery.py
@@ -16,7 +16,8 @@
 
 class Discovery:
     def __init__(self, loop, facade, berth, seats, buffers, backends):
-        self.loop, self.facade, self.seats, self.buffers, self.backends = loop, facade, seats, buffers, backends
+        self.loop, self.facade, self.backends = loop, facade, backends
+        self.seats, self.buffers = seats, buffers
         self.address, self.patience = berth.discovery, berth.terms["obligations.must_ask_in"] / 4
         self.zones, self.kinds = berth.places("zones"), berth.places("kinds")
         self.pushed = berth.terms["discovery"] != "subscribe"
@@ -25,8 +26,8 @@
             self.take(berth.known, cached=True)
 
     async def run(self):
-        """One watch at the start, without being asked: until it is in, no client is served.  Then one whenever
-        one is wanted; where changes come unasked, always."""
+        """One watch at the start, without being asked: until the list is in, no client is sent here.
+        Then one whenever one is wanted; where changes come unasked, always."""
         watch = self.loop.create_task(self.watch())
         while True:
             if self.pushed:
@@ -100,7 +101,8 @@
 
     def take(self, said, cached=False):
         """A list or what changed in it, in discovery's form."""
-        revision, members = (said.get("revision"), said.get("members")) if isinstance(said, dict) else (None, None)
+        said = said if isinstance(said, dict) else {}
+        revision, members = said.get("revision"), said.get("members")
         if not isinstance(revision, int) or not isinstance(members, list):
             return warn("list", "not understood, ignored: {!r}", str(said)[:120])
         whole, lines = said.get("complete") is True, {}
--- a/sloeferry/net/http1.py
+++ b/sloeferry/net/http1.py
@@ -83,10 +83,10 @@
         buffer = self.buffers.take()
         try:
             n = await self.loop.sock_recv_into(self.sock, buffer)
-            if n:                        # an end also ends an answer of no stated length: cut, for all we know
+            if n:
                 self.parser.feed_data(memoryview(buffer)[:n])
                 return None
-            self.fault = CLOSED
+            self.fault = CLOSED          # an answer of no stated length ends so too: a cut, for all we know
         except OSError:
             self.fault = CLOSED
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
--- a/sloeferry/net/log.py
+++ b/sloeferry/net/log.py
@@ -1,4 +1,4 @@
-"""What is worth a line, a few lines a kind and minute: a fault that comes with every txn must not fill the log."""
+"""Warnings, a few lines a kind and minute: a fault that comes with every txn must not fill the log."""
 from time import monotonic
 
 from loguru import logger
--- a/sloeferry/terms.py
+++ b/sloeferry/terms.py
@@ -104,7 +104,7 @@
         defaults.update({f"schemes.{at}.{name}": default for name, default in SCHEME.items()})
         expiry = f"schemes.{at}.expiry"
         defaults[f"schemes.{at}.sla_time"] = checked(expiry, told.get(expiry, SCHEME["expiry"]), 0.0)
-    return {**told, **{key: checked(key, told.get(key, default), default) for key, default in defaults.items()}}
+    return told | {key: checked(key, told.get(key, default), default) for key, default in defaults.items()}
 
 
 def address(key, text):
@@ -145,5 +145,5 @@
         for at in range(int(terms[f"{what}.count"])):
             if not isinstance(terms.get(f"{what}.{at}.name"), str):
                 raise Fault(f"settings.{what}.{at}.name: missing, or no text")
-    return Berth(str(told["name"]), address("listen", told["listen"]), address("discovery", told["discovery"]),
-                 seed, sockets, told["known"], terms)
+    listen, discovery = (address(key, told[key]) for key in ("listen", "discovery"))
+    return Berth(str(told["name"]), listen, discovery, seed, sockets, told["known"], terms)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -32,13 +32,14 @@
         compare(self, harbour, name)
 
     def test_passing_on(self):
-        """Method, path, query, body, id and key go on unchanged, the answer comes back; connections are kept."""
+        """Method, path, query, body, id and key go on unchanged, the answer back; connections are kept."""
         async def story(h):
             client = await h.open()
             await h.call("keyed", "some body", client)
             await h.call("safe", connection=client)
             await h.call("safe", connection=client, X_Budget_Ms="99999999")
-        self.play(story, "sockets_passing_on", Harbour({"b": answer("done", 200, 'X-Load-Report: {"inflight":1}')}))
+        report = 'X-Load-Report: {"inflight":1}'
+        self.play(story, "sockets_passing_on", Harbour({"b": answer("done", 200, report)}))
 
     def test_bytes(self):
         """What may have run is told by bytes: once-only is declined only where nothing ran, else reversed;
@@ -97,7 +98,7 @@
                          "POST /api HTTP/1.1\r\nContent-Length: 70000\r\n\r\n" + "x" * 70000):
                 h.say(f"client sends: {text[:30]!r}")
                 await h.ask(text)
-            for part in ("", "GET /api HTTP/1.1\r\nX-Call", "POST /api HTTP/1.1\r\nContent-Length: 9\r\n\r\nxx"):
+            for part in ("", "GET /api HTTP/1.1\r\nX-Call", "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nxx"):
                 _, writer = await h.open()
                 writer.write(part.encode())
                 writer.close()           # gone half way
@@ -108,8 +109,8 @@
         """A client that leaves while its txn is out takes nobody with it."""
         async def story(h):
             _, writer = await h.open()
-            writer.write(b"POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: c0\r\nX-Call-Class: once\r\nX-Caller: acme\r\n"
-                         b"X-Budget-Ms: 900\r\nContent-Length: 0\r\n\r\n")
+            writer.write(b"POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: c0\r\nX-Call-Class: once\r\n"
+                         b"X-Caller: acme\r\nX-Budget-Ms: 900\r\nContent-Length: 0\r\n\r\n")
             while not h.asked:
                 await asyncio.sleep(0.01)
             writer.transport.abort()
@@ -122,8 +123,9 @@
             await h.call("safe")
             h.tell("{ nonsense")
             h.tell('{"revision":"x","members":3}')
-            h.tell('{"revision":3,"complete":false,"members":[3,{"id":[]},{"id":"b","phase":"odd"},{"id":"z"}]}')
-            h.tell('{"revision":3,"complete":false,"members":[{"id":"b","host_port":"name:1","phase":"active"}]}')
+            for members in ('3,{"id":[]},{"id":"b","phase":"odd"},{"id":"z"}',
+                            '{"id":"b","host_port":"name:1","phase":"active"}'):
+                h.tell('{"revision":3,"complete":false,"members":[' + members + ']}')
             await asyncio.sleep(0.1)
             await h.call("safe")
             h.list(("b", "leaving"), complete=False)
@@ -146,7 +148,8 @@
             for wanted in (True, False):
                 ended = await backends.exchange("b", 1e12, lambda: wanted, lambda: b"GET /x HTTP/1.1\r\n\r\n")
                 h.say(f"wanted {wanted}: reached {ended.reached}, why {ended.why}")
-            task = backends.spawn(backends.exchange("b", 1e12, lambda: True, lambda: b"GET /y HTTP/1.1\r\n\r\n"))
+            task = backends.spawn(
+                backends.exchange("b", 1e12, lambda: True, lambda: b"GET /y HTTP/1.1\r\n\r\n"))
             while h.asked < 2:
                 await asyncio.sleep(0.01)
             task.cancel()
@@ -176,7 +179,7 @@
         self.play(story, "sockets_leaving", Harbour({"b": lambda n: held if n == 2 else answer()}))
 
     def test_failing_decisions(self):
-        """A decision that raises, or never comes, takes one txn with it: answered in time, and others go on."""
+        """A decision that raises or never comes takes one txn with it, answered in time; others go on."""
         async def story(h):
             with mock.patch.object(decide.Proxy, "take", side_effect=ZeroDivisionError):
                 await h.call("once")
@@ -192,8 +195,9 @@
         """Idle connections give way to those that ask."""
         async def story(h):
             idle = [await h.open() for _ in range(30)]
-            while len([await h.open() for _ in range(3)]) and not any(r.at_eof() for r, _ in idle):
-                await asyncio.sleep(0.1)         # those that came first have been idle for long enough now
+            while not any(reader.at_eof() for reader, _ in idle):
+                await h.open()           # until those that came first have been idle for long enough
+                await asyncio.sleep(0.05)
             for _ in range(3):
                 await h.call("safe")
             h.say(f"some idle ones were ended: {sum(r.at_eof() for r, _ in idle) > 0}")
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -9,15 +9,16 @@
 GOOD = {"name": "n0", "listen": "127.0.0.1:8000", "discovery": "127.0.0.1:8500", "seed": "8c1f",
         "limits": {"sockets": 1024}, "settings": {
             "schemes": [{"name": "a", "expiry": 800000}, {"name": "b", "sla_time": 320000}],
-            "tenants": [{"name": "7"}], "zones": ["north", "south"], "load_info": {"fields": ["inflight", "queue"]}}}
+            "tenants": [{"name": "7"}], "zones": ["north", "south"],
+            "load_info": {"fields": ["inflight", "queue"]}}}
 
 
 class Terms(unittest.TestCase):
     def test_faults(self):
         out = Lines()
         out.lines.append(read(GOOD))
-        for path, said in (("listen", "8000"), ("discovery", "host:0"), ("seed", "xyz"), ("limits.sockets", 3),
-                           ("limits", 7), ("known", []), ("settings", {}), ("settings.schemes", []),
+        for path, said in (("listen", "8000"), ("discovery", "host:0"), ("seed", "xyz"),
+                           ("limits.sockets", 3), ("limits", 7), ("known", []), ("settings", {}), ("settings.schemes", []),
                            ("settings.schemes.0.name", None), ("settings.schemes.1.expiry", 0),
                            ("settings.schemes.1.gain", "much"), ("settings.tenants.0.name", 4),
                            ("settings.limits", {"probing": 1}), ("settings.step", -1),
@@ -40,6 +41,8 @@
             berth = terms.read({"BALANCER_CONFIG": file.name, "BALANCER_NAME": "n1"})
         except terms.Fault as fault:
             return str(fault).replace(file.name, "FILE")
-        kept = {key: berth.terms[key] for key in ("schemes.0.expiry", "schemes.0.sla_time", "schemes.1.sla_time",
-                                                  "zones", "load_info.fields", "obligations.must_ask_in")}
-        return f"{berth.name} {berth.listen} {berth.seed} {berth.named('tenants')} {berth.places('zones')} {kept}"
+        kept = {key: berth.terms[key] for key in (
+            "schemes.0.expiry", "schemes.0.sla_time", "schemes.1.sla_time", "zones", "load_info.fields",
+            "obligations.must_ask_in")}
+        lists = berth.named("tenants"), berth.places("zones")
+        return f"{berth.name} {berth.listen} {berth.seed} {lists[0]} {lists[1]} {kept}"
--- a/tests/trace.py
+++ b/tests/trace.py
@@ -109,8 +109,8 @@
             self.ports[name] = await self.listen(functools.partial(self.backend, name, script))
         discovery = await self.listen(self.discovery)
         self.port = await self.listen(None)      # any that is free
-        settings = {"schemes": [{"name": n, "idempotency": kind, "group": "all", "expiry": self.expiry * 1000,
-                                 "sla_time": self.expiry * 900, "dedup_window": 30000000} for n, kind in self.SCHEMES],
+        times = {"expiry": self.expiry * 1000, "sla_time": self.expiry * 900, "dedup_window": 30000000}
+        settings = {"schemes": [{"name": n, "idempotency": kind, **times} for n, kind in self.SCHEMES],
                     "tenants": [{"name": "acme"}], "discovery": "subscribe", "zones": ["a"], "kinds": ["m"],
                     "load_info": {"via": "answers", "fields": ["inflight"]},
                     "obligations": {"must_ask_in": 4000000}, "instances": 1, "ordinal": 0, "zone": 0,
@@ -170,7 +170,7 @@
         self.list(*self.scripts)
 
     async def backend(self, name, script, reader, writer):
-        """A script says what to write for the nth request of all, b"" to close, None for nothing, an event to wait for."""
+        """A script says what to write for the nth request of all: b"" closes, None is silence, an event a wait."""
         self.writers.append(writer)
         shown = self.shown.setdefault(name, f"backend {len(self.shown) + 1}")     # in the order they are met
         connection = self.count["connections", name] = self.count.get(("connections", name), 0) + 1
@@ -205,7 +205,8 @@
             head = (await reader.readuntil(b"\r\n\r\n")).decode()
             size = int(re.search(r"(?i)content-length: (\d+)", head)[1])
             body = (await reader.readexactly(size)).decode()
-            came = " ".join([head.split()[1], body[:40], *(re.findall(r"(?i)connection: close|retry-after.*\d", head))])
+            told = re.findall(r"(?i)connection: close|retry-after.*\d", head)
+            came = " ".join([head.split()[1], body[:40], *told])
         except (OSError, asyncio.IncompleteReadError) as fault:
             came = "closed without a word" if isinstance(fault, asyncio.IncompleteReadError) else "reset"
         if not connection and came != "reset":
