--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -1,6 +1,7 @@
 """The proxy on loopback: what each peer sees.  Nothing here is decided by how long anything takes."""
 import asyncio
 import os
+import re
 import signal
 import unittest
 from unittest import mock
@@ -140,6 +141,48 @@
             await h.call("safe")
         self.play(down, "sockets_list_down", Harbour({"b": answer()}, known=["b"]))
 
+    def test_rough_discovery(self):
+        """Whatever ends a watch, or leaves it silent, the next call asks from the last version on."""
+        async def story(h):
+            while len(h.calls) < 6:
+                await asyncio.sleep(0.01)
+            h.lines.extend(h.calls[:6])
+            while not h.watches:
+                await asyncio.sleep(0.01)
+            h.list("b")
+            await asyncio.sleep(0.05)
+            await h.call("safe")
+        h = Harbour({"b": answer()}, ask_in=400)
+        stream = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        h.moods = [answer("", 503), stream, b"", b"\x00nonsense\r\n\r\n",
+                   stream + b'30\r\n{"revision":7,"complete":false,"members":[]}   \n\r\n']
+        with mock.patch("sloeferry.net.discovery.SILENCE", 0.1):
+            self.play(story, "sockets_rough_discovery", h)
+
+    def test_manners(self):
+        """What HTTP/1.1 allows a client, and an old one: all of it is served."""
+        async def story(h):
+            head = ("POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: c1\r\nX-Call-Class: once\r\nX-Caller: acme\r\n"
+                    "X-Budget-Ms: 3000\r\n")
+            two = await h.open()
+            two[1].write((head + "Content-Length: 3\r\n\r\none").encode())   # both at once
+            await h.ask(head + "Content-Length: 3\r\n\r\ntwo", two)
+            await h.ask(b"", two)
+            await h.ask(head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+            await h.ask(head.replace("1.1", "1.0", 1) + "Content-Length: 0\r\n\r\n")
+            await h.ask(head + "Connection: close\r\nContent-Length: 0\r\n\r\n")
+            patient = await h.open()
+            patient[1].write((head + "Expect: 100-continue\r\nContent-Length: 4\r\n\r\n").encode())
+            h.say((await patient[0].readuntil(b"\r\n\r\n")).decode().strip())
+            await h.ask("body", patient)
+            slow = await h.open()
+            for part in re.findall(r"(?s).{1,40}", head + "Content-Length: 4\r\n\r\n"):
+                slow[1].write(part.encode())
+                await asyncio.sleep(0.001)
+            await h.ask("drip", slow)
+        chunked = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nit\r\n3\r\n is\r\n0\r\n\r\n"
+        self.play(story, "sockets_manners", Harbour({"b": chunked}))
+
     def test_withdrawn_after_dial(self):
         """Rule 3 counts the first byte: a backend that left the list during the dial gets none."""
         async def story(h):
--- a/tests/trace.py
+++ b/tests/trace.py
@@ -95,11 +95,12 @@
     """
     SCHEMES = [("safe", "retryable"), ("keyed", "dedup"), ("once", "fragile")]
 
-    def __init__(self, backends, known=None, sockets=256, expiry=3000, **limits):
+    def __init__(self, backends, known=None, sockets=256, expiry=3000, ask_in=4000, **limits):
         self.lines, self.scripts, self.servers = [], backends, []
         self.known, self.sockets, self.expiry, self.limits = known, sockets, expiry, limits
+        self.ask_in = ask_in
         self.revision, self.watches, self.writers, self.ports, self.count = 1, [], [], {}, {}
-        self.shown, self.asked = {}, 0
+        self.shown, self.asked, self.calls, self.moods = {}, 0, [], []
 
     def say(self, text):
         self.lines.append(text)
@@ -113,7 +114,7 @@
         settings = {"schemes": [{"name": n, "idempotency": kind, **times} for n, kind in self.SCHEMES],
                     "tenants": [{"name": "acme"}], "discovery": "subscribe", "zones": ["a"], "kinds": ["m"],
                     "load_info": {"via": "answers", "fields": ["inflight"]},
-                    "obligations": {"must_ask_in": 4000000}, "instances": 1, "ordinal": 0, "zone": 0,
+                    "obligations": {"must_ask_in": self.ask_in * 1000}, "instances": 1, "ordinal": 0, "zone": 0,
                     "limits": {"most_postings": 3, "dial_timeout": 250000, "conn_idle": 10000000, **self.limits}}
         told = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{discovery}",
                 "seed": "7", "limits": {"sockets": self.sockets}, "settings": settings}
@@ -162,9 +163,12 @@
         self.tell(json.dumps({"revision": self.revision, "complete": complete, "members": self.members(*lines)}))
 
     async def discovery(self, reader, writer):
-        await reader.readuntil(b"\r\n\r\n")
+        self.calls.append((await reader.readuntil(b"\r\n\r\n")).decode().splitlines()[0])
         if self.known:
             return writer.close()        # this one is down
+        if self.moods:
+            writer.write(self.moods.pop(0))
+            return self.writers.append(writer)
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         self.watches.append(writer)
         self.list(*self.scripts)
