A probe that never went out is no word against its backend; one look at a socket for both peers

In the full-table probe (900 requests at once on one process) probes without a seat counted as refused and made backends rest (decide.py, probed). Checked: kept trace own_want; the facade now hands a probe's outcome over by bytes, as a posting's.

--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -656,7 +656,7 @@
             b.probes_out.pop(0)
         if how == ports.SETTLED:
             self.board.report(b, now, report)
-        else:
+        elif how != ports.NEVER_SENT:    # this proxy's own want, of a connection say, tells nothing of b
             self.board.bad(b, now)
         self.ask.heard(now)
 
--- a/sloeferry/facade.py
+++ b/sloeferry/facade.py
@@ -72,8 +72,8 @@
             self.finish(errand, LEAVE)
             self.proxy.left(clock(), errand.ref)
 
-    def report_probe(self, backend, served, took, load=()):
-        self.proxy.probed(clock(), backend, ports.SETTLED if served else ports.UNREACHED, took, load)
+    def report_probe(self, backend, reached, why, took, load=()):
+        self.proxy.probed(clock(), backend, outcome(reached, why), took, load)
 
     def report_list(self, whole, lines, cached=False):
         """A list: (backend, zone, kind, cell, standing, share, started in Unix time), all or what changed."""
--- a/sloeferry/net/backends.py
+++ b/sloeferry/net/backends.py
@@ -2,7 +2,6 @@
 import asyncio
 import json
 import math
-import socket
 from time import monotonic
 from typing import NamedTuple
 
@@ -32,13 +31,7 @@
         """Whether it still stands, and its backend won't close it for idleness any moment."""
         if monotonic() - self.since > self.backends.idle_limit:
             return False
-        try:
-            self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            pass
-        return False                     # an end, or bytes that nobody asked for
+        return http1.quiet(self.sock)    # else an end, or bytes that nobody asked for
 
     def rest(self):
         self.since = monotonic()
@@ -168,9 +161,11 @@
         began = f.clock()
         ended = await self.exchange(ident, began + self.dial_time, lambda: self.facade.stands(ident), lambda:
                                     http1.request(b"GET", self.status, [(b"Host", b"backend.local")]))
-        served = ended.answer is not None and ended.answer.status == 200
-        load = self.load(ended.answer.body()) if ended.answer and self.fields else ()
-        self.facade.report_probe(ident, served, f.clock() - began, load)
+        why, load = ended.why, ()
+        if ended.answer:
+            why = f.SERVED if ended.answer.status == 200 else f.ERRED
+            load = self.load(ended.answer.body())
+        self.facade.report_probe(ident, ended.reached, why, f.clock() - began, load)
 
     def spawn(self, work):
         task = self.loop.create_task(work)
--- a/sloeferry/net/clients.py
+++ b/sloeferry/net/clients.py
@@ -234,13 +234,7 @@
         """After SIGTERM: whether an idle connection may end.  One that never asked has a little time."""
         if not self.leaving or guest.wire.begun or guest.fresh and not self.left:
             return False
-        try:
-            guest.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            pass
-        return False                     # a request, or an end, is there to be read
+        return http1.quiet(guest.sock)   # else a request, or an end, is there to be read
 
     async def leave(self):
         """Takes what still comes for a while, ends what is idle, waits for the rest."""
--- a/sloeferry/net/http1.py
+++ b/sloeferry/net/http1.py
@@ -103,6 +103,17 @@
         return self.whole.pop(0)
 
 
+def quiet(sock):
+    """Whether a socket stands and there is nothing to be read from it: no bytes and no end."""
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        pass
+    return False
+
+
 async def dial(loop, address, patience):
     """A connected socket, or None; an OSError if this machine has no socket to give."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -2,7 +2,7 @@
 import unittest
 
 from sloeferry import ports
-from tests.trace import Printer, compare
+from tests.trace import NAMES, Lines, Printer, compare
 
 
 class Failures(unittest.TestCase):
@@ -113,6 +113,18 @@
                 host.report(line[-1], 0 if line[-1] in "gh" else 3)
         compare(self, host, "waves")
 
+    def test_own_want_tells_nothing(self):
+        """Probes that this proxy had no connection for: its backends don't rest for that; errors make them."""
+        shown = Lines()
+        for how in (ports.NEVER_SENT, ports.UNREACHED):
+            host = Printer()
+            host.list(("a",), ("b",), ("c",))
+            for _ in range(3):
+                host.proxy.probed(0.0, "a", how, 0.0, ())
+            used = sorted(b.ident for b in host.proxy.board.usable(0.0))
+            shown.lines.append(f"{NAMES[how]}: uses {' '.join(used)}")
+        compare(self, shown, "own_want")
+
     def test_connections_are_shared_out(self):
         """300 proxies, 40 backends, connections at a price: a few a proxy, others when some are sick."""
         host, used = Printer(), {}
