Discovery is dialled for until it is there: after a cut the list is back within a dial's time

By reading: a dial had a quarter of must_ask_in to fail, and the next came after the module's growing wait; drains told meanwhile would have gone unheard (rule 3). discovery.py, dial; test with a port that opens later.

--- a/sloeferry/facade.py
+++ b/sloeferry/facade.py
@@ -9,6 +9,8 @@
 from asyncio import Queue
 from heapq import heappop, heappush
 
+from loguru import logger
+
 from sloeferry import decide, ports
 
 # Orders: (POST, seq, backend), (WITHDRAW, seq), (SETTLE, answer), (DECLINE, pause), (REVERSE,), (LEAVE,),
@@ -141,7 +143,7 @@
             self.hurry(at)
 
     def note(self, text):
-        pass
+        logger.debug("{}", text)
 
 
 def outcome(reached, why):
--- a/sloeferry/net/discovery.py
+++ b/sloeferry/net/discovery.py
@@ -19,6 +19,7 @@
         self.loop, self.facade, self.backends = loop, facade, backends
         self.seats, self.buffers = seats, buffers
         self.address, self.patience = berth.discovery, berth.terms["obligations.must_ask_in"] / 4
+        self.dial_time = berth.terms["limits.dial_timeout"]
         self.zones, self.kinds = berth.places("zones"), berth.places("kinds")
         self.pushed = berth.terms["discovery"] != "subscribe"
         self.known, self.revision, self.standing, self.ready = {}, None, False, asyncio.Event()
@@ -44,7 +45,7 @@
         """One watch, from its dial to its end; its end is a failed call."""
         why = "no connection"
         try:
-            sock = await http1.dial(self.loop, self.address, self.patience) if self.seats.take() else None
+            sock = await self.dial()
             if sock:
                 try:
                     why = await self.lines(sock)
@@ -58,6 +59,24 @@
         self.ready.set()
         self.facade.report_no_list()
 
+    async def dial(self):
+        """Dials again and again for as long as a call may take: one that never arrived cost discovery nothing,
+        and after a cut every second without the list is one in which drains go unheard (rule 3)."""
+        if not self.seats.take():
+            return None
+        until, sock = self.loop.time() + self.patience / 1000, None
+        try:
+            while not (sock := await http1.dial(self.loop, self.address, self.dial_time)):
+                if self.known:
+                    self.ready.set()     # with the list as last held
+                if self.loop.time() >= until:
+                    return None
+                await asyncio.sleep(self.dial_time / 1000)
+            return sock
+        finally:
+            if not sock:
+                self.seats.give()
+
     async def lines(self, sock):
         """Take what comes, line by line, until it ends; why it did."""
         rest, lines = bytearray(), []
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -12,6 +12,7 @@
 from sloeferry import decide, terms
 from sloeferry.net.backends import Backends
 from sloeferry.net.buffers import Buffers, Seats
+from sloeferry.net.discovery import Discovery
 from tests.trace import Harbour, answer, compare
 
 
@@ -159,6 +160,24 @@
         with mock.patch("sloeferry.net.discovery.SILENCE", 0.1):
             self.play(story, "sockets_rough_discovery", h)
 
+    def test_discovery_back(self):
+        """After a cut the list is dialled for until it is there, not once a call; `known` serves meanwhile."""
+        async def story(h):
+            loop, port = asyncio.get_running_loop(), await h.listen(None)
+            told = terms.complete({"schemes.count": 1, "limits.dial_timeout": 20.0})
+            berth = terms.Berth("n0", ("", 0), ("127.0.0.1", port), 7, 64, {}, told)
+            seats = Seats(9)
+            discovery = Discovery(loop, None, berth, seats, Buffers(), Backends(loop, None, told, seats, None))
+            discovery.known = {"b": ()}
+            dialled = loop.create_task(discovery.dial())
+            await discovery.ready.wait()
+            h.say(f"ready, connected: {dialled.done()}")
+            server = await asyncio.start_server(lambda *_: None, "127.0.0.1", port)
+            (await dialled).close()
+            server.close()
+            h.say(f"connected, seats taken: {seats.taken}")
+        self.play(story, "sockets_discovery_back", Harbour({}, known=["nobody"]))
+
     def test_manners(self):
         """What HTTP/1.1 allows a client, and an old one: all of it is served."""
         async def story(h):
