--- a/sloeferry/net/clients.py
+++ b/sloeferry/net/clients.py
@@ -177,7 +177,7 @@
         tenant = self.tenants.get(text(b"x-caller")) if self.tenants else 0
         if (scheme is None or tenant is None or not text(b"x-call-id") or not text(b"host")
                 or not (budget.isascii() and budget.isdecimal() and len(budget) < 10 and int(budget))
-                or self.terms[f"schemes.{scheme}.idempotency"] == "dedup" and not text(b"idempotency-key")):
+                or self.terms[f"schemes.{scheme}.idempotency"] == "referenced" and not text(b"idempotency-key")):
             return None
         # One read ahead of its turn has waited here already.
         left = min(float(budget), self.terms[f"schemes.{scheme}.expiry"]) - (monotonic() - message.at) * 1000
--- a/sloeferry/ports.py
+++ b/sloeferry/ports.py
@@ -1,6 +1,6 @@
 """The interface of the decision module: what a host offers it, and what a host calls.
 
-A host (the bench's adapter today, the daemon later) makes one `decide.Proxy` an instance, as
+A host (the bench's adapter, or the proxy's facade) makes one `decide.Proxy` an instance, as
 `Proxy(host, now, seed, terms)`, and calls it as `Front` says.  Times are float milliseconds of the
 host's clock; refs, backends and seqs stay as the host gives them.  `terms` is a plain map of the
 setting names to values: numbers, truth values and text already decoded, times in milliseconds, and
--- /dev/null
+++ b/sloeferry/records.py
@@ -0,0 +1,60 @@
+"""What the decisions keep of a scheme, a txn, its postings and a backend: types, no decisions."""
+from collections import deque
+from math import inf as INF
+
+from sloeferry import ports
+from sloeferry.histogram import Histogram
+
+OUT, MAYBE, NEVER = range(3)         # a posting: no word yet, may have run, known not to have run
+
+
+class Scheme:
+    """What the operators promise for one scheme of txns, and how long its postings take."""
+
+    def __init__(self, terms, at):
+        def term(name):
+            return terms[f"schemes.{at}.{name}"]
+        self.expiry, self.sla, self.gain = term("expiry"), term("sla_time"), term("gain")
+        self.kind = term("idempotency")
+        self.group, self.window = term("group"), term("dedup_window")
+        self.took = Histogram(self.sla, 200, [self.sla / 4] * 4)    # of sends to a backend found idle
+        self.most_left = 0.0                                         # the longest patience seen
+
+    def typical(self):
+        return self.took.at(0.5)
+
+
+class Posting:
+    def __init__(self, backend, now, figure, expected):
+        self.backend, self.sent, self.figure, self.expected, self.state = backend, now, figure, expected, OUT
+
+
+class Txn:
+    """A txn taken; `now` to `ends` is all the time there is, `due` is its SLA time."""
+
+    def __init__(self, ref, scheme, now, left):
+        self.ref, self.scheme, self.born = ref, scheme, now
+        self.ends, self.due, self.gain = now + left, now + scheme.sla, scheme.gain
+        self.postings, self.answered = [], False
+
+    def out(self):
+        return any(p.state == OUT for p in self.postings)
+
+    def maybe(self):
+        """The postings that may have run: out, or ended without proof that they didn't."""
+        return [p for p in self.postings if p.state != NEVER]
+
+
+class Backend:
+    """What this proxy knows of one backend."""
+
+    def __init__(self, ident):
+        self.ident, self.zone, self.cell, self.standing, self.launched = ident, 0, 0, ports.READY, 0.0
+        self.fresh_start()
+
+    def fresh_start(self):           # a process just started has no past
+        self.others, self.heard = 0.0, -INF     # what other proxies hold here, and as of when
+        self.own, self.ghosts = 0, []     # open sends; until when quick errors stay counted
+        self.fails, self.rest_until, self.waits_since, self.probes_out = 0, 0.0, None, []
+        self.slow, self.pace, self.learned = Histogram(1.0, 12, [1.0, 1.0]), 1.0, 0.0
+        self.sent = deque()          # (when, work) of late, for the cold budget
--- a/sloeferry/terms.py
+++ b/sloeferry/terms.py
@@ -19,7 +19,8 @@
     "obligations.cold": 0.0, "obligations.cold_from": 1.0, "obligations.fall": 1000.0,
     "obligations.fall_multiple": 1.0, "obligations.must_ask_in": 10000.0,
     "tariffs.connection": 0.0, "tariffs.cross_zone": 0.0, "tariffs.probe": 0.0}
-SCHEME = {"dedup_window": 0.0, "expiry": 1000.0, "gain": 1.0, "group": "all", "idempotency": "fragile"}
+SCHEME = {"dedup_window": 0.0, "expiry": 1000.0, "gain": 1.0, "group": "all", "idempotency": ""}
+KINDS = {"retryable": "repeatable", "dedup": "referenced"}      # any other word is once-only
 ABOVE_NOUGHT = {"expiry", "sla_time", "conn_idle", "dial_timeout", "must_ask_in", "fall", "step", "instances",
                 "most_postings", "cold_from"}
 
@@ -94,7 +95,7 @@
 
 
 def complete(told):
-    """The settings checked, and with defaults for what was not said."""
+    """The settings checked, with defaults for what was not said; the kinds of schemes in our words."""
     told = {key: said for key, said in told.items() if said is not None}
     count = told.get("schemes.count")
     if isinstance(count, bool) or not isinstance(count, (int, float)) or count < 1:
@@ -104,7 +105,11 @@
         defaults.update({f"schemes.{at}.{name}": default for name, default in SCHEME.items()})
         expiry = f"schemes.{at}.expiry"
         defaults[f"schemes.{at}.sla_time"] = checked(expiry, told.get(expiry, SCHEME["expiry"]), 0.0)
-    return told | {key: checked(key, told.get(key, default), default) for key, default in defaults.items()}
+    terms = told | {key: checked(key, told.get(key, default), default) for key, default in defaults.items()}
+    for at in range(int(count)):
+        key = f"schemes.{at}.idempotency"
+        terms[key] = KINDS.get(terms[key], "once-only")
+    return terms
 
 
 def address(key, text):
