A connection that never came up is its backend's fault again; gone backends are forgotten

Found by reading: since probes by bytes, a probe that ran out of time while it dialled counted as never sent, so a vanished machine was no longer rested (facade.py, outcome); kept trace outcomes. Also: the whole backlog is taken at SIGTERM (16 before), garbage behind a request no longer ends its txn, a probe's exchange that fails still reports.

--- a/sloeferry/__main__.py
+++ b/sloeferry/__main__.py
@@ -46,7 +46,10 @@
     seats, buffers = Seats(berth.sockets - SPARE), Buffers()
     backends = Backends(loop, facade, berth.terms, seats, buffers)
     discovery = Discovery(loop, facade, berth, seats, buffers, backends)
-    clients = Clients(loop, facade, berth, seats, buffers, backends, discovery)
+    try:
+        clients = Clients(loop, facade, berth, seats, buffers, backends, discovery)
+    except OSError as fault:
+        raise terms.Fault("listen: {}:{} can't be had: {}".format(*berth.listen, fault.strerror)) from None
     leave = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, leave.set)
     loop.add_signal_handler(signal.SIGINT, leave.set)
@@ -72,14 +75,10 @@
     logger.add(sys.stderr, level=os.environ.get("LOGURU_LEVEL", "INFO"), diagnose=False,
                format="{time:HH:mm:ss.SSS} {level} {message}")
     try:
-        berth = terms.read(os.environ)
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(serve(terms.read(os.environ)))
     except terms.Fault as fault:
         sys.exit(f"sloeferry: {fault}")
-    try:
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(berth))
-    except OSError as fault:
-        sys.exit(f"sloeferry: listen: {berth.listen[0]}:{berth.listen[1]} can't be had: {fault.strerror}")
 
 
 if __name__ == "__main__":
--- a/sloeferry/facade.py
+++ b/sloeferry/facade.py
@@ -83,7 +83,10 @@
             self.standing.clear()
         lines = [(ident, zone, kind, cell, STANDINGS[standing], share, started and started - self.unix)
                  for ident, zone, kind, cell, standing, share, started in lines]
-        self.standing.update((line[0], line[4]) for line in lines)
+        for ident, *_, standing, _, _ in lines:
+            self.standing[ident] = standing
+            if standing == ports.GONE:
+                del self.standing[ident]
         self.proxy.listed(clock(), ports.CACHED if cached else ports.WHOLE if whole else ports.CHANGES, lines)
 
     def report_no_list(self):
@@ -147,8 +150,10 @@
 
 
 def outcome(reached, why):
-    """Rule 2 by bytes: a request never written whole has not run; one written whole may have."""
-    if why == VOID or reached < WHOLE and why in (LATE, WITHDRAWN):
+    """Rule 2 by bytes: a request never written whole has not run; one written whole may have.
+
+    A connection that did not come up in time is the backend's fault; one not wanted any more is nobody's."""
+    if why == VOID or reached < WHOLE and why == WITHDRAWN:
         return ports.NEVER_SENT
     if reached < WHOLE:
         return ports.UNREACHED
--- a/sloeferry/net/backends.py
+++ b/sloeferry/net/backends.py
@@ -67,7 +67,10 @@
         if self.addresses.get(ident) != address:
             for link in list(self.idle.get(ident, ())):
                 link.close()
+            self.idle.pop(ident, None)
             self.addresses[ident] = address
+            if address is None:
+                del self.addresses[ident]
 
     async def link(self, ident):
         """A connection to write on: a kept one found alive, or a new one; else why there is none."""
@@ -118,6 +121,9 @@
             pass
         except asyncio.CancelledError:
             why = f.WITHDRAWN
+        except Exception as fault:       # whatever it was, it has ended, and may have run
+            warn("exchange", "failed: {!r}", fault)
+            reached = f.WHOLE
         if link:
             if answer and answer.keep and not (link.wire.whole or link.wire.begun) or why == f.VOID:
                 link.rest()
@@ -140,11 +146,7 @@
 
         def wanted():
             return not errand.over and self.facade.stands(ident)
-        try:
-            ended = await self.exchange(ident, errand.ends, wanted, write)
-        except Exception as fault:       # whatever it was, the posting has ended, and may have run
-            warn("posting", "failed: {!r}", fault)
-            ended = Ended(f.WHOLE, f.BROKEN)
+        ended = await self.exchange(ident, errand.ends, wanted, write)
         why, load, answer = ended.why, (), ended.answer
         if answer:
             load = self.load(answer.header(b"x-load-report"))
--- a/sloeferry/net/clients.py
+++ b/sloeferry/net/clients.py
@@ -1,5 +1,6 @@
 """The clients: the listener, one connection each, /ready, and the way out after SIGTERM."""
 import asyncio
+import contextlib
 import socket
 from time import monotonic
 
@@ -10,10 +11,11 @@
 from sloeferry.net.log import warn
 
 IDLE, READING = 60.0, 5.0                # seconds: between requests, and for one to come or an answer to go
-OVERDUE = 0.025                          # past a txn's expiry, when its answer no longer waits for decisions
+OVERDUE = 0.035                          # past a txn's expiry, when its answer no longer waits for decisions
 LINGER = 0.5                             # seconds that a refused sender has to read why
 STILL_COMING, LAST = 0.4, 0.2            # seconds after SIGTERM: for connections, then for what they ask
-AT_ONCE, PAUSE = 16, 0.01                # connections accepted in a row; seconds until a full table is tried
+BACKLOG, AT_ONCE = 1024, 16              # connections: that wait outside, that are let in in a row
+PAUSE = 0.01                             # seconds until a full table is tried again
 METHODS = (b"GET", b"POST", b"PUT", b"PATCH", b"DELETE")
 OURS = http1.HOP | {b"x-budget-ms"}      # of a request, what a backend is told anew
 KEPT_BACK = http1.HOP | {b"x-load-report", b"x-rejected"}      # of an answer, what is not the client's
@@ -42,12 +44,13 @@
                 self.until = monotonic() + READING       # for all of it, or drops would hold it for ever
             if wire.begun and wire.message.expects and not self.busy:
                 wire.message.expects = False
-                self.loop.create_task(self.send(b"HTTP/1.1 100 Continue\r\n\r\n"))
+                with contextlib.suppress(OSError):       # then the next read says so
+                    await self.send(b"HTTP/1.1 100 Continue\r\n\r\n")
             self.came.set()
             while wire.whole and not self.fault:
                 self.room.clear()
                 await self.room.wait()
-        if self.errand:
+        if self.errand and self.fault == http1.CLOSED:
             self.clients.facade.report_left(self.errand)
 
     async def serve(self):
@@ -94,7 +97,7 @@
             errand = self.errand = self.clients.taken(message)
             if errand is None:
                 return 400, b"", ()
-            if self.fault:               # it had gone before its turn came
+            if self.fault == http1.CLOSED:       # it had gone before its turn came
                 self.clients.facade.report_left(errand)
             # The decisions answer before that; should they fail, the client is answered all the same.
             async with asyncio.timeout((errand.ends - f.clock()) / 1000 + OVERDUE):
@@ -167,7 +170,7 @@
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.setblocking(False)
         self.sock.bind(berth.listen)
-        self.sock.listen(1024)
+        self.sock.listen(BACKLOG)
 
     def taken(self, message):
         """The errand of a well-formed request; None for another."""
@@ -194,9 +197,9 @@
             self.loop.remove_reader(self.sock)
             self.sock.close()
 
-    def accept(self):
+    def accept(self, most=AT_ONCE):
         """Half of all seats are for clients: a txn needs one at either end.  The rest wait outside."""
-        for _ in range(AT_ONCE):
+        for _ in range(most):
             if not self.seats.take(spare=self.seats.most // 2):
                 return self.pause()
             try:
@@ -242,7 +245,7 @@
         logger.info("leaving, {} connections", len(self.guests))
         self.nudge()
         await asyncio.sleep(STILL_COMING)
-        self.accept()                    # what the machine has accepted and nobody has fetched yet
+        self.accept(BACKLOG)             # what the machine has accepted and nobody has fetched yet
         self.shut()
         await asyncio.sleep(LAST)
         self.left = True
--- a/sloeferry/net/discovery.py
+++ b/sloeferry/net/discovery.py
@@ -129,7 +129,8 @@
             line = self.member(member)
             if line:
                 lines[line[0]] = line
-        self.known, self.revision = lines if whole else self.known | lines, revision
+        known, self.revision = lines if whole else self.known | lines, revision
+        self.known = {ident: line for ident, line in known.items() if line[4] != "gone"}
         for ident in set(self.backends.addresses) - set(self.known):
             self.backends.told(ident, None)
         if not cached:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -9,11 +9,11 @@
 import uvloop
 from loguru import logger
 
-from sloeferry import decide, terms
+from sloeferry import decide, facade, terms
 from sloeferry.net.backends import Backends
 from sloeferry.net.buffers import Buffers, Seats
 from sloeferry.net.discovery import Discovery
-from tests.trace import Harbour, answer, compare
+from tests.trace import NAMES, Harbour, Lines, answer, compare
 
 
 class Sockets(unittest.TestCase):
@@ -66,6 +66,15 @@
             await h.call(h.case[1])
         self.play(story, "sockets_bytes", *harbours)
 
+    def test_outcomes(self):
+        """What the decisions are told of an ending, by how far it came."""
+        out = Lines()
+        reasons = "SERVED ERRED REJECTED BROKEN LATE WITHDRAWN VOID".split()
+        for name in ("NOTHING", "PART", "WHOLE", "BEGUN"):
+            told = {why: NAMES[facade.outcome(getattr(facade, name), getattr(facade, why))] for why in reasons}
+            out.lines.append(f"{name}: {told}")
+        compare(self, out, "outcomes")
+
     def test_silent(self):
         """Nothing comes back: a final answer all the same, and before the client gives up."""
         async def story(h):
