--- a/sloeferry/net/clients.py
+++ b/sloeferry/net/clients.py
@@ -35,7 +35,7 @@
         self.reader = self.loop.create_task(self.read())
 
     async def read(self):
-        """Takes in what comes, one request ahead.  An end while a txn is out: the client has gone."""
+        """Takes in what comes, a buffer ahead.  An end while a txn is out: the client has gone."""
         wire = self.wire
         while self.fault is None:
             begun = wire.begun
@@ -47,7 +47,8 @@
                 with contextlib.suppress(OSError):       # then the next read says so
                     await self.send(b"HTTP/1.1 100 Continue\r\n\r\n")
             self.came.set()
-            while wire.whole and not self.fault:
+            # Not more, while a txn is out: two bodies for each client would not fit the memory.
+            while (wire.whole or wire.begun and self.busy) and not self.fault:
                 self.room.clear()
                 await self.room.wait()
         if self.errand and self.fault == http1.CLOSED:
@@ -84,6 +85,7 @@
         keep = message.keep and not self.clients.leaving and self.fault is None
         await self.send(http1.answer(status, body, headers, keep))
         self.busy, self.until = False, monotonic() + IDLE
+        self.room.set()
         return keep
 
     async def answer(self, message):
