A successor waits for its address for 2 s; the log's level is checked like any other key

Checked with one process started while another held the port: it took over when that one left. loguru reads LOGURU_LEVEL by itself at import and raised there, so the proxy's key is SLOEFERRY_LOG (kept trace terms).

--- a/sloeferry/__main__.py
+++ b/sloeferry/__main__.py
@@ -16,6 +16,7 @@
 from sloeferry.net.discovery import Discovery
 
 SPARE = 32                               # descriptors that are no connection
+HANDOVER = 2.0                           # seconds that the one before may take to let go of the address
 
 
 class Clockwork:
@@ -46,10 +47,12 @@
     seats, buffers = Seats(berth.sockets - SPARE), Buffers()
     backends = Backends(loop, facade, berth.terms, seats, buffers)
     discovery = Discovery(loop, facade, berth, seats, buffers, backends)
-    try:
-        clients = Clients(loop, facade, berth, seats, buffers, backends, discovery)
-    except OSError as fault:
-        raise terms.Fault("listen: {}:{} can't be had: {}".format(*berth.listen, fault.strerror)) from None
+    clients = Clients(loop, facade, berth, seats, buffers, backends, discovery)
+    until = loop.time() + HANDOVER
+    while fault := clients.bind(berth.listen):
+        if loop.time() > until:
+            raise terms.Fault("listen: {}:{} can't be had: {}".format(*berth.listen, fault.strerror))
+        await asyncio.sleep(HANDOVER / 40)
     leave = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, leave.set)
     loop.add_signal_handler(signal.SIGINT, leave.set)
@@ -71,10 +74,10 @@
 
 
 def main():
-    logger.remove()
-    logger.add(sys.stderr, level=os.environ.get("LOGURU_LEVEL", "INFO"), diagnose=False,
-               format="{time:HH:mm:ss.SSS} {level} {message}")
     try:
+        logger.remove()
+        logger.add(sys.stderr, level=terms.log_level(os.environ), diagnose=False,
+                   format="{time:HH:mm:ss.SSS} {level} {message}")
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(serve(terms.read(os.environ)))
     except terms.Fault as fault:
--- a/sloeferry/net/clients.py
+++ b/sloeferry/net/clients.py
@@ -171,8 +171,6 @@
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.setblocking(False)
-        self.sock.bind(berth.listen)
-        self.sock.listen(BACKLOG)
 
     def taken(self, message):
         """The errand of a well-formed request; None for another."""
@@ -190,6 +188,14 @@
 
     # The listener
 
+    def bind(self, address):
+        """Takes the address; why not, if it can't be had."""
+        try:
+            self.sock.bind(address)
+            self.sock.listen(BACKLOG)
+        except OSError as fault:
+            return fault
+
     def open(self):
         if self.sock.fileno() >= 0:
             self.loop.add_reader(self.sock, self.accept)
--- a/sloeferry/terms.py
+++ b/sloeferry/terms.py
@@ -21,6 +21,7 @@
     "tariffs.connection": 0.0, "tariffs.cross_zone": 0.0, "tariffs.probe": 0.0}
 SCHEME = {"dedup_window": 0.0, "expiry": 1000.0, "gain": 1.0, "group": "all", "idempotency": ""}
 KINDS = {"retryable": "repeatable", "dedup": "referenced"}      # any other word is once-only
+LEVELS = ("TRACE", "DEBUG", "INFO", "SUCCESS", "WARNING", "ERROR", "CRITICAL")
 ABOVE_NOUGHT = {"expiry", "sla_time", "conn_idle", "dial_timeout", "must_ask_in", "fall", "step", "instances",
                 "most_postings", "cold_from"}
 
@@ -119,6 +120,13 @@
     return host, int(port)
 
 
+def log_level(environ):
+    level = environ.get("SLOEFERRY_LOG") or "INFO"
+    if level not in LEVELS:
+        raise Fault(f"SLOEFERRY_LOG: {level!r} is none of {', '.join(LEVELS)}")
+    return level
+
+
 def read(environ):
     """All that an instance is told: the file that BALANCER_CONFIG names; the other variables go before it."""
     path = environ.get("BALANCER_CONFIG")
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -1,5 +1,7 @@
 """What is said of a configuration that can't be used: each fault names its key."""
 import json
+import subprocess
+import sys
 import tempfile
 import unittest
 
@@ -30,6 +32,9 @@
             node[last] = said
             out.lines.append(f"{path} = {said!r}: {read(told)}")
         out.lines.append(read("no JSON"))
+        for environ in ({}, {"BALANCER_CONFIG": "/nowhere"}, {"SLOEFERRY_LOG": "loud"}):
+            ended = subprocess.run([sys.executable, "-m", "sloeferry"], env=environ, capture_output=True, text=True)
+            out.lines.append(f"exit {ended.returncode}: {ended.stderr.strip()}")
         compare(self, out, "terms")
 
 
