--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -74,12 +74,14 @@
             return True
         return txn.scheme.kind == "referenced" and now < maybe[0].sent + txn.scheme.window - self.p.step
 
+    def in_use(self, b, now):
+        """Rule 3: known to run, not draining, and the list no older than it may be."""
+        return b.standing == ports.READY and now <= self.p.discovery.deemed_old
+
     def post(self, txn, b, now, expected):
         """The one place that sends; None where a rule forbids it."""
         work = txn.scheme.typical()
-        # Rule 3: known to run, not draining, and the list no older than it may be.
-        in_use = b.standing == ports.READY and now <= self.p.discovery.deemed_old
-        if not (in_use and self.may_post(txn, now) and self.drops_repeats(txn, b)
+        if not (self.in_use(b, now) and self.may_post(txn, now) and self.drops_repeats(txn, b)
                 and self.cold_room(b, now, work)):
             return None
         posting = Posting(b, now, self.p.board.figure(b, now), expected)
--- a/sloeferry/facade.py
+++ b/sloeferry/facade.py
@@ -2,8 +2,7 @@
 
 An errand is one txn on its way.  Who carries it awaits `pick` for the next order and reports how each
 posting ended; probes and the list have an errand each that stands for as long as the program runs.
-`tick` fires what is due and says when it wants to be called again.  No decisions here, but the check
-that rule 3 wants just before a posting's first byte.
+`tick` fires what is due and says when it wants to be called again.  No decisions here.
 """
 import time
 from asyncio import Queue
@@ -40,7 +39,7 @@
     def __init__(self, seed, terms, hurry):
         self.hurry = hurry               # called with a time: be back by then
         self.timers, self.errands, self.refs, self.next, self.late = [], {}, 0, None, 0.0
-        self.probing, self.listing, self.standing = Errand(), Errand(), {}
+        self.probing, self.listing = Errand(), Errand()
         self.unix = time.time() * 1000 - clock()
         self.proxy = decide.Proxy(self, clock(), seed, terms)
 
@@ -79,14 +78,8 @@
 
     def report_list(self, whole, lines, cached=False):
         """A list: (backend, zone, kind, cell, standing, share, started in Unix time), all or what changed."""
-        if whole:
-            self.standing.clear()
         lines = [(ident, zone, kind, cell, STANDINGS[standing], share, started and started - self.unix)
                  for ident, zone, kind, cell, standing, share, started in lines]
-        for ident, *_, standing, _, _ in lines:
-            self.standing[ident] = standing
-            if standing == ports.GONE:
-                del self.standing[ident]
         self.proxy.listed(clock(), ports.CACHED if cached else ports.WHOLE if whole else ports.CHANGES, lines)
 
     def report_no_list(self):
@@ -95,7 +88,8 @@
 
     def stands(self, backend):
         """Rule 3, once more before the first byte: a dial takes time, and the list may have changed."""
-        return self.standing.get(backend) == ports.READY and clock() <= self.proxy.discovery.deemed_old
+        known = self.proxy.board.all.get(backend)
+        return known is not None and self.proxy.rules.in_use(known, clock())
 
     def tick(self):
         """Fire what is due; the time of the next, or None."""
--- a/sloeferry/net/backends.py
+++ b/sloeferry/net/backends.py
@@ -68,9 +68,10 @@
             for link in list(self.idle.get(ident, ())):
                 link.close()
             self.idle.pop(ident, None)
-            self.addresses[ident] = address
             if address is None:
                 del self.addresses[ident]
+            else:
+                self.addresses[ident] = address
 
     async def link(self, ident):
         """A connection to write on: a kept one found alive, or a new one; else why there is none."""
@@ -125,10 +126,9 @@
             warn("exchange", "failed: {!r}", fault)
             reached = f.WHOLE
         if link:
-            if answer and answer.keep and not (link.wire.whole or link.wire.begun) or why == f.VOID:
+            clean = answer and answer.keep and not (link.wire.whole or link.wire.begun) or why == f.VOID
+            if clean and self.addresses.get(ident) == link.address:      # it may have moved meanwhile
                 link.rest()
-                if self.addresses.get(ident) != link.address:
-                    link.close()
             else:
                 link.close()
         # Withdrawn or late half way through writing: nobody knows whether the last byte went out.
--- a/sloeferry/net/http1.py
+++ b/sloeferry/net/http1.py
@@ -138,9 +138,8 @@
     return b"\r\n".join(head) + b"\r\n\r\n" + body
 
 
-REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
-           408: b"Request Timeout", 413: b"Content Too Large", 500: b"Internal Server Error",
-           502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout"}
+REASONS = {200: b"OK", 400: b"Bad Request", 405: b"Method Not Allowed", 413: b"Content Too Large",
+           503: b"Service Unavailable", 504: b"Gateway Timeout"}
 
 
 def answer(status, body=b"", headers=(), keep=True):
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -47,10 +47,10 @@
         """What may have run is told by bytes: once-only is declined only where nothing ran, else reversed;
         repeatable goes on to the other backend; a backend's own 429 or 503 is never passed on."""
         cases = (("cut", b""), ("erred", answer("no", 500)), ("foreign", answer("no", 429)),
-                          ("busy", answer("no", 503)), ("rejected", answer("no", 503, "X-Rejected: 1")),
-                          ("half", b"HTTP/1.1 200 X\r\nContent-Length: 99\r\n\r\nhalf, Connection: close"),
-                          ("endless", b"HTTP/1.1 200 X\r\n\r\nno end told, Connection: close"),
-                          ("huge", answer("x" * 70000)), ("nonsense", b"220 who is there?\r\n\r\n"))
+                 ("busy", answer("no", 503)), ("rejected", answer("no", 503, "X-Rejected: 1")),
+                 ("half", b"HTTP/1.1 200 X\r\nContent-Length: 99\r\n\r\nhalf, Connection: close"),
+                 ("endless", b"HTTP/1.1 200 X\r\n\r\nno end told, Connection: close"),
+                 ("huge", answer("x" * 70000)), ("nonsense", b"220 who is there?\r\n\r\n"))
         harbours = []
         for case, bad in cases:
             for scheme in ("once", "safe"):
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -20,7 +20,8 @@
         out = Lines()
         out.lines.append(read(GOOD))
         for path, said in (("listen", "8000"), ("discovery", "host:0"), ("seed", "xyz"),
-                           ("limits.sockets", 3), ("limits", 7), ("known", []), ("settings", {}), ("settings.schemes", []),
+                           ("limits.sockets", 3), ("limits", 7), ("known", []), ("settings", {}),
+                           ("settings.schemes", []),
                            ("settings.schemes.0.name", None), ("settings.schemes.1.expiry", 0),
                            ("settings.schemes.1.gain", "much"), ("settings.tenants.0.name", 4),
                            ("settings.limits", {"probing": 1}), ("settings.step", -1),
--- a/tests/trace.py
+++ b/tests/trace.py
@@ -177,7 +177,7 @@
         """A script says what to write for the nth request of all: b"" closes, None is silence, an event a wait."""
         self.writers.append(writer)
         shown = self.shown.setdefault(name, f"backend {len(self.shown) + 1}")     # in the order they are met
-        connection = self.count["connections", name] = self.count.get(("connections", name), 0) + 1
+        connection = self.count[name] = self.count.get(name, 0) + 1
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
