SIGHUP reads the configuration anew and moves the watch to the new discovery

Checked: BALANCER_DISCOVERY still names the old address after a reload, so the file goes first when it is read again; revisions are each discovery's own, so the whole list is asked for.

--- a/sloeferry/__main__.py
+++ b/sloeferry/__main__.py
@@ -40,6 +40,15 @@
             self.hurry(self.facade.next)
 
 
+def renew(discovery):
+    """SIGHUP: the configuration has been replaced.  What may change while it serves is where discovery is;
+    a file that can't be used changes nothing, and nothing in it may end the program."""
+    try:
+        discovery.move(terms.read(os.environ, again=True).discovery)
+    except Exception as fault:
+        logger.error("SIGHUP, all stays as it was: {}", fault)
+
+
 async def serve(berth):
     loop = asyncio.get_running_loop()
     work = Clockwork(loop)
@@ -56,6 +65,7 @@
     leave = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, leave.set)
     loop.add_signal_handler(signal.SIGINT, leave.set)
+    loop.add_signal_handler(signal.SIGHUP, renew, discovery)
     tasks = [loop.create_task(work) for work in (
         backends.probes(), backends.sweep(), discovery.run(), clients.sweep())]
     for task in tasks:                   # none of them ends by itself
--- a/sloeferry/net/discovery.py
+++ b/sloeferry/net/discovery.py
@@ -23,24 +23,39 @@
         self.zones, self.kinds = berth.places("zones"), berth.places("kinds")
         self.pushed = berth.terms["discovery"] != "subscribe"
         self.known, self.revision, self.standing, self.ready = {}, None, False, asyncio.Event()
+        self.watching = self.former = None       # the watch, and after a move the one before until this stands
         if berth.known:
             self.take(berth.known, cached=True)
 
     async def run(self):
         """One watch at the start, without being asked: until the list is in, no client is sent here.
         Then one whenever one is wanted; where changes come unasked, always."""
-        watch = self.loop.create_task(self.watch())
+        self.watching = self.loop.create_task(self.watch())
         while True:
             if self.pushed:
-                await watch
+                await asyncio.wait([self.watching])
                 await asyncio.sleep(self.patience / 8000)
             else:
                 await self.facade.pick(self.facade.listing)
-            if watch.done():
-                watch = self.loop.create_task(self.watch())
+            if self.watching.done():
+                self.watching = self.loop.create_task(self.watch())
             elif self.standing:          # it stands already, and all it said has been passed on
                 self.facade.report_list(False, ())
 
+    def move(self, address):
+        """Discovery is somewhere else: the whole list is asked for there, since its revisions are its own.
+        Until that has come the former watch goes on telling; after several moves, the one that still stands."""
+        if address == self.address:
+            return
+        logger.info("discovery moves to {}:{}", *address)
+        self.address, self.revision = address, None
+        if self.standing:
+            self.former = self.watching
+        elif self.watching:
+            self.watching.cancel()
+        self.standing = False
+        self.watching = self.loop.create_task(self.watch())
+
     async def watch(self):
         """One watch, from its dial to its end; its end is a failed call."""
         why = "no connection"
@@ -55,6 +70,8 @@
         except Exception as fault:       # never the end of the program: the list as known goes on serving
             why = repr(fault)
         logger.info("watch ended: {}", why)
+        if asyncio.current_task() is not self.watching:
+            return                       # its successor is on its way, and will say how that went
         self.standing = False
         self.ready.set()
         self.facade.report_no_list()
@@ -129,12 +146,17 @@
             line = self.member(member)
             if line:
                 lines[line[0]] = line
-        known, self.revision = lines if whole else self.known | lines, revision
+        known = lines if whole else self.known | lines
+        ours = cached or asyncio.current_task() is self.watching
+        if ours:
+            self.revision = revision
         self.known = {ident: line for ident, line in known.items() if line[4] != "gone"}
         for ident in set(self.backends.addresses) - set(self.known):
             self.backends.told(ident, None)
-        if not cached:
-            self.standing = True
+        if ours and not cached:
+            if self.former:              # its list is whole now
+                self.former.cancel()
+            self.former, self.standing = None, True
             self.ready.set()
         self.facade.report_list(whole, list(lines.values()), cached)
 
--- a/sloeferry/terms.py
+++ b/sloeferry/terms.py
@@ -127,8 +127,9 @@
     return level
 
 
-def read(environ):
-    """All that an instance is told: the file that BALANCER_CONFIG names; the other variables go before it."""
+def read(environ, again=False):
+    """All that an instance is told: the file that BALANCER_CONFIG names; the other variables go before it.
+    Read again, the file goes first: it may have been replaced, the environment can't have been."""
     path = environ.get("BALANCER_CONFIG")
     if not path:
         raise Fault("BALANCER_CONFIG: not set; it names the configuration file")
@@ -142,7 +143,8 @@
     if not isinstance(told, dict):
         raise Fault(f"BALANCER_CONFIG: {path} holds no object")
     for key in ("name", "listen", "discovery"):
-        told[key] = environ.get(f"BALANCER_{key.upper()}") or told.get(key, "")
+        said = environ.get(f"BALANCER_{key.upper()}"), told.get(key)
+        told[key] = said[again] or said[not again] or ""
     for key in ("settings", "known", "limits"):
         if not isinstance(told.setdefault(key, {}), dict):
             raise Fault(f"{key}: is no object")
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -1,8 +1,10 @@
 """The proxy on loopback: what each peer sees.  Nothing here is decided by how long anything takes."""
 import asyncio
+import json
 import os
 import re
 import signal
+import tempfile
 import unittest
 from unittest import mock
 
@@ -187,6 +189,38 @@
             h.say(f"connected, seats taken: {seats.taken}")
         self.play(story, "sockets_discovery_back", Harbour({}, known=["nobody"]))
 
+    def test_reload(self):
+        """SIGHUP, again and again: a file that can't be used changes nothing; the former discovery tells until
+        the new one stands, whose list is whole; the file goes before the environment."""
+        async def story(h):
+            with tempfile.NamedTemporaryFile("w") as file, mock.patch.dict(
+                    os.environ, BALANCER_CONFIG=file.name, BALANCER_DISCOVERY=h.told["discovery"]):
+                async def replaced(text):
+                    file.truncate(0)
+                    file.seek(0)
+                    file.write(text)
+                    file.flush()
+                    os.kill(os.getpid(), signal.SIGHUP)
+                    await asyncio.sleep(0.05)
+                h.list("b")
+                await replaced("no JSON")
+                await replaced(json.dumps(dict(h.told, discovery="nowhere")))
+                await h.call("safe")
+                h.list(("b", "leaving"), "c")
+                await replaced(json.dumps(dict(h.told, discovery="127.0.0.1:1")))
+                await h.call("safe")
+                former, h.watches, h.scripts = h.watches, [], {"d": 0}
+                new = await h.listen(h.discovery)
+                for _ in range(3):
+                    await replaced(json.dumps(dict(h.told, discovery=f"127.0.0.1:{new}")))
+                while not h.watches:
+                    await asyncio.sleep(0.01)
+                await asyncio.sleep(0.05)
+                await h.call("safe")
+                h.lines.extend(h.calls)
+                h.writers.extend(former)
+        self.play(story, "sockets_reload", Harbour({"b": answer(), "c": answer(), "d": answer()}))
+
     def test_manners(self):
         """What HTTP/1.1 allows a client, and an old one: all of it is served."""
         async def story(h):
--- a/tests/trace.py
+++ b/tests/trace.py
@@ -118,6 +118,7 @@
                     "limits": {"most_postings": 3, "dial_timeout": 250000, "conn_idle": 10000000, **self.limits}}
         told = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{discovery}",
                 "seed": "7", "limits": {"sockets": self.sockets}, "settings": settings}
+        self.told = told
         if self.known:
             told["known"] = {"revision": 0, "complete": True, "members": self.members(*self.known)}
         with tempfile.NamedTemporaryFile("w") as file:
