Bad input ends at its head, each side has its seats, spoilt answers blame nobody

Seen: answers that can't be read counted against their backend (CUT, two of them rest it); good ones with noise in the same read were dropped (Wire.next returned the fault first); Wire.weigh saw finished headers only, so heads, chunk lines, trailers and 1xx without end grew the parser; seats were one table, in which silent newcomers shed kept connections to backends and those kept clients out; an id already open was taken twice. Checked on the wire (bad backends, a log of what came behind whole answers): all 77 with more behind carry one length, so the answer ends where it says; those whose length is too short carry two (3 and the true one) and the parser refuses them at the head. So a whole answer stands, and two lengths never make one. Ruled out as cause of the rest: extra postings.

--- a/sloeferry/__main__.py
+++ b/sloeferry/__main__.py
@@ -53,9 +53,11 @@
     loop = asyncio.get_running_loop()
     work = Clockwork(loop)
     facade = work.facade = Facade(berth.seed, berth.terms, work.hurry)
-    seats, buffers = Seats(berth.sockets - SPARE), Buffers()
-    backends = Backends(loop, facade, berth.terms, seats, buffers)
-    discovery = Discovery(loop, facade, berth, seats, buffers, backends)
+    # Half for either side, each with a table of its own: a txn needs a seat at both, and strangers that crowd in
+    # at the door must not cost a connection to a backend, nor those keep a client out.
+    seats, inside, buffers = Seats((berth.sockets - SPARE) // 2), Seats((berth.sockets - SPARE) // 2), Buffers()
+    backends = Backends(loop, facade, berth.terms, inside, buffers)
+    discovery = Discovery(loop, facade, berth, inside, buffers, backends)
     clients = Clients(loop, facade, berth, seats, buffers, backends, discovery)
     until = loop.time() + HANDOVER
     while fault := clients.bind(berth.listen):
--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -16,6 +16,7 @@
 from sloeferry.records import MAYBE, NEVER, OUT, Backend, Posting, Scheme, Txn
 
 NEVER_RAN = (ports.TURNED_AWAY, ports.UNREACHED, ports.NEVER_SENT)
+BLAMELESS = (ports.NEVER_SENT, ports.UNKNOWN)    # tells nothing of a backend: any may have its answers spoilt
 LEVELS, BOUNDS = (0, 1, 2, 3, 5, 8, 13), (0.5, 1.5, 2.5, 3.4, 4.8, 6.7)      # figures, coarsely; their ends
 
 
@@ -582,7 +583,7 @@
                 self.board.learn(txn, posting, took * 1.5, now)
             if self.board.silent(b, now):
                 self.board.bad(b, now)
-        elif how != ports.NEVER_SENT:
+        elif how not in BLAMELESS:
             # A quick error must not make a backend look empty: its send stays counted for a while.
             b.ghosts.append(now + 4 * txn.scheme.typical())
             self.board.bad(b, now)
@@ -604,7 +605,7 @@
             b.probes_out.pop(0)
         if how == ports.SETTLED:
             self.board.report(b, now, report)
-        elif how != ports.NEVER_SENT:    # this proxy's own want, of a connection say, tells nothing of b
+        elif how not in BLAMELESS:       # this proxy's own want, of a connection say, tells nothing of b
             self.board.bad(b, now)
         self.ask.heard(now)
 
--- a/sloeferry/facade.py
+++ b/sloeferry/facade.py
@@ -17,8 +17,8 @@
 POST, WITHDRAW, SETTLE, DECLINE, REVERSE, LEAVE, PROBE, WATCH = range(8)
 # How far a posting came: nothing written, part, whole, answer begun.
 NOTHING, PART, WHOLE, BEGUN = range(4)
-# Why it ended there.
-SERVED, ERRED, REJECTED, BROKEN, LATE, WITHDRAWN, VOID = range(7)
+# Why it ended there; spoilt is an answer that can't be read or doesn't end, on a connection that stands.
+SERVED, ERRED, REJECTED, BROKEN, LATE, WITHDRAWN, VOID, SPOILT = range(8)
 STANDINGS = {"ready": ports.READY, "draining": ports.DRAINING, "gone": ports.GONE}
 
 
@@ -152,4 +152,4 @@
     if reached < WHOLE:
         return ports.UNREACHED
     return {SERVED: ports.SETTLED, ERRED: ports.ERRED, REJECTED: ports.TURNED_AWAY, BROKEN: ports.CUT,
-            LATE: ports.LATE, WITHDRAWN: ports.WITHDRAWN}[why]
+            LATE: ports.LATE, WITHDRAWN: ports.WITHDRAWN, SPOILT: ports.UNKNOWN}[why]
--- a/sloeferry/net/backends.py
+++ b/sloeferry/net/backends.py
@@ -55,6 +55,7 @@
         self.addresses, self.idle, self.tasks = {}, {}, set()
         self.dial_time = terms["limits.dial_timeout"]
         self.idle_limit = terms["limits.conn_idle"] / 1000 * 0.8
+        self.rest_time = min(terms[f"schemes.{at}.sla_time"] for at in range(int(terms["schemes.count"]))) / 4000
         self.fields = [name for name in terms["load_info.fields"].split(",") if name]
         self.status = b"/status/load" if self.fields else b"/health"
 
@@ -101,7 +102,7 @@
         right before the first byte, whether it still may go out."""
         link, reached, why, answer = None, f.NOTHING, f.BROKEN, None
         try:
-            async with asyncio.timeout_at(until / 1000 - f.clock() / 1000 + self.loop.time()):
+            async with asyncio.timeout_at(until / 1000 - f.clock() / 1000 + self.loop.time()) as end:
                 link = await self.link(ident)
                 if not isinstance(link, Link):
                     return Ended(f.NOTHING, link)
@@ -111,13 +112,20 @@
                     reached = f.PART
                     await self.loop.sock_sendall(link.sock, write())
                     reached = f.WHOLE
-                    got = await link.wire.next()
-                    if isinstance(got, http1.Message):
-                        answer, reached = got, f.BEGUN
-                    elif link.wire.begun:
-                        reached = f.BEGUN
+                    wire = link.wire
+                    while not wire.whole and not await wire.fill():
+                        if wire.begun:
+                            # What has begun is written: if the rest stays out, its length was a wrong one.
+                            reached = f.BEGUN
+                            end.reschedule(min(end.when(), self.loop.time() + self.rest_time))
+                    # Noise behind a whole answer doesn't spoil it: its one length says where it ends.  With two
+                    # lengths nobody knows; the parser refuses that at the head, so it never counts as whole.
+                    if wire.whole:
+                        answer, reached = wire.whole.pop(0), f.BEGUN
+                    elif wire.fault != http1.CLOSED:
+                        why = f.SPOILT
         except TimeoutError:             # a kind of OSError, so it comes first
-            why = f.LATE
+            why = f.SPOILT if reached == f.BEGUN and f.clock() < until else f.LATE
         except OSError:
             pass
         except asyncio.CancelledError:
@@ -126,7 +134,9 @@
             warn("exchange", "failed: {!r}", fault)
             reached = f.WHOLE
         if link:
-            clean = answer and answer.keep and not (link.wire.whole or link.wire.begun) or why == f.VOID
+            # What more there is belongs to no posting: the next would take it for its answer.
+            clean = answer and answer.keep and not (link.wire.whole or link.wire.begun) \
+                    and http1.quiet(link.sock) or why == f.VOID
             if clean and self.addresses.get(ident) == link.address:      # it may have moved meanwhile
                 link.rest()
             else:
--- a/sloeferry/net/buffers.py
+++ b/sloeferry/net/buffers.py
@@ -1,6 +1,8 @@
 """Buffers of one size, used again; and seats: all connections together stay below the limit of sockets."""
 from time import monotonic
 
+from sloeferry.net.http1 import quiet
+
 
 class Buffers:
     SIZE, KEPT = 16384, 256
@@ -17,23 +19,25 @@
 
 
 class Seats:
-    """One seat a connection, whoever is at its other end.  A full table sheds those idle longest."""
-    REST = 0.2                           # seconds until a connection counts as idle
+    """One seat a connection, to one kind of peer.  A full table sheds those idle longest."""
+    REST = 0.05                          # seconds until a connection counts as idle
 
     def __init__(self, most):
         self.most, self.taken = most, 0
         self.idle = {}                   # connection -> (since when, how to end it), the oldest first
 
-    def take(self, spare=0):
-        """A seat, if `spare` others stay for whoever needs them more."""
-        while self.taken >= self.most - spare and self.idle:
+    def take(self):
+        while self.taken >= self.most and self.idle:
             connection, (since, end) = next(iter(self.idle.items()))
             # In a rush of newcomers the request of the one before may be on its way: ended, it would be lost.
             if monotonic() - since < self.REST:
                 return False
             self.wake(connection)
-            end()
-        if self.taken >= self.most - spare:
+            if quiet(connection.sock):
+                end()
+            else:                        # it is there, and only not read yet; so may be the end
+                self.rest(connection, end)
+        if self.taken >= self.most:
             return False
         self.taken += 1
         return True
--- a/sloeferry/net/clients.py
+++ b/sloeferry/net/clients.py
@@ -10,14 +10,16 @@
 from sloeferry.net import http1
 from sloeferry.net.log import warn
 
-IDLE, READING = 60.0, 5.0                # seconds: between requests, and for one to come or an answer to go
+IDLE, CROWDED = 60.0, 2.0                # seconds between requests; where an eighth of the seats are taken
+READING, SENDING = 2.0, 5.0              # seconds for a request to come, the first from connecting; an answer to go
 OVERDUE = 0.035                          # past a txn's expiry, when its answer no longer waits for decisions
-LINGER = 0.5                             # seconds that a refused sender has to read why
+LINGER, AT_MOST = 0.5, 16                # seconds that a refused sender has to read why, while so many reads last
 STILL_COMING, LAST = 0.4, 0.2            # seconds after SIGTERM: for connections, then for what they ask
 BACKLOG, AT_ONCE = 1024, 16              # connections: that wait outside, that are let in in a row
 PAUSE = 0.01                             # seconds until a full table is tried again
 METHODS = (b"GET", b"POST", b"PUT", b"PATCH", b"DELETE")
 OURS = http1.HOP | {b"x-budget-ms"}      # of a request, what a backend is told anew
+REFUSALS = {http1.MALFORMED: 400, http1.UNWANTED: 400, http1.TOO_LARGE: 413}
 KEPT_BACK = http1.HOP | {b"x-load-report", b"x-rejected"}      # of an answer, what is not the client's
 
 
@@ -26,10 +28,10 @@
 
     def __init__(self, clients, sock):
         self.clients, self.sock, self.loop = clients, sock, clients.loop
-        self.wire = http1.Wire(clients.loop, sock, clients.buffers, answers=False)
+        self.wire = http1.Wire(clients.loop, sock, clients.buffers, answers=False, wanted=clients.wanted)
         self.came, self.room = asyncio.Event(), asyncio.Event()
         self.errand, self.busy, self.fault, self.fresh, self.ended = None, False, None, True, False
-        self.until = monotonic() + IDLE  # by then it must have sent a whole request
+        self.since = monotonic()         # it connected, was answered, or began to ask again
         clients.guests.add(self)
         self.task = self.loop.create_task(self.serve())
         self.reader = self.loop.create_task(self.read())
@@ -40,9 +42,9 @@
         while self.fault is None:
             begun = wire.begun
             self.fault = await wire.fill()
-            if wire.begun and not begun:
-                self.until = monotonic() + READING       # for all of it, or drops would hold it for ever
-            if wire.begun and wire.message.expects and not self.busy:
+            if wire.begun and not begun and not self.fresh:
+                self.since = monotonic()         # for all of it, or drops would hold it for ever
+            if wire.begun and wire.message.expects and not self.busy and self.fault is None:
                 wire.message.expects = False
                 with contextlib.suppress(OSError):       # then the next read says so
                     await self.send(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -75,42 +77,51 @@
             await self.came.wait()
             self.clients.seats.wake(self)        # something came, if not a whole request: not idle
         if not self.wire.whole:
-            if self.fault != http1.CLOSED:
-                await self.send(http1.answer(413 if self.fault == http1.TOO_LARGE else 400, keep=False))
-                await self.linger()
-            return False
+            known = self.wire.message.method in METHODS or self.fault != http1.UNWANTED
+            return await self.refuse(REFUSALS.get(self.fault) if known else 405)
         message, self.busy, self.fresh = self.wire.whole.pop(0), True, False
         self.room.set()
         status, body, headers = await self.answer(message)
+        if 400 <= status < 500:          # whoever asks so once does it again: not on a connection that is kept
+            return await self.refuse(status)
         keep = message.keep and not self.clients.leaving and self.fault is None
         await self.send(http1.answer(status, body, headers, keep))
-        self.busy, self.until = False, monotonic() + IDLE
+        self.busy, self.since = False, monotonic()
         self.room.set()
         return keep
 
+    async def refuse(self, status):
+        """The last word to one that can't be read or is not wanted; nothing of what it sent goes on."""
+        if status:
+            await self.send(http1.answer(status, keep=False))
+            await self.linger()
+        return False
+
     async def answer(self, message):
         """Status, body and headers for one request."""
-        if message.url.partition(b"?")[0] == b"/ready" and message.method == b"GET":
+        if message.asks is None:         # /ready
             ready = self.clients.discovery.ready.is_set() and not self.clients.leaving
             return 200 if ready else 503, b"", ()
-        if message.method not in METHODS:
-            return 405, b"", ()
+        ident = message.header(b"x-call-id")
+        if ident in self.clients.open_ids:       # another txn's: backends and clients would take one for the other
+            return 409, b"", ()
+        self.clients.open_ids.add(ident)
         try:
             errand = self.errand = self.clients.taken(message)
-            if errand is None:
-                return 400, b"", ()
             if self.fault == http1.CLOSED:       # it had gone before its turn came
                 self.clients.facade.report_left(errand)
             # The decisions answer before that; should they fail, the client is answered all the same.
             async with asyncio.timeout((errand.ends - f.clock()) / 1000 + OVERDUE):
                 return await self.txn(errand, message)
         except Exception as fault:
-            logger.opt(exception=True).error("txn failed: {!r}", fault)
+            # In a few words: a stall brings many at once, and their stacks would make it longer.
+            warn("txn", "failed: {!r}", fault)
             if self.errand:
                 self.clients.facade.report_left(self.errand)
             return 504, b"", ()
         finally:
             self.errand = None
+            self.clients.open_ids.discard(ident)
 
     async def txn(self, errand, message):
         """Carries out the orders for one txn until one of them ends it."""
@@ -133,18 +144,26 @@
                 return 504, b"", ()
 
     async def send(self, data):
-        async with asyncio.timeout(READING):
+        async with asyncio.timeout(SENDING):
             await self.loop.sock_sendall(self.sock, data)
 
     async def linger(self):
-        """Closed over unread bytes, a socket resets, and the answer is lost with it."""
-        self.sock.shutdown(socket.SHUT_WR)
+        """Closed over unread bytes, a socket resets, and the answer is lost with it.  Few at a time do so, and
+        not for long: they hold seats, and one with 60 MB to send would take the time of all others."""
+        self.reader.cancel()
+        await asyncio.wait([self.reader])        # two can't read at once
+        if self.clients.lingering >= self.clients.seats.most // 8:
+            return
+        self.clients.lingering += 1
         buffer = self.clients.buffers.take()
         try:
+            self.sock.shutdown(socket.SHUT_WR)
             async with asyncio.timeout(LINGER):
-                while await self.loop.sock_recv_into(self.sock, buffer):
-                    pass
+                for _ in range(AT_MOST):
+                    if not await self.loop.sock_recv_into(self.sock, buffer):
+                        break
         finally:
+            self.clients.lingering -= 1
             self.clients.buffers.give(buffer)
 
     def end(self):
@@ -165,6 +184,7 @@
     def __init__(self, loop, facade, berth, seats, buffers, backends, discovery):
         self.loop, self.facade, self.seats, self.buffers = loop, facade, seats, buffers
         self.backends, self.discovery, self.guests = backends, discovery, set()
+        self.open_ids, self.lingering = set(), 0
         self.leaving = self.left = False
         self.schemes, self.tenants = berth.named("schemes"), berth.named("tenants")
         self.terms = berth.terms
@@ -172,19 +192,28 @@
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.setblocking(False)
 
-    def taken(self, message):
-        """The errand of a well-formed request; None for another."""
+    def wanted(self, message):
+        """Whether a head is that of a request which can be taken, or /ready; what it asks is noted on it."""
         def text(name):
             return (message.header(name) or b"").decode("latin-1")
+        if message.method not in METHODS:
+            return False
+        if message.method == b"GET" and message.url.partition(b"?")[0] == b"/ready":
+            return True
         scheme, budget = self.schemes.get(text(b"x-call-class")), text(b"x-budget-ms")
         tenant = self.tenants.get(text(b"x-caller")) if self.tenants else 0
         if (scheme is None or tenant is None or not text(b"x-call-id") or not text(b"host")
                 or not (budget.isascii() and budget.isdecimal() and len(budget) < 10 and int(budget))
                 or self.terms[f"schemes.{scheme}.idempotency"] == "referenced" and not text(b"idempotency-key")):
-            return None
-        # One read ahead of its turn has waited here already.
-        left = min(float(budget), self.terms[f"schemes.{scheme}.expiry"]) - (monotonic() - message.at) * 1000
-        return self.facade.take(scheme, tenant, max(1.0, left), text(b"x-again") == "1")
+            return False
+        message.asks = scheme, tenant, min(float(budget), self.terms[f"schemes.{scheme}.expiry"])
+        return True
+
+    def taken(self, message):
+        """The errand of a request."""
+        scheme, tenant, left = message.asks
+        left -= (monotonic() - message.at) * 1000        # one read ahead of its turn has waited here already
+        return self.facade.take(scheme, tenant, max(1.0, left), message.header(b"x-again") == b"1")
 
     # The listener
 
@@ -206,9 +235,9 @@
             self.sock.close()
 
     def accept(self, most=AT_ONCE):
-        """Half of all seats are for clients: a txn needs one at either end.  The rest wait outside."""
+        """Those for whom there is no seat wait outside."""
         for _ in range(most):
-            if not self.seats.take(spare=self.seats.most // 2):
+            if not self.seats.take():
                 return self.pause()
             try:
                 sock, _ = self.sock.accept()
@@ -229,9 +258,11 @@
     async def sweep(self):
         """Ends connections that have been idle, or half way through a request, for too long."""
         while True:
-            await asyncio.sleep(READING / 5)
+            await asyncio.sleep(READING / 10)
+            most = CROWDED if len(self.guests) > self.seats.most / 8 else IDLE
             for guest in list(self.guests):
-                if not guest.busy and not guest.wire.whole and monotonic() > guest.until:
+                owed = READING if guest.fresh or guest.wire.begun else most
+                if not guest.busy and not guest.wire.whole and monotonic() > guest.since + owed:
                     guest.end()
 
     # The way out
--- a/sloeferry/net/http1.py
+++ b/sloeferry/net/http1.py
@@ -6,8 +6,9 @@
 import httptools
 
 # Why there is no (further) message.
-CLOSED, MALFORMED, TOO_LARGE = "closed", "malformed", "too large"
-BODY, HEAD = 65536, 16384                # the most that a body and a head may hold
+CLOSED, MALFORMED, TOO_LARGE, UNWANTED = "closed", "malformed", "too large", "unwanted"
+BODY, HEAD = 65536, 16384                # the most that a body may hold, and all else of a message
+FRAMING = 9                              # bytes of chunk lines that a byte of a body may bring along
 HOP = {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
        b"expect", b"content-length"}     # headers that speak of one connection alone, or are written anew
 
@@ -16,7 +17,7 @@
     """A request or an answer."""
 
     def __init__(self):
-        self.url, self.headers, self.parts, self.size, self.head = b"", [], [], 0, 0
+        self.url, self.headers, self.parts, self.size, self.asks = b"", [], [], 0, None
         self.method, self.status, self.keep, self.expects, self.at = b"", 0, False, False, 0.0
 
     def header(self, name):
@@ -32,9 +33,9 @@
 class Wire:
     """What comes in on a socket: whole messages, or with `stream` the bits of one's body as they come."""
 
-    def __init__(self, loop, sock, buffers, answers, stream=None):
+    def __init__(self, loop, sock, buffers, answers, stream=None, wanted=None):
         self.loop, self.sock, self.buffers, self.stream = loop, sock, buffers, stream
-        self.answers = answers
+        self.answers, self.wanted, self.beside = answers, wanted, 0
         self.parser = (httptools.HttpResponseParser if answers else httptools.HttpRequestParser)(self)
         self.message, self.whole, self.fault, self.begun = Message(), [], None, False
 
@@ -43,40 +44,49 @@
 
     def on_url(self, url):
         self.message.url += url
-        self.weigh(len(url))
 
     def on_header(self, name, value):
         self.message.headers.append((name.lower(), value))
-        self.weigh(len(name) + len(value) + 4)
 
-    def weigh(self, more):
-        self.message.head += more
-        if self.message.head > HEAD:
-            self.fault = TOO_LARGE
-            raise ValueError(TOO_LARGE)
+    def fail(self, fault):
+        self.fault = fault
+        raise ValueError(fault)
 
     def on_headers_complete(self):
         message = self.message
         message.keep = self.parser.should_keep_alive()
+        if len(message.url) + sum(len(name) + len(value) + 4 for name, value in message.headers) > HEAD:
+            self.fail(TOO_LARGE)
+        lengths = [value.strip() for name, value in message.headers if name == b"content-length"]
+        if lengths:
+            # Two lengths, or one beside chunks: what the next reader takes for the body may hide a request.
+            chunked = any(name == b"transfer-encoding" for name, _ in message.headers)
+            if len(lengths) > 1 or not lengths[0].isdigit() or chunked:
+                self.fail(MALFORMED)
+            if len(lengths[0]) > 9 or int(lengths[0]) > BODY:
+                self.fail(TOO_LARGE)     # here: not a byte more of 60 MB, or of 3 GB, is read
         if self.answers:
             message.status = self.parser.get_status_code()
         else:
             message.method = self.parser.get_method()
             message.expects = (message.header(b"expect") or b"").lower() == b"100-continue"
+            if self.wanted and not self.wanted(message):
+                self.fail(UNWANTED)      # before its body, which may be large or never come
 
     def on_body(self, data):
+        self.beside = max(0, self.beside - (1 + FRAMING) * len(data))
         if self.stream is not None:
             return self.stream(self.message, data)
         self.message.size += len(data)
         if self.message.size > BODY:
-            self.fault = TOO_LARGE
-            raise ValueError(TOO_LARGE)
+            self.fail(TOO_LARGE)
         self.message.parts.append(data)
 
     def on_message_complete(self):
         self.begun, self.message.at = False, monotonic()
         if not 100 <= self.message.status < 200:
             self.whole.append(self.message)
+            self.beside = 0
 
     async def fill(self):
         """Receive once; None, or why nothing more will come."""
@@ -84,8 +94,13 @@
         try:
             n = await self.loop.sock_recv_into(self.sock, buffer)
             if n:
+                # Counted as it comes: of a head, a chunk line or trailer without end the parser tells nothing,
+                # it only grows; and 1xx answers may come for ever, each of them whole.
+                self.beside += n
                 self.parser.feed_data(memoryview(buffer)[:n])
-                return None
+                if self.beside > HEAD:
+                    self.fault = TOO_LARGE
+                return self.fault
             self.fault = CLOSED          # an answer of no stated length ends so too: a cut, for all we know
         except OSError:
             self.fault = CLOSED
@@ -139,7 +154,7 @@
 
 
 REASONS = {200: b"OK", 400: b"Bad Request", 405: b"Method Not Allowed", 413: b"Content Too Large",
-           503: b"Service Unavailable", 504: b"Gateway Timeout"}
+           409: b"Conflict", 503: b"Service Unavailable", 504: b"Gateway Timeout"}
 
 
 def answer(status, body=b"", headers=(), keep=True):
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -20,6 +20,18 @@
             host.until(host.now + 20)
         compare(self, host, "quick_errors")
 
+    def test_spoilt_answers_blame_nobody(self):
+        """Any backend may have its answers spoilt: the txn goes on, and nobody rests for it."""
+        host = Printer()
+        host.list(("a",), ("b",))
+        for ref in range(3):
+            host.take(ref)
+            host.end(ref, 0, ports.UNKNOWN)
+            host.end(ref, 1, ports.SETTLED, 0)
+        host.proxy.probed(host.now, "a", ports.UNKNOWN, 0.5, ())
+        host.say(str([(b.ident, b.fails, b.ghosts) for b in host.proxy.board.order]))
+        compare(self, host, "spoilt")
+
     def test_silent_backend(self):
         """Backend a never answers: its repeatable txn moves on, and nothing new goes there."""
         host = Printer(load_info__via="probe", limits__probing=False)
