--- a/sloeferry/__main__.py
+++ b/sloeferry/__main__.py
@@ -1,5 +1,6 @@
 """Wires the real proxy together and starts it: python -m sloeferry."""
 import asyncio
+import gc
 import math
 import os
 import signal
@@ -16,6 +17,7 @@
 from sloeferry.net.discovery import Discovery
 
 SPARE = 32                               # descriptors that are no connection
+LARGEST = 64                             # so many of the largest answers would fill the memory
 HANDOVER = 2.0                           # seconds that the one before may take to let go of the address
 
 
@@ -56,7 +58,7 @@
     # Half for either side, each with a table of its own: a txn needs a seat at both, and strangers that crowd in
     # at the door must not cost a connection to a backend, nor those keep a client out.
     seats, inside, buffers = Seats((berth.sockets - SPARE) // 2), Seats((berth.sockets - SPARE) // 2), Buffers()
-    backends = Backends(loop, facade, berth.terms, inside, buffers)
+    backends = Backends(loop, facade, berth.terms, inside, buffers, berth.memory // LARGEST)
     discovery = Discovery(loop, facade, berth, inside, buffers, backends)
     clients = Clients(loop, facade, berth, seats, buffers, backends, discovery)
     until = loop.time() + HANDOVER
@@ -69,9 +71,11 @@
     loop.add_signal_handler(signal.SIGINT, leave.set)
     loop.add_signal_handler(signal.SIGHUP, renew, discovery)
     tasks = [loop.create_task(work) for work in (
-        backends.probes(), backends.sweep(), discovery.run(), clients.sweep())]
+        backends.probes(), backends.sweep(), discovery.run(), clients.sweep(), clients.backstop())]
     for task in tasks:                   # none of them ends by itself
         task.add_done_callback(lambda task: leave.set())
+    gc.freeze()                          # what the start made stays; looking through it again takes a stall's time
+    gc.set_threshold(20000, 20, 50)
     clients.open()
     logger.info("{} listens on {}:{}", berth.name, *berth.listen)
     try:
--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -222,6 +222,11 @@
             rest = self.probe_every / 2 * 2 ** min(b.fails - 2, 4)
             b.rest_until = now + rest * (0.75 + self.p.rng.random() / 2)
 
+    def overtaken(self, posting):
+        """Three sent there later have settled: this one's connection is dead, its backend is not."""
+        done = posting.backend.done
+        return len(done) == 3 and min(done) > posting.sent
+
     def silent(self, b, now):
         """A probe is unanswered or, where they are dear, nothing was heard for longer than answers take."""
         # A proxy with a txn a second hears of a backend by its own long txn alone: that is no silence.
@@ -267,7 +272,9 @@
         for at, seen in enumerate(self.curve):
             below = self.stretch[at - 1] if at else 0.0
             guess = below * (LEVELS[at] + 1) / (LEVELS[at - 1] + 1) if at else 1.0
-            self.stretch[at] = max(seen.at(0.5), below) if seen.count >= 3 else guess
+            # Never more: what a late start taught would keep all from being sent, and so from better news.
+            most = max(seen.at(0.5), below) if seen.count >= 3 else guess
+            self.stretch[at] = min(most, guess) if at else most
 
     def figure(self, b, now):
         """Latest report + own sends begun after it - own sends it counted that have ended since.
@@ -285,8 +292,7 @@
 
     def pace(self, b, now):
         """How much longer than usual a posting takes here: as measured, or as the least warmth says."""
-        warmth = self.p.rules.warmth(b, now)
-        if warmth < 1.0 and b.slow.count < 6:
+        if b.slow.count < 6 and (warmth := self.p.rules.warmth(b, now)) < 1.0:
             return max(b.pace, 1 / warmth)
         # What was slow is believed ever less, or it would never be tried again.
         return 1 + (b.pace - 1) * 0.5 ** ((now - b.learned) / (4 * self.age_limit))
@@ -309,7 +315,8 @@
             takes = work * pace * self.stretch[bisect(BOUNDS, figure)]
             if takes > max(self.CROWD * txn.scheme.sla, 1.5 * work * pace * self.stretch[0]):
                 takes = INF          # crowded: no odds; out of the race where others were just asked
-            if takes == INF and self.p.ask.few or not rules.cold_room(b, now, work):
+            cold = now - b.launched < rules.cold     # looked at here too: few are, and a call costs time
+            if takes == INF and self.p.ask.few or cold and not rules.cold_room(b, now, work):
                 continue
             weight = self.weight(figure, pace)
             least = best.get(b.zone == home)
@@ -379,8 +386,16 @@
         self.patience = 4 * proxy.step
 
     def take(self, txn, now):
+        # This proxy itself is behind by a good part of the SLA time: what it takes on makes all others late.
+        behind = 4 * self.p.late / txn.scheme.sla - 1
+        if behind > 0 and self.p.rng.random() < behind:
+            return self.p.ledger.end(txn, txn.scheme.sla if self.p.term("limits.retry_after") else 0.0)
         self.purse = min(self.purse + self.few, 8.0 * self.few)
-        self.look(txn, now, self.WAVES)
+        # Where txns come faster than an answer, asking only adds to the work that keeps this proxy from them.
+        self.look(txn, now, 0 if self.told() else self.WAVES)
+
+    def told(self):
+        return self.p.gap < self.patience        # the next comes before the answer
 
     def look(self, txn, now, waves):
         entry = (txn, self.refresh(now) if waves else (), waves)
@@ -442,17 +457,20 @@
             if txn.answered:
                 continue
             waited = now - txn.born > txn.scheme.sla / 4 * min(2.0, txn.gain / self.p.mean_gain)
-            # A proxy has little time to spare: after three in vain the next event looks further.
-            b, odds, takes = board.choose(txn, now) if misses < 3 or waited else (None, 0.0, 0.0)
+            # A proxy has little time to spare: after three in vain the next event looks further, after nine
+            # also for those that have waited, or on an overloaded day the looking takes all the time.
+            look = misses < (9 if waited else 3)
+            b, odds, takes = board.choose(txn, now) if look else (None, 0.0, 0.0)
             pace = txn.scheme.typical() * board.stretch[0] * (board.pace(b, now) if b else 1.0)
             bar = self.NEAR * board.spread.under(txn.scheme.sla / pace)
             if b is not None and odds >= bar and odds > 0.05:
                 self.after.post(txn, b, now, takes)
-            elif waited or board.spread.under((txn.due - now) / pace) < bar:
-                self.decline(txn)
             else:
                 misses += 1
-                kept.append(txn)
+                if look and waited or board.spread.under((txn.due - now) / pace) < bar:
+                    self.decline(txn)
+                else:
+                    kept.append(txn)
         # No more are held than can hope for a place: what ends here in the time that a txn may wait.
         out = sum(b.own for b in board.known.values())
         while kept and len(kept) > 1 + out * kept[-1].scheme.sla / 4 / kept[-1].scheme.typical():
@@ -464,7 +482,7 @@
 
     def tick(self, now):
         self.ticking = False
-        if self.held:
+        if self.held and self.p.late < self.p.ask.patience / 2:      # else this proxy has no time to ask
             self.p.ask.refresh(now)
         self.drain(now)
 
@@ -483,17 +501,19 @@
         if posting is None and not txn.out():
             self.p.ledger.end(txn)
         elif posting and txn.scheme.kind != "once-only":
-            self.p.later(now + self.p.board.longest, self.review, txn, posting)
+            self.p.later(now + min(self.p.board.longest, 3 * takes), self.review, txn, posting)
 
     def review(self, now, txn, posting, asked=False):
-        """A backend that fell silent with this txn (it stalls, or died unseen): ask another one for it."""
-        p, rules = self.p, self.p.rules
+        """A backend or a connection fell silent with this txn (it stalls, or died unseen): ask another."""
+        p, rules, lost = self.p, self.p.rules, self.p.board.overtaken(posting)
         if txn.answered or posting.state != OUT or now >= txn.due:
             return
-        if not (p.board.by_probe or asked):
+        if not lost and now < posting.sent + p.board.longest:
+            return p.later(posting.sent + p.board.longest, self.review, txn, posting)
+        if not (lost or p.board.by_probe or asked):
             p.board.probe(posting.backend, now)
             return p.later(now + p.ask.patience + p.step, self.review, txn, posting, True)
-        if p.board.silent(posting.backend, now) and rules.may_post(txn, now, posting):
+        if (lost or p.board.silent(posting.backend, now)) and rules.may_post(txn, now, posting):
             b, odds, takes = p.board.choose(txn, now, [x.backend for x in txn.postings])
             if odds > 0.3 and rules.copies:
                 return self.post(txn, b, now, takes)
@@ -522,10 +542,12 @@
     def __init__(self, host, now, seed, terms):
         self.host, self.terms, self.rng = host, terms, Random(seed)
         self.timers, self.token, self.gap, self.last = {}, 0, 50.0, now      # gap: between txns taken
+        self.late = 0.0              # by how much timers have run late of late: the host has no time to spare
         self.step = self.term("step")
         self.instances, self.ordinal = int(self.term("instances")), int(self.term("ordinal"))
         self.zone, self.turn = self.term("zone"), self.ordinal * 0.618034 % 1    # spread over the bank
         self.schemes = [Scheme(terms, at) for at in range(int(terms["schemes.count"]))]
+        self.quickest = min(s.sla for s in self.schemes)
         self.mean_gain = sum(s.gain for s in self.schemes) / len(self.schemes)
         self.rules, self.discovery, self.board = Rules(self), Discovery(self, now), Board(self, now)
         self.reposting = Reposting(self)
@@ -538,11 +560,12 @@
 
     def later(self, at, do, *what):
         self.token += 1
-        self.timers[self.token] = (do, what)
+        self.timers[self.token] = (at, do, what)
         self.host.wake(at, self.token)
 
     def woken(self, now, token):
-        do, what = self.timers.pop(token, (None, ()))
+        at, do, what = self.timers.pop(token, (now, None, ()))
+        self.late += (min(now - at, self.quickest) - self.late) / 8      # one long stall is no want of time
         if do:
             do(now, *what)
 
@@ -577,9 +600,10 @@
             self.board.report(b, now, report)
         if how == ports.SETTLED:
             b.fails, b.rest_until = 0, 0.0
+            b.done.append(posting.sent)
             self.board.learn(txn, posting, took, now)
         elif how in (ports.LATE, ports.WITHDRAWN):
-            if took > posting.expected:
+            if took > posting.expected and not self.board.overtaken(posting):
                 self.board.learn(txn, posting, took * 1.5, now)
             if self.board.silent(b, now):
                 self.board.bad(b, now)
--- a/sloeferry/facade.py
+++ b/sloeferry/facade.py
@@ -5,7 +5,8 @@
 `tick` fires what is due and says when it wants to be called again.  No decisions here.
 """
 import time
-from asyncio import Queue
+from asyncio import get_running_loop
+from collections import deque
 from heapq import heappop, heappush
 
 from loguru import logger
@@ -30,7 +31,13 @@
     """One txn, or one of the standing errands: where its orders wait."""
 
     def __init__(self, ref=0, ends=0.0):
-        self.ref, self.ends, self.orders, self.over, self.out, self.sent = ref, ends, Queue(), False, 0, 0
+        self.ref, self.ends, self.orders, self.over, self.out, self.sent = ref, ends, deque(), False, 0, 0
+        self.waiter = None
+
+    def order(self, *what):
+        self.orders.append(what)
+        if self.waiter and not self.waiter.done():
+            self.waiter.set_result(None)
 
 
 class Facade:
@@ -38,7 +45,7 @@
 
     def __init__(self, seed, terms, hurry):
         self.hurry = hurry               # called with a time: be back by then
-        self.timers, self.errands, self.refs, self.next, self.late = [], {}, 0, None, 0.0
+        self.timers, self.errands, self.refs, self.next = [], {}, 0, None
         self.probing, self.listing = Errand(), Errand()
         self.unix = time.time() * 1000 - clock()
         self.proxy = decide.Proxy(self, clock(), seed, terms)
@@ -48,19 +55,27 @@
     def take(self, scheme, tenant, left, again):
         """A txn has come: its errand.  What the loop runs late comes off its time, or answers would too."""
         now = clock()
-        left -= min(self.late, left / 2)
+        left -= min(self.proxy.late, left / 2)
         self.refs += 1
         errand = self.errands[self.refs] = Errand(self.refs, now + left)
-        self.proxy.take(now, errand.ref, scheme, tenant, 0, left, None, again)
+        try:
+            self.proxy.take(now, errand.ref, scheme, tenant, 0, left, None, again)
+        except Exception:
+            del self.errands[errand.ref]         # nobody will answer it
+            raise
         return errand
 
     async def pick(self, errand):
         """The errand's next order."""
-        return await errand.orders.get()
+        while not errand.orders:
+            errand.waiter = get_running_loop().create_future()
+            await errand.waiter
+        return errand.orders.popleft()
 
     def report(self, errand, seq, reached, why, took, load=(), answer=None):
         """A posting has ended."""
         errand.out -= 1
+        took = max(took / 2, took - self.proxy.late)     # that much was this loop's doing, not the backend's
         if why == SERVED and not errand.over:
             self.finish(errand, SETTLE, answer)
         elif errand.over and not errand.out:
@@ -96,9 +111,7 @@
         now = clock()
         try:
             while self.timers and self.timers[0][0] <= now:
-                at, token = heappop(self.timers)
-                self.late = max(now - at, self.late * 0.95)
-                self.proxy.woken(now, token)
+                self.proxy.woken(now, heappop(self.timers)[1])
         finally:
             self.next = self.timers[0][0] if self.timers else None
         return self.next
@@ -107,17 +120,17 @@
 
     def finish(self, errand, *order):
         errand.over = True
-        errand.orders.put_nowait(order)
+        errand.order(*order)
         if not errand.out:
             self.errands.pop(errand.ref, None)
 
     def post(self, ref, backend, give_up_after):
         errand = self.errands[ref]
-        errand.orders.put_nowait((POST, errand.sent, backend))
+        errand.order(POST, errand.sent, backend)
         errand.sent, errand.out = errand.sent + 1, errand.out + 1
 
     def withdraw(self, ref, seq):
-        self.errands[ref].orders.put_nowait((WITHDRAW, seq))
+        self.errands[ref].order(WITHDRAW, seq)
 
     def decline(self, ref, pause):
         if ref in self.errands:
@@ -128,10 +141,10 @@
             self.finish(self.errands[ref], REVERSE)
 
     def probe(self, backend):
-        self.probing.orders.put_nowait((PROBE, backend))
+        self.probing.order(PROBE, backend)
 
     def watch(self):
-        self.listing.orders.put_nowait((WATCH,))
+        self.listing.order(WATCH)
 
     def wake(self, at, token):
         heappush(self.timers, (at, token))
--- a/sloeferry/histogram.py
+++ b/sloeferry/histogram.py
@@ -4,7 +4,7 @@
 
 class Histogram:
     """A few coarse bins, two to a doubling, halved now and then so that the past fades."""
-    BINS, BELOW = 18, 6              # from an eighth of the unit to some 45 times it
+    BINS, BELOW = 22, 10             # from a 32nd of the unit to some 45 times it
 
     def __init__(self, unit, keep, guesses=()):
         self.unit, self.keep, self.count = unit, keep, 0.0
--- a/sloeferry/net/backends.py
+++ b/sloeferry/net/backends.py
@@ -24,7 +24,7 @@
 
     def __init__(self, backends, ident, address, sock):
         self.backends, self.ident, self.address, self.sock = backends, ident, address, sock
-        self.wire = http1.Wire(backends.loop, sock, backends.buffers, answers=True)
+        self.wire = http1.Wire(backends.loop, sock, backends.buffers, answers=True, most=backends.most)
         self.since = monotonic()
 
     def usable(self):
@@ -50,11 +50,12 @@
 
 
 class Backends:
-    def __init__(self, loop, facade, terms, seats, buffers):
+    def __init__(self, loop, facade, terms, seats, buffers, most=http1.BODY):
         self.loop, self.facade, self.seats, self.buffers = loop, facade, seats, buffers
         self.addresses, self.idle, self.tasks = {}, {}, set()
-        self.dial_time = terms["limits.dial_timeout"]
+        self.most, self.dial_time = max(most, http1.BODY), terms["limits.dial_timeout"]
         self.idle_limit = terms["limits.conn_idle"] / 1000 * 0.8
+        # In seconds: what has begun goes on within a quarter of the shortest SLA time, or it is given up.
         self.rest_time = min(terms[f"schemes.{at}.sla_time"] for at in range(int(terms["schemes.count"]))) / 4000
         self.fields = [name for name in terms["load_info.fields"].split(",") if name]
         self.status = b"/status/load" if self.fields else b"/health"
@@ -88,7 +89,8 @@
             return f.VOID
         sock, why = None, f.BROKEN
         try:
-            sock = await http1.dial(self.loop, address, self.dial_time)
+            # A backend that doesn't come up in that time has not run the txn: another one still may, in time.
+            sock = await http1.dial(self.loop, address, min(self.dial_time, self.rest_time * 1000))
         except OSError as fault:
             warn("dial", "{}", fault)
             why = f.VOID
@@ -101,42 +103,48 @@
         """One request and its answer.  `write` makes the request once the connection stands; `wanted` says,
         right before the first byte, whether it still may go out."""
         link, reached, why, answer = None, f.NOTHING, f.BROKEN, None
+        # One alarm at a time, no asyncio.timeout: that takes as long as all the parsing.
+        task, last, rang = asyncio.current_task(), (until - f.clock()) / 1000 + self.loop.time(), []
+
+        def ring():
+            rang.append(True)
+            task.cancel()
+        alarm = self.loop.call_at(last, ring)
         try:
-            async with asyncio.timeout_at(until / 1000 - f.clock() / 1000 + self.loop.time()) as end:
-                link = await self.link(ident)
-                if not isinstance(link, Link):
-                    return Ended(f.NOTHING, link)
-                if f.clock() >= until or not wanted():
-                    why = f.VOID
-                else:
-                    reached = f.PART
-                    await self.loop.sock_sendall(link.sock, write())
-                    reached = f.WHOLE
-                    wire = link.wire
-                    while not wire.whole and not await wire.fill():
-                        if wire.begun:
-                            # What has begun is written: if the rest stays out, its length was a wrong one.
-                            reached = f.BEGUN
-                            end.reschedule(min(end.when(), self.loop.time() + self.rest_time))
-                    # Noise behind a whole answer doesn't spoil it: its one length says where it ends.  With two
-                    # lengths nobody knows; the parser refuses that at the head, so it never counts as whole.
-                    if wire.whole:
-                        answer, reached = wire.whole.pop(0), f.BEGUN
-                    elif wire.fault != http1.CLOSED:
-                        why = f.SPOILT
-        except TimeoutError:             # a kind of OSError, so it comes first
-            why = f.SPOILT if reached == f.BEGUN and f.clock() < until else f.LATE
+            link = await self.link(ident)
+            if not isinstance(link, Link):
+                alarm.cancel()
+                return Ended(f.NOTHING, link)
+            if f.clock() >= until or not wanted():
+                why = f.VOID
+            else:
+                reached = f.PART
+                await self.loop.sock_sendall(link.sock, write())
+                reached = f.WHOLE
+                wire = link.wire
+                while not wire.whole and not await wire.fill():
+                    if wire.begun:
+                        # What has begun is written: if the rest stays out, its length was a wrong one.
+                        reached = f.BEGUN
+                        alarm.cancel()
+                        alarm = self.loop.call_at(min(last, self.loop.time() + self.rest_time), ring)
+                # Noise behind a whole answer doesn't spoil it: its one length says where it ends.  With two
+                # lengths nobody knows; the parser refuses that at the head, so it never counts as whole.
+                if wire.whole:
+                    answer, reached = wire.whole.pop(0), f.BEGUN
+                elif wire.fault != http1.CLOSED:
+                    why = f.SPOILT
         except OSError:
             pass
         except asyncio.CancelledError:
-            why = f.WITHDRAWN
+            why = f.WITHDRAWN if not rang else f.SPOILT if reached == f.BEGUN and f.clock() < until else f.LATE
         except Exception as fault:       # whatever it was, it has ended, and may have run
             warn("exchange", "failed: {!r}", fault)
             reached = f.WHOLE
+        alarm.cancel()
         if link:
             # What more there is belongs to no posting: the next would take it for its answer.
-            clean = answer and answer.keep and not (link.wire.whole or link.wire.begun) \
-                    and http1.quiet(link.sock) or why == f.VOID
+            clean = answer and answer.keep and not (link.wire.whole or link.wire.begun) or why == f.VOID
             if clean and self.addresses.get(ident) == link.address:      # it may have moved meanwhile
                 link.rest()
             else:
--- a/sloeferry/net/clients.py
+++ b/sloeferry/net/clients.py
@@ -1,6 +1,5 @@
 """The clients: the listener, one connection each, /ready, and the way out after SIGTERM."""
 import asyncio
-import contextlib
 import socket
 from time import monotonic
 
@@ -12,7 +11,7 @@
 
 IDLE, CROWDED = 60.0, 2.0                # seconds between requests; where an eighth of the seats are taken
 READING, SENDING = 2.0, 5.0              # seconds for a request to come, the first from connecting; an answer to go
-OVERDUE = 0.035                          # past a txn's expiry, when its answer no longer waits for decisions
+OVERDUE, LOOK = 30.0, 0.01               # ms past a txn's expiry, when its answer waits for no decision; how often
 LINGER, AT_MOST = 0.5, 16                # seconds that a refused sender has to read why, while so many reads last
 STILL_COMING, LAST = 0.4, 0.2            # seconds after SIGTERM: for connections, then for what they ask
 BACKLOG, AT_ONCE = 1024, 16              # connections: that wait outside, that are let in in a row
@@ -29,32 +28,11 @@
     def __init__(self, clients, sock):
         self.clients, self.sock, self.loop = clients, sock, clients.loop
         self.wire = http1.Wire(clients.loop, sock, clients.buffers, answers=False, wanted=clients.wanted)
-        self.came, self.room = asyncio.Event(), asyncio.Event()
-        self.errand, self.busy, self.fault, self.fresh, self.ended = None, False, None, True, False
+        self.errand, self.busy, self.fresh, self.ended = None, False, True, False
+        self.sending = None
         self.since = monotonic()         # it connected, was answered, or began to ask again
         clients.guests.add(self)
         self.task = self.loop.create_task(self.serve())
-        self.reader = self.loop.create_task(self.read())
-
-    async def read(self):
-        """Takes in what comes, a buffer ahead.  An end while a txn is out: the client has gone."""
-        wire = self.wire
-        while self.fault is None:
-            begun = wire.begun
-            self.fault = await wire.fill()
-            if wire.begun and not begun and not self.fresh:
-                self.since = monotonic()         # for all of it, or drops would hold it for ever
-            if wire.begun and wire.message.expects and not self.busy and self.fault is None:
-                wire.message.expects = False
-                with contextlib.suppress(OSError):       # then the next read says so
-                    await self.send(b"HTTP/1.1 100 Continue\r\n\r\n")
-            self.came.set()
-            # Not more, while a txn is out: two bodies for each client would not fit the memory.
-            while (wire.whole or wire.begun and self.busy) and not self.fault:
-                self.room.clear()
-                await self.room.wait()
-        if self.errand and self.fault == http1.CLOSED:
-            self.clients.facade.report_left(self.errand)
 
     async def serve(self):
         try:
@@ -69,25 +47,30 @@
 
     async def one(self):
         """The next request and its answer; whether another may follow."""
-        while not self.wire.whole and self.fault is None:
+        wire = self.wire
+        # Nothing is read while a txn is out: two bodies for each client would not fit the memory.
+        while not wire.whole and not wire.fault:
             if self.clients.done_with(self):
                 return False
-            self.came.clear()
+            begun = wire.begun
             self.clients.seats.rest(self, self.end)
-            await self.came.wait()
+            await wire.fill()
             self.clients.seats.wake(self)        # something came, if not a whole request: not idle
-        if not self.wire.whole:
-            known = self.wire.message.method in METHODS or self.fault != http1.UNWANTED
-            return await self.refuse(REFUSALS.get(self.fault) if known else 405)
-        message, self.busy, self.fresh = self.wire.whole.pop(0), True, False
-        self.room.set()
+            if wire.begun and not begun and not self.fresh:
+                self.since = monotonic()         # for all of it, or drops would hold it for ever
+            if wire.begun and wire.message.expects and not wire.fault:
+                wire.message.expects = False
+                await self.send(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if not wire.whole:
+            known = wire.message.method in METHODS or wire.fault != http1.UNWANTED
+            return await self.refuse(REFUSALS.get(wire.fault) if known else 405)
+        message, self.busy, self.fresh = wire.whole.pop(0), True, False
         status, body, headers = await self.answer(message)
         if 400 <= status < 500:          # whoever asks so once does it again: not on a connection that is kept
             return await self.refuse(status)
-        keep = message.keep and not self.clients.leaving and self.fault is None
+        keep = message.keep and not self.clients.leaving and not wire.fault
         await self.send(http1.answer(status, body, headers, keep))
         self.busy, self.since = False, monotonic()
-        self.room.set()
         return keep
 
     async def refuse(self, status):
@@ -108,11 +91,7 @@
         self.clients.open_ids.add(ident)
         try:
             errand = self.errand = self.clients.taken(message)
-            if self.fault == http1.CLOSED:       # it had gone before its turn came
-                self.clients.facade.report_left(errand)
-            # The decisions answer before that; should they fail, the client is answered all the same.
-            async with asyncio.timeout((errand.ends - f.clock()) / 1000 + OVERDUE):
-                return await self.txn(errand, message)
+            return await self.txn(errand, message)
         except Exception as fault:
             # In a few words: a stall brings many at once, and their stacks would make it longer.
             warn("txn", "failed: {!r}", fault)
@@ -144,14 +123,13 @@
                 return 504, b"", ()
 
     async def send(self, data):
-        async with asyncio.timeout(SENDING):
-            await self.loop.sock_sendall(self.sock, data)
+        self.sending = monotonic()       # the sweep looks at it: a timer for each answer costs more than the answer
+        await self.loop.sock_sendall(self.sock, data)
+        self.sending = None
 
     async def linger(self):
         """Closed over unread bytes, a socket resets, and the answer is lost with it.  Few at a time do so, and
         not for long: they hold seats, and one with 60 MB to send would take the time of all others."""
-        self.reader.cancel()
-        await asyncio.wait([self.reader])        # two can't read at once
         if self.clients.lingering >= self.clients.seats.most // 8:
             return
         self.clients.lingering += 1
@@ -171,7 +149,6 @@
         if self.ended:
             return
         self.ended = True
-        self.reader.cancel()
         if asyncio.current_task() is not self.task:
             self.task.cancel()
         self.clients.guests.discard(self)
@@ -262,9 +239,24 @@
             most = CROWDED if len(self.guests) > self.seats.most / 8 else IDLE
             for guest in list(self.guests):
                 owed = READING if guest.fresh or guest.wire.begun else most
-                if not guest.busy and not guest.wire.whole and monotonic() > guest.since + owed:
+                if (not guest.busy and not guest.wire.whole and monotonic() > guest.since + owed
+                        or guest.sending and monotonic() > guest.sending + SENDING):
                     guest.end()
 
+    async def backstop(self):
+        """Looks after those whose txn is out: the client may have gone meanwhile, and should the decisions
+        fail, which answer before expiry, it is answered all the same."""
+        while True:
+            await asyncio.sleep(LOOK)
+            now = f.clock()
+            for guest in list(self.guests):
+                if guest.errand and not guest.errand.over:
+                    if now > guest.errand.ends + OVERDUE:
+                        warn("txn", "no answer decided in time")
+                        self.facade.report_left(guest.errand)
+                    elif http1.gone(guest.sock):
+                        self.facade.report_left(guest.errand)
+
     # The way out
 
     def close(self):
@@ -293,6 +285,7 @@
             await asyncio.sleep(PAUSE)
 
     def nudge(self):
-        """Those that wait for a request look up, and see whether one will still be taken."""
-        for guest in self.guests:
-            guest.came.set()
+        """Ends those that wait for a request, if none will be taken any more."""
+        for guest in list(self.guests):
+            if not guest.busy and not guest.wire.whole and self.done_with(guest):
+                guest.end()
--- a/sloeferry/net/http1.py
+++ b/sloeferry/net/http1.py
@@ -7,7 +7,7 @@
 
 # Why there is no (further) message.
 CLOSED, MALFORMED, TOO_LARGE, UNWANTED = "closed", "malformed", "too large", "unwanted"
-BODY, HEAD = 65536, 16384                # the most that a body may hold, and all else of a message
+BODY, HEAD = 65536, 16384                # the most that a request's body may hold, and all else of a message
 FRAMING = 9                              # bytes of chunk lines that a byte of a body may bring along
 HOP = {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
        b"expect", b"content-length"}     # headers that speak of one connection alone, or are written anew
@@ -17,13 +17,12 @@
     """A request or an answer."""
 
     def __init__(self):
-        self.url, self.headers, self.parts, self.size, self.asks = b"", [], [], 0, None
+        self.url, self.headers, self.named, self.parts, self.size, self.asks = b"", [], {}, [], 0, None
         self.method, self.status, self.keep, self.expects, self.at = b"", 0, False, False, 0.0
 
     def header(self, name):
         """The one value of a header; None if it is missing or said twice."""
-        said = [v for n, v in self.headers if n == name]
-        return said[0] if len(said) == 1 else None
+        return self.named.get(name)
 
     def body(self):
         self.parts = [b"".join(self.parts)]      # not both: bodies are most of the memory
@@ -33,9 +32,9 @@
 class Wire:
     """What comes in on a socket: whole messages, or with `stream` the bits of one's body as they come."""
 
-    def __init__(self, loop, sock, buffers, answers, stream=None, wanted=None):
+    def __init__(self, loop, sock, buffers, answers, stream=None, wanted=None, most=BODY):
         self.loop, self.sock, self.buffers, self.stream = loop, sock, buffers, stream
-        self.answers, self.wanted, self.beside = answers, wanted, 0
+        self.answers, self.wanted, self.most, self.beside = answers, wanted, most, 0
         self.parser = (httptools.HttpResponseParser if answers else httptools.HttpRequestParser)(self)
         self.message, self.whole, self.fault, self.begun = Message(), [], None, False
 
@@ -55,15 +54,18 @@
     def on_headers_complete(self):
         message = self.message
         message.keep = self.parser.should_keep_alive()
-        if len(message.url) + sum(len(name) + len(value) + 4 for name, value in message.headers) > HEAD:
+        named, size = message.named, len(message.url)
+        for name, value in message.headers:
+            named[name] = None if name in named else value
+            size += len(name) + len(value) + 4
+        if size > HEAD:
             self.fail(TOO_LARGE)
-        lengths = [value.strip() for name, value in message.headers if name == b"content-length"]
-        if lengths:
+        if b"content-length" in named:
             # Two lengths, or one beside chunks: what the next reader takes for the body may hide a request.
-            chunked = any(name == b"transfer-encoding" for name, _ in message.headers)
-            if len(lengths) > 1 or not lengths[0].isdigit() or chunked:
+            length = (named[b"content-length"] or b"").strip()
+            if not length.isdigit() or b"transfer-encoding" in named:
                 self.fail(MALFORMED)
-            if len(lengths[0]) > 9 or int(lengths[0]) > BODY:
+            if len(length) > 9 or int(length) > self.most:
                 self.fail(TOO_LARGE)     # here: not a byte more of 60 MB, or of 3 GB, is read
         if self.answers:
             message.status = self.parser.get_status_code()
@@ -78,7 +80,7 @@
         if self.stream is not None:
             return self.stream(self.message, data)
         self.message.size += len(data)
-        if self.message.size > BODY:
+        if self.message.size > self.most:
             self.fail(TOO_LARGE)
         self.message.parts.append(data)
 
@@ -118,6 +120,16 @@
         return self.whole.pop(0)
 
 
+def gone(sock):
+    """Whether the other side has closed, and nothing is left to be read from it."""
+    try:
+        return not sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 def quiet(sock):
     """Whether a socket stands and there is nothing to be read from it: no bytes and no end."""
     try:
--- a/sloeferry/records.py
+++ b/sloeferry/records.py
@@ -58,3 +58,4 @@
         self.fails, self.rest_until, self.waits_since, self.probes_out = 0, 0.0, None, []
         self.slow, self.pace, self.learned = Histogram(1.0, 12, [1.0, 1.0]), 1.0, 0.0
         self.sent = deque()          # (when, work) of late, for the cold budget
+        self.done = deque(maxlen=3)  # when the last that settled were sent
--- a/sloeferry/terms.py
+++ b/sloeferry/terms.py
@@ -37,6 +37,7 @@
     discovery: tuple[str, int]
     seed: int
     sockets: int
+    memory: int
     known: Mapping[str, Any]
     terms: Mapping[str, Any]
 
@@ -155,10 +156,13 @@
     sockets = told["limits"].get("sockets", 1024)
     if isinstance(sockets, bool) or not isinstance(sockets, int) or sockets < 64:
         raise Fault(f"limits.sockets: {sockets!r} is not a whole number from 64 up")
+    memory = told["limits"].get("memory_mb", 192)
+    if isinstance(memory, bool) or not isinstance(memory, (int, float)) or not 16 <= memory < 1 << 20:
+        raise Fault(f"limits.memory_mb: {memory!r} is not a number from 16 up")
     terms = complete(of_tree(told["settings"]))
     for what in ("schemes", "tenants"):
         for at in range(int(terms[f"{what}.count"])):
             if not isinstance(terms.get(f"{what}.{at}.name"), str):
                 raise Fault(f"settings.{what}.{at}.name: missing, or no text")
     listen, discovery = (address(key, told[key]) for key in ("listen", "discovery"))
-    return Berth(str(told["name"]), listen, discovery, seed, sockets, told["known"], terms)
+    return Berth(str(told["name"]), listen, discovery, seed, sockets, int(memory * (1 << 20)), told["known"], terms)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -32,6 +32,56 @@
         host.say(str([(b.ident, b.fails, b.ghosts) for b in host.proxy.board.order]))
         compare(self, host, "spoilt")
 
+    def test_overtaken_posting(self):
+        """A connection fell silent, its backend didn't: three sent there later settle, and another is asked;
+        that the first is late in the end says nothing of how quick its backend is."""
+        host = Printer(limits__second_copies=True, limits__probing=True, tariffs__probe=1.0)
+        host.list(("a",))
+        host.take(0)
+        for ref in (1, 2, 3):
+            host.until(host.now + 10)
+            host.take(ref)
+            host.end(ref, 0, ports.SETTLED, 0)
+        host.list(("a",), ("b",))
+        for _ in range(11):
+            host.until(host.now + 50)
+            for name in "ab":
+                host.report(name, 0)
+        host.end(0, 1, ports.SETTLED, 0)
+        host.end(0, 0, ports.LATE, answered=True, took=1000.0)
+        host.say(f"pace of a {host.proxy.board.all['a'].pace:.1f}")
+        compare(self, host, "overtaken")
+
+    def test_late_start(self):
+        """All that was sent to busy backends came late while the proxy started: it goes on sending there."""
+        host = Printer()
+        host.list(("a",), ("b",))
+        board = host.proxy.board
+        for _ in range(12):
+            board.curve[1].add(5.2)
+        board.smooth()
+        host.say(" ".join(f"{s:.1f}" for s in board.stretch))
+        for name in "ab":
+            host.report(name, 1)
+        host.take(1)
+        compare(self, host, "late_start")
+
+    def test_no_time_to_spare(self):
+        """Timers that all run late by half the SLA time: the proxy is behind and declines most at once, with
+        word when to come back; where txns come faster than a question is answered none is asked."""
+        host = Printer(limits__probing=True, limits__retry_after=True, load_info__via="answers")
+        host.list(("a",), ("b",))
+        host.proxy.gap = 2.0
+        host.take(1)
+        host.end(1, 0, ports.SETTLED, 0)
+        for n in range(40):
+            host.proxy.later(host.now, lambda now: None)
+        for at, token in host.wakes[-40:]:
+            host.proxy.woken(at + 400.0, token)
+        for ref in range(2, 7):
+            host.take(ref)
+        compare(self, host, "no_time")
+
     def test_silent_backend(self):
         """Backend a never answers: its repeatable txn moves on, and nothing new goes there."""
         host = Printer(load_info__via="probe", limits__probing=False)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -52,7 +52,7 @@
                  ("busy", answer("no", 503)), ("rejected", answer("no", 503, "X-Rejected: 1")),
                  ("half", b"HTTP/1.1 200 X\r\nContent-Length: 99\r\n\r\nhalf, Connection: close"),
                  ("endless", b"HTTP/1.1 200 X\r\n\r\nno end told, Connection: close"),
-                 ("huge", answer("x" * 70000)), ("nonsense", b"220 who is there?\r\n\r\n"),
+                 ("huge", answer("x" * (1 << 22))), ("nonsense", b"220 who is there?\r\n\r\n"),
                  # These come on connections that stay open, and none of them waits for more.
                  ("3 GB", b"HTTP/1.1 200 X\r\nContent-Length: 3000000000\r\n\r\nx"),
                  ("head without end", b"HTTP/1.1 200 X\r\n" + b"A: b\r\n" * 9000),
@@ -75,9 +75,10 @@
         self.play(story, "sockets_bytes", *harbours)
 
     def test_more_than_belongs(self):
-        """A good answer stands, whatever comes behind or ahead of it or in its report, and its connection goes."""
+        """A good answer stands, however large within the memory and whatever comes behind or ahead of it or in
+        its report; a connection on which more came is closed."""
         report = ('X-Load-Report: {"inflight":1}', 'X-Load-Report: {"inflight":[[["no"', 'X-Load-Report: 7')
-        first = [answer() + b"\x00\xff noise\r\n\r\n", answer() * 2, answer("done", 200, report[1]),
+        first = [answer("x" * 400000), answer() + b"\x00\xff noise\r\n\r\n", answer() * 2, answer("done", 200, report[1]),
                  answer("done", 200, report[2]), b"HTTP/1.1 103 X\r\nLink: x\r\n\r\n" + answer(), answer() + b"HT"]
 
         async def story(h):
@@ -236,7 +237,7 @@
         async def story(h):
             loop, port = asyncio.get_running_loop(), await h.listen(None)
             told = terms.complete({"schemes.count": 1, "limits.dial_timeout": 20.0})
-            berth = terms.Berth("n0", ("", 0), ("127.0.0.1", port), 7, 64, {}, told)
+            berth = terms.Berth("n0", ("", 0), ("127.0.0.1", port), 7, 64, 1 << 27, {}, told)
             seats = Seats(9)
             discovery = Discovery(loop, None, berth, seats, Buffers(), Backends(loop, None, told, seats, None))
             discovery.known = {"b": ()}
