--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -225,7 +225,7 @@
     def overtaken(self, posting):
         """Three sent there later have settled: this one's connection is dead, its backend is not."""
         done = posting.backend.done
-        return len(done) == 3 and min(done) > posting.sent
+        return self.p.rules.copies and len(done) == 3 and min(done) > posting.sent
 
     def silent(self, b, now):
         """A probe is unanswered or, where they are dear, nothing was heard for longer than answers take."""
@@ -272,9 +272,9 @@
         for at, seen in enumerate(self.curve):
             below = self.stretch[at - 1] if at else 0.0
             guess = below * (LEVELS[at] + 1) / (LEVELS[at - 1] + 1) if at else 1.0
-            # Never more: what a late start taught would keep all from being sent, and so from better news.
-            most = max(seen.at(0.5), below) if seen.count >= 3 else guess
-            self.stretch[at] = min(most, guess) if at else most
+            learned = max(seen.at(0.5), below) if seen.count >= 3 else guess
+            # In a rush what a late start taught would keep all from being sent, and so from better news.
+            self.stretch[at] = min(learned, guess) if at and self.p.rushed() and self.p.ask.few else learned
 
     def figure(self, b, now):
         """Latest report + own sends begun after it - own sends it counted that have ended since.
@@ -392,10 +392,7 @@
             return self.p.ledger.end(txn, txn.scheme.sla if self.p.term("limits.retry_after") else 0.0)
         self.purse = min(self.purse + self.few, 8.0 * self.few)
         # Where txns come faster than an answer, asking only adds to the work that keeps this proxy from them.
-        self.look(txn, now, 0 if self.told() else self.WAVES)
-
-    def told(self):
-        return self.p.gap < self.patience        # the next comes before the answer
+        self.look(txn, now, 0 if self.p.rushed() else self.WAVES)
 
     def look(self, txn, now, waves):
         entry = (txn, self.refresh(now) if waves else (), waves)
@@ -450,26 +447,28 @@
 
     def drain(self, now):
         """Post what has good odds, best gain first; decline what has waited in vain or has no room."""
-        board, kept, misses = self.p.board, [], 0
+        board, kept, misses, looks = self.p.board, [], 0, 0
         if not self.held:
             return
+        most = 9 if self.p.late > self.p.ask.patience / 2 else INF
         for txn in sorted(self.held, key=lambda t: (-t.gain / (self.by_work or t.scheme.typical()), t.due)):
             if txn.answered:
                 continue
             waited = now - txn.born > txn.scheme.sla / 4 * min(2.0, txn.gain / self.p.mean_gain)
-            # A proxy has little time to spare: after three in vain the next event looks further, after nine
-            # also for those that have waited, or on an overloaded day the looking takes all the time.
-            look = misses < (9 if waited else 3)
+            # A proxy has little time to spare: after three in vain the next event looks further.  One that is
+            # behind bounds all looks, or on an overloaded day they take all its time.
+            look = misses < 3 or waited and looks < most
+            looks += look
             b, odds, takes = board.choose(txn, now) if look else (None, 0.0, 0.0)
             pace = txn.scheme.typical() * board.stretch[0] * (board.pace(b, now) if b else 1.0)
             bar = self.NEAR * board.spread.under(txn.scheme.sla / pace)
             if b is not None and odds >= bar and odds > 0.05:
                 self.after.post(txn, b, now, takes)
             else:
-                misses += 1
                 if look and waited or board.spread.under((txn.due - now) / pace) < bar:
                     self.decline(txn)
                 else:
+                    misses += 1
                     kept.append(txn)
         # No more are held than can hope for a place: what ends here in the time that a txn may wait.
         out = sum(b.own for b in board.known.values())
@@ -501,14 +500,15 @@
         if posting is None and not txn.out():
             self.p.ledger.end(txn)
         elif posting and txn.scheme.kind != "once-only":
-            self.p.later(now + min(self.p.board.longest, 3 * takes), self.review, txn, posting)
+            first = min(self.p.board.longest, 3 * takes if self.p.rules.copies else INF)
+            self.p.later(now + first, self.review, txn, posting)
 
     def review(self, now, txn, posting, asked=False):
         """A backend or a connection fell silent with this txn (it stalls, or died unseen): ask another."""
         p, rules, lost = self.p, self.p.rules, self.p.board.overtaken(posting)
         if txn.answered or posting.state != OUT or now >= txn.due:
             return
-        if not lost and now < posting.sent + p.board.longest:
+        if not lost and rules.copies and now < posting.sent + p.board.longest:
             return p.later(posting.sent + p.board.longest, self.review, txn, posting)
         if not (lost or p.board.by_probe or asked):
             p.board.probe(posting.backend, now)
@@ -558,6 +558,10 @@
     def term(self, name):
         return self.terms[name]
 
+    def rushed(self):
+        """Txns come faster than a question to a backend is answered."""
+        return self.gap < 4 * self.step
+
     def later(self, at, do, *what):
         self.token += 1
         self.timers[self.token] = (at, do, what)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -56,7 +56,7 @@
         """All that was sent to busy backends came late while the proxy started: it goes on sending there."""
         host = Printer()
         host.list(("a",), ("b",))
-        board = host.proxy.board
+        board, host.proxy.gap = host.proxy.board, 2.0
         for _ in range(12):
             board.curve[1].add(5.2)
         board.smooth()
