--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -54,7 +54,7 @@
 
     def test_late_start(self):
         """All that was sent to busy backends came late while the proxy started: it goes on sending there."""
-        host = Printer()
+        host = Printer(limits__probing=True)
         host.list(("a",), ("b",))
         board, host.proxy.gap = host.proxy.board, 2.0
         for _ in range(12):
