A proxy that hardly sends in a rush tries a few; the gone are forgotten; docs

What is never sent mends no belief (Board.choose, Gate.drain). Changed: in a rush, while fewer are out than a quarter of the backends, the lowest is sent to.

--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -146,6 +146,7 @@
     def __init__(self, proxy, now):
         self.p, self.all, self.order = proxy, {}, []
         self.open, self.mine, self.known = [], [], {}     # listed as ready; used here; with news of late
+        self.turning = False         # probes go round
         fields = proxy.term("load_info.fields").split(",")
         self.field = fields.index("inflight") if "inflight" in fields else None
         self.by_probe = proxy.term("load_info.via") == "probe"
@@ -175,7 +176,8 @@
                 # A stable order of this proxy's own: where it uses but a few, it uses the first ones.
                 b.rank = Random(f"{self.p.ordinal} {ident}").random()
                 insort(self.order, b, key=lambda b: b.rank)
-                if self.probing and len(self.order) == 1:
+                if self.probing and not self.turning:
+                    self.turning = True
                     self.p.later(now + self.p.rng.random() * self.probe_every, self.probe_in_turn, 0)
             elif launched != b.launched and launched:
                 b.fresh_start()
@@ -185,6 +187,11 @@
             named = {line[0] for line in lines}
             for b in self.order:
                 b.standing = b.standing if b.ident in named else ports.GONE
+        # Ids are ever new: who is gone, with nothing out, is forgotten, or a long day fills the memory.
+        for b in [b for b in self.order if b.standing == ports.GONE and not (b.own or b.probes_out)]:
+            self.order.remove(b)
+            del self.all[b.ident]
+            self.known.pop(b.ident, None)
         self.open = [b for b in self.order if b.standing == ports.READY]
 
     # Reports and probes
@@ -301,6 +308,10 @@
         """The figure; a slow or cold backend, whose reports don't track real work, counts for more."""
         return (figure + 1) * pace - 1 if pace > 1.6 else figure
 
+    def stuck(self):
+        """In a rush hardly anything is out: beliefs keep all back, and only what is sent can mend them."""
+        return self.p.rushed() and sum(b.own for b in self.fit) < max(1, self.ready / 4)
+
     CROWD = 0.55                     # of the SLA time: a queue that takes longer only overdrives its backend
 
     def choose(self, txn, now, leave_out=()):
@@ -316,7 +327,7 @@
             if takes > max(self.CROWD * txn.scheme.sla, 1.5 * work * pace * self.stretch[0]):
                 takes = INF          # crowded: no odds; out of the race where others were just asked
             cold = now - b.launched < rules.cold     # looked at here too: few are, and a call costs time
-            if takes == INF and self.p.ask.few or cold and not rules.cold_room(b, now, work):
+            if takes == INF and self.p.ask.few and not self.stuck() or cold and not rules.cold_room(b, now, work):
                 continue
             weight = self.weight(figure, pace)
             least = best.get(b.zone == home)
@@ -462,7 +473,7 @@
             b, odds, takes = board.choose(txn, now) if look else (None, 0.0, 0.0)
             pace = txn.scheme.typical() * board.stretch[0] * (board.pace(b, now) if b else 1.0)
             bar = self.NEAR * board.spread.under(txn.scheme.sla / pace)
-            if b is not None and odds >= bar and odds > 0.05:
+            if b is not None and (odds >= bar and odds > 0.05 or board.stuck()):
                 self.after.post(txn, b, now, takes)
             else:
                 if look and waited or board.spread.under((txn.due - now) / pace) < bar:
--- a/sloeferry/net/backends.py
+++ b/sloeferry/net/backends.py
@@ -45,6 +45,7 @@
     def close(self):
         if self in self.backends.idle.get(self.ident, ()):
             self.wake()
+        self.wire.close()
         self.sock.close()
         self.backends.seats.give()
 
--- a/sloeferry/net/clients.py
+++ b/sloeferry/net/clients.py
@@ -154,6 +154,7 @@
         self.clients.guests.discard(self)
         self.clients.seats.wake(self)
         self.clients.seats.give()
+        self.wire.close()
         self.sock.close()
 
 
--- a/sloeferry/net/http1.py
+++ b/sloeferry/net/http1.py
@@ -112,12 +112,9 @@
             self.buffers.give(buffer)
         return self.fault
 
-    async def next(self):
-        """The next whole message, or why none will come."""
-        while not self.whole:
-            if self.fault or await self.fill():
-                return self.fault
-        return self.whole.pop(0)
+    def close(self):
+        """A parser and what it calls hold each other: left to the collector, ended connections pile up."""
+        self.parser = None
 
 
 def gone(sock):
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -32,6 +32,21 @@
         host.say(str([(b.ident, b.fails, b.ghosts) for b in host.proxy.board.order]))
         compare(self, host, "spoilt")
 
+    def test_the_gone_are_forgotten(self):
+        """Backends come under ever new ids: what left, with nothing out there, is kept nowhere."""
+        host = Printer()
+        for n in range(50):
+            host.list((f"b{n}",), (f"b{n + 1}",))
+            host.take(n)
+            if n != 7:
+                host.end(n, 0, ports.SETTLED, 0)
+        board, proxy = host.proxy.board, host.proxy
+        host.until(2000.0)
+        host.lines[:-1] = []
+        host.say(f"{len(board.all)} {len(board.order)} {len(board.known)} backends, {len(proxy.ledger.txns)} txn, "
+                 f"{len(proxy.timers)} timers")
+        compare(self, host, "forgotten")
+
     def test_overtaken_posting(self):
         """A connection fell silent, its backend didn't: three sent there later settle, and another is asked;
         that the first is late in the end says nothing of how quick its backend is."""
@@ -66,6 +81,18 @@
         host.take(1)
         compare(self, host, "late_start")
 
+    def test_others_load_starves_nobody(self):
+        """The other proxies fill all backends, this one sends nothing and so learns nothing: it tries a few."""
+        host = Printer(limits__probing=True)
+        host.list(*((name,) for name in "abcdefgh"))
+        host.proxy.gap = 2.0
+        for name in "abcdefgh":
+            host.report(name, 5)
+        for ref in range(4):
+            host.take(ref)
+        host.until(400.0)
+        compare(self, host, "starved")
+
     def test_no_time_to_spare(self):
         """Timers that all run late by half the SLA time: the proxy is behind and declines most at once, with
         word when to come back; where txns come faster than a question is answered none is asked."""
