--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -170,6 +170,18 @@
             await h.call("safe")
         self.play(story, "sockets_open_id", Harbour({"b": lambda n: held if n == 1 else answer()}))
 
+    def test_ask_once_and_stay(self):
+        """Those who ask once and keep their connection leave half of the seats to others, oldest first."""
+        async def story(h):
+            with mock.patch("sloeferry.net.clients.CROWDED", 60.0):
+                first = await h.open()
+                await h.ask("GET /ready HTTP/1.1\r\n\r\n", first)
+                more = [await h.open() for _ in range(11)]
+                for one in more:
+                    await h.ask("GET /ready HTTP/1.1\r\n\r\n", one, quiet=True)
+                h.say(f"the first one ends: {await first[0].read() == b''}")
+        self.play(story, "sockets_ask_once", Harbour({"b": answer()}, sockets=64))
+
     def test_crowd_at_the_door(self):
         """Connections that say nothing cost no kept connection to a backend, and those who ask get in."""
         async def story(h):
