--- a/sloeferry/net/clients.py
+++ b/sloeferry/net/clients.py
@@ -13,7 +13,7 @@
 READING, SENDING = 2.0, 5.0              # seconds for a request to come, the first from connecting; an answer to go
 OVERDUE, LOOK = 30.0, 0.01               # ms past a txn's expiry, when its answer waits for no decision; how often
 LINGER, AT_MOST = 0.5, 16                # seconds that a refused sender has to read why, while so many reads last
-STALE = 0.3                              # seconds after which half of the seats being idle is too many
+STALE = 0.2                              # seconds after which a quarter of the seats being idle is too many
 STILL_COMING, LAST = 0.4, 0.2            # seconds after SIGTERM: for connections, then for what they ask
 BACKLOG, AT_ONCE = 1024, 16              # connections: that wait outside, that are let in in a row
 PAUSE = 0.01                             # seconds until a full table is tried again
@@ -246,7 +246,7 @@
                     guest.end()
             # Some ask once and stay for good; those who let clients connect allow them only so many.
             idle = list(self.seats.idle.items())
-            for guest, (since, end) in idle[:max(0, len(idle) - self.seats.most // 2)]:
+            for guest, (since, end) in idle[:max(0, len(idle) - self.seats.most // 4)]:
                 if monotonic() - since > STALE and http1.quiet(guest.sock):
                     end()
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -171,7 +171,7 @@
         self.play(story, "sockets_open_id", Harbour({"b": lambda n: held if n == 1 else answer()}))
 
     def test_ask_once_and_stay(self):
-        """Those who ask once and keep their connection leave half of the seats to others, oldest first."""
+        """Those who ask once and keep their connection leave three quarters of the seats to others, oldest first."""
         async def story(h):
             with mock.patch("sloeferry.net.clients.CROWDED", 60.0):
                 first = await h.open()
