--- /dev/null
+++ b/sloeferry/cli.py
@@ -0,0 +1,59 @@
+"""The command line: `sloeferry VERB`.  `python -m sloeferry` is the daemon itself and imports none of this."""
+import os
+import pathlib
+import sys
+
+import click
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="sloeferry")
+def main():
+    """An HTTP load balancer: proxies that share nothing, one module that chooses."""
+
+
+@main.command()
+@click.option("--config", type=click.Path(exists=True, dir_okay=False), help="Goes before BALANCER_CONFIG.")
+def serve(config):
+    """Runs one proxy in the foreground."""
+    if config:
+        os.environ["BALANCER_CONFIG"] = os.path.abspath(config)
+    # The daemon takes this process over: it stays as light as it is without a command line.
+    os.execv(sys.executable, [sys.executable, "-m", "sloeferry"])
+
+
+@main.command("check-config")
+@click.argument("file", type=click.Path(path_type=pathlib.Path))
+def check_config(file):
+    """Reads and checks a configuration as the daemon would; exit 2 and one line where it can't be used."""
+    from sloeferry import terms
+    try:
+        berth = terms.read({"BALANCER_CONFIG": str(file)})
+    except terms.Fault as fault:
+        click.echo(f"sloeferry: {fault}", err=True)
+        sys.exit(2)
+    schemes = ", ".join(berth.named("schemes"))
+    click.echo(f"{file}: {berth.name or 'unnamed'} on {berth.listen[0]}:{berth.listen[1]}, schemes {schemes}: good")
+
+
+def run():
+    """The entry point: a subsystem's verbs are read in only where its extra is installed."""
+    if "load" in sys.argv[1:2]:
+        try:
+            from sloeferry.load.cli import load
+        except ModuleNotFoundError as missing:
+            click.echo(f"sloeferry: {missing.name} is missing: install sloeferry[load]", err=True)
+            sys.exit(2)
+        from sloeferry.load.plan import Fault
+        main.add_command(load)
+        try:
+            main()
+        except Fault as fault:
+            click.echo(f"sloeferry: {fault}", err=True)
+            sys.exit(2)
+    main.add_command(click.Command("load", help="Open-loop load on loopback (extra: sloeferry[load])."))
+    main()
+
+
+if __name__ == "__main__":
+    run()
--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -67,6 +67,8 @@
 
     def may_post(self, txn, now, instead=None):
         """Rules 1 and 2, wherever it goes; `instead` is a posting that is about to be withdrawn."""
+        if not txn.postings:
+            return not txn.answered and now < txn.ends and self.most > 0
         out = sum(p.state == OUT and p is not instead for p in txn.postings)
         if txn.answered or now >= txn.ends or len(txn.postings) >= self.most or out > self.copies:
             return False
@@ -144,7 +146,7 @@
     HALF_POINT = 0.005               # what a convenience may cost, by its tariff
 
     def __init__(self, proxy, now):
-        self.p, self.all, self.order = proxy, {}, []
+        self.p, self.home, self.all, self.order = proxy, proxy.zone, {}, []
         self.open, self.mine, self.known = [], [], {}     # listed as ready; used here; with news of late
         self.turning = False         # probes go round
         fields = proxy.term("load_info.fields").split(",")
@@ -275,13 +277,15 @@
 
     def smooth(self):
         """The stretch of each level; one not met yet grows from the level below as a full backend's would."""
-        self.longest = max(s.typical() for s in self.p.schemes) * self.spread.at(0.98)
+        self.longest = max([s.typical() for s in self.p.schemes]) * self.spread.at(0.98)
+        # In a rush what a late start taught would keep all from being sent, and so from better news.
+        below, stretch, rush = 0.0, self.stretch, self.p.rushed() and self.p.ask.few
         for at, seen in enumerate(self.curve):
-            below = self.stretch[at - 1] if at else 0.0
-            guess = below * (LEVELS[at] + 1) / (LEVELS[at - 1] + 1) if at else 1.0
-            learned = max(seen.at(0.5), below) if seen.count >= 3 else guess
-            # In a rush what a late start taught would keep all from being sent, and so from better news.
-            self.stretch[at] = min(learned, guess) if at and self.p.rushed() and self.p.ask.few else learned
+            guess = learned = below * (LEVELS[at] + 1) / (LEVELS[at - 1] + 1) if at else 1.0
+            if seen.count >= 3:
+                learned = seen.at(0.5)
+                learned = below if below > learned else learned
+            below = stretch[at] = guess if rush and at and guess < learned else learned
 
     def figure(self, b, now):
         """Latest report + own sends begun after it - own sends it counted that have ended since.
@@ -289,10 +293,11 @@
         A report's word on others fades, by half in the time a posting takes, into the mean of fresh ones,
         and is void past the age limit.  Else all proxies flock to whichever backend looked empty last.
         """
-        while b.ghosts and b.ghosts[0] <= now:
-            b.ghosts.pop(0)
-        age, own = now - b.heard, b.own + len(b.ghosts)
-        mean = self.mean[b.zone == self.p.zone]
+        own, age, mean = b.own, now - b.heard, self.mean[b.zone == self.home]
+        if b.ghosts:
+            while b.ghosts and b.ghosts[0] <= now:
+                b.ghosts.pop(0)
+            own += len(b.ghosts)
         if age > self.age_limit:
             return own + mean
         return own + mean + (b.others - mean) * 0.5 ** (age / self.turnover)
@@ -302,7 +307,7 @@
         if b.slow.count < 6 and (warmth := self.p.rules.warmth(b, now)) < 1.0:
             return max(b.pace, 1 / warmth)
         # What was slow is believed ever less, or it would never be tried again.
-        return 1 + (b.pace - 1) * 0.5 ** ((now - b.learned) / (4 * self.age_limit))
+        return 1 + (b.pace - 1) * 0.5 ** ((now - b.learned) / (4 * self.age_limit)) if b.pace != 1.0 else 1.0
 
     def weight(self, figure, pace):
         """The figure; a slow or cold backend, whose reports don't track real work, counts for more."""
@@ -317,19 +322,22 @@
     def choose(self, txn, now, leave_out=()):
         """The lowest estimate wins, ties at random; another zone only where the gain beats the tariff.
         Returns the backend, the odds that it answers within the SLA time, and how long is expected."""
-        rules, work = self.p.rules, txn.scheme.typical()
-        best, home, free = {}, self.p.zone, not txn.postings
+        rules, work, crowd, aside = self.p.rules, txn.scheme.typical(), self.CROWD * txn.scheme.sla, None
+        best, home, free, stretch, cold = {}, self.home, not txn.postings, self.stretch, now - rules.cold
         for b in self.usable(now):
             if not free and (b in leave_out or not rules.drops_repeats(txn, b)):
                 continue
             figure, pace = self.figure(b, now), self.pace(b, now)
-            takes = work * pace * self.stretch[bisect(BOUNDS, figure)]
-            if takes > max(self.CROWD * txn.scheme.sla, 1.5 * work * pace * self.stretch[0]):
+            takes = work * pace * stretch[bisect(BOUNDS, figure)]
+            if takes > crowd and takes > 1.5 * work * pace * stretch[0]:
                 takes = INF          # crowded: no odds; out of the race where others were just asked
-            cold = now - b.launched < rules.cold     # looked at here too: few are, and a call costs time
-            if takes == INF and self.p.ask.few and not self.stuck() or cold and not rules.cold_room(b, now, work):
+                if aside is None:
+                    aside = self.p.ask.few and not self.stuck()
+                if aside:
+                    continue
+            if b.launched > cold and not rules.cold_room(b, now, work):  # few are cold, and a call costs time
                 continue
-            weight = self.weight(figure, pace)
+            weight = (figure + 1) * pace - 1 if pace > 1.6 else figure   # as `weight` says
             least = best.get(b.zone == home)
             if least is None or weight < least[0]:
                 best[b.zone == home] = (weight, [(b, takes)])
@@ -366,6 +374,8 @@
 
     def take(self, txn, now):
         self.txns[txn.ref] = txn
+        for stage in self.p.stages:
+            stage.taken(now, txn)
         self.p.later(txn.ends - 2 * self.p.step, self.expire, txn)
         self.after.take(txn, now)
 
@@ -378,6 +388,8 @@
         self.forget(txn)
 
     def forget(self, txn):
+        for stage in () if txn.answered else self.p.stages:
+            stage.over(txn)
         txn.answered = True
         if not txn.out():
             self.txns.pop(txn.ref, None)
@@ -398,7 +410,7 @@
 
     def take(self, txn, now):
         # This proxy itself is behind by a good part of the SLA time: what it takes on makes all others late.
-        behind = 4 * self.p.late / txn.scheme.sla - 1
+        behind = 0 if self.p.stages else 4 * self.p.late / txn.scheme.sla - 1
         if behind > 0 and self.p.rng.random() < behind:
             return self.p.ledger.end(txn, txn.scheme.sla if self.p.term("limits.retry_after") else 0.0)
         self.purse = min(self.purse + self.few, 8.0 * self.few)
@@ -462,7 +474,9 @@
         if not self.held:
             return
         most = 9 if self.p.late > self.p.ask.patience / 2 else INF
-        for txn in sorted(self.held, key=lambda t: (-t.gain / (self.by_work or t.scheme.typical()), t.due)):
+        if len(self.held) > 1:
+            self.held.sort(key=lambda t: (-t.gain / (self.by_work or t.scheme.typical()), t.due))
+        for txn in self.held:
             if txn.answered:
                 continue
             waited = now - txn.born > txn.scheme.sla / 4 * min(2.0, txn.gain / self.p.mean_gain)
@@ -482,7 +496,7 @@
                     misses += 1
                     kept.append(txn)
         # No more are held than can hope for a place: what ends here in the time that a txn may wait.
-        out = sum(b.own for b in board.known.values())
+        out = sum(b.own for b in board.known.values()) if kept else 0
         while kept and len(kept) > 1 + out * kept[-1].scheme.sla / 4 / kept[-1].scheme.typical():
             self.decline(kept.pop())
         self.held = kept
@@ -524,7 +538,8 @@
         if not (lost or p.board.by_probe or asked):
             p.board.probe(posting.backend, now)
             return p.later(now + p.ask.patience + p.step, self.review, txn, posting, True)
-        if (lost or p.board.silent(posting.backend, now)) and rules.may_post(txn, now, posting):
+        if ((lost or p.board.silent(posting.backend, now)) and rules.may_post(txn, now, posting)
+                and p.may_repost(now, txn)):
             b, odds, takes = p.board.choose(txn, now, [x.backend for x in txn.postings])
             if odds > 0.3 and rules.copies:
                 return self.post(txn, b, now, takes)
@@ -539,7 +554,7 @@
         if now >= txn.ends - 2 * self.p.step:    # the ledger looked while this was out: nobody looks again
             return self.p.ledger.end(txn)
         b, odds, takes = self.p.board.choose(txn, now, [x.backend for x in txn.postings])
-        if odds > 0.1 and self.p.rules.may_post(txn, now):
+        if odds > 0.1 and self.p.rules.may_post(txn, now) and self.p.may_repost(now, txn):
             self.post(txn, b, now, takes)
         elif not txn.maybe():
             self.p.gate.take(txn, now)
@@ -556,6 +571,7 @@
         self.late = 0.0              # by how much timers have run late of late: the host has no time to spare
         self.step = self.term("step")
         self.instances, self.ordinal = int(self.term("instances")), int(self.term("ordinal"))
+        self.stages = []             # of other subsystems (ports.Stage): the host installs those that are set
         self.zone, self.turn = self.term("zone"), self.ordinal * 0.618034 % 1    # spread over the bank
         self.schemes = [Scheme(terms, at) for at in range(int(terms["schemes.count"]))]
         self.quickest = min(s.sla for s in self.schemes)
@@ -569,6 +585,21 @@
     def term(self, name):
         return self.terms[name]
 
+    def barred(self, now, scheme, tenant, repeat):
+        """Before a txn is taken on, as cheap as it gets: the pause with which a stage turns it away, or None."""
+        for stage in self.stages:
+            if (pause := stage.bars(now, self.schemes[scheme], tenant, repeat)) is not None:
+                return pause
+        return None
+
+    def may_repost(self, now, txn):
+        return all(stage.may_repost(now, txn) for stage in self.stages)
+
+    def moot(self, token):
+        """Whether a timer is for a txn that has been answered: a host need not wake up for it."""
+        _, _, what = self.timers.get(token, (0, None, ()))
+        return bool(what) and what[0].__class__ is Txn and what[0].answered
+
     def rushed(self):
         """Txns come faster than a question to a backend is answered."""
         return self.gap < 4 * self.step
@@ -592,7 +623,7 @@
 
     def take(self, now, ref, scheme, tenant, key, left, work, repeat):
         scheme = self.schemes[scheme]
-        txn = Txn(ref, scheme, now, left)
+        txn = Txn(ref, scheme, now, left, tenant)
         self.mean_gain += (scheme.gain - self.mean_gain) / 100
         self.gap += (min(now - self.last, 1000.0) - self.gap) / 100
         self.last = now
--- a/sloeferry/facade.py
+++ b/sloeferry/facade.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from sloeferry import decide, ports
+from sloeferry.overload import Door
 
 # Orders: (POST, seq, backend), (WITHDRAW, seq), (SETTLE, answer), (DECLINE, pause), (REVERSE,), (LEAVE,),
 # and for the standing errands (PROBE, backend) and (WATCH,).
@@ -32,12 +33,15 @@
 
     def __init__(self, ref=0, ends=0.0):
         self.ref, self.ends, self.orders, self.over, self.out, self.sent = ref, ends, deque(), False, 0, 0
-        self.waiter = None
+        self.waiter = self.relief = None
 
     def order(self, *what):
         self.orders.append(what)
         if self.waiter and not self.waiter.done():
             self.waiter.set_result(None)
+        elif self.relief:                # who carries it is out with its posting: another takes the orders
+            relief, self.relief = self.relief, None
+            relief()
 
 
 class Facade:
@@ -49,14 +53,37 @@
         self.probing, self.listing = Errand(), Errand()
         self.unix = time.time() * 1000 - clock()
         self.proxy = decide.Proxy(self, clock(), seed, terms)
+        self.door, self.beats = Door(self.proxy), False
+        self.proxy.stages.append(self.door)
 
     # For the network
 
+    def bars(self, scheme, tenant, again):
+        """Asked before anything else is done for a txn: the pause to tell if it is turned away, else None."""
+        return self.proxy.barred(clock(), scheme, tenant, again)
+
+    def rest(self):
+        """For how many ms a connection whose txn was just turned away is not read."""
+        return self.door.rest(clock())
+
+    def beat(self, now, due):
+        """How late this loop runs, measured whatever else is due; it stops once nothing is left to measure."""
+        self.door.beat(now, now - due)
+        self.beats = bool(self.errands) or self.door.shut()
+        if self.beats:
+            self.start_beat(now)
+
+    def start_beat(self, now):
+        self.beats = True
+        self.proxy.later(now + self.door.every, self.beat, now + self.door.every)
+
     def take(self, scheme, tenant, left, again):
         """A txn has come: its errand.  What the loop runs late comes off its time, or answers would too."""
         now = clock()
         left -= min(self.proxy.late, left / 2)
         self.refs += 1
+        if not self.beats:
+            self.start_beat(now)
         errand = self.errands[self.refs] = Errand(self.refs, now + left)
         try:
             self.proxy.take(now, errand.ref, scheme, tenant, 0, left, None, again)
@@ -111,8 +138,15 @@
         now = clock()
         try:
             while self.timers and self.timers[0][0] <= now:
-                self.proxy.woken(now, heappop(self.timers)[1])
+                at, token = heappop(self.timers)
+                if self.proxy.moot(token):
+                    del self.proxy.timers[token]
+                else:
+                    self.proxy.woken(now, token)
         finally:
+            # What was set for txns that have been answered wakes nobody: it is most of all timers.
+            while self.timers and self.proxy.moot(self.timers[0][1]):
+                del self.proxy.timers[heappop(self.timers)[1]]
             self.next = self.timers[0][0] if self.timers else None
         return self.next
 
--- a/sloeferry/net/backends.py
+++ b/sloeferry/net/backends.py
@@ -9,6 +9,7 @@
 
 from sloeferry import facade as f
 from sloeferry.net import http1
+from sloeferry.net.alarms import Alarms
 from sloeferry.net.log import warn
 
 
@@ -53,7 +54,7 @@
 class Backends:
     def __init__(self, loop, facade, terms, seats, buffers, most=http1.BODY):
         self.loop, self.facade, self.seats, self.buffers = loop, facade, seats, buffers
-        self.addresses, self.idle, self.tasks = {}, {}, set()
+        self.addresses, self.idle, self.tasks, self.alarms = {}, {}, set(), Alarms(loop)
         self.most, self.dial_time = max(most, http1.BODY), terms["limits.dial_timeout"]
         self.idle_limit = terms["limits.conn_idle"] / 1000 * 0.8
         # In seconds: what has begun goes on within a quarter of the shortest SLA time, or it is given up.
@@ -76,14 +77,17 @@
             else:
                 self.addresses[ident] = address
 
-    async def link(self, ident):
-        """A connection to write on: a kept one found alive, or a new one; else why there is none."""
+    def kept(self, ident):
+        """A kept connection found alive, or None."""
         while kept := self.idle.get(ident):
             link = kept[-1]
             if link.usable():
                 link.wake()
                 return link
             link.close()
+
+    async def link(self, ident):
+        """A new connection to write on; else why there is none."""
         address = self.addresses.get(ident)
         # No seat, no socket: our own want, no word against the backend.
         if address is None or not self.seats.take():
@@ -104,17 +108,13 @@
         """One request and its answer.  `write` makes the request once the connection stands; `wanted` says,
         right before the first byte, whether it still may go out."""
         link, reached, why, answer = None, f.NOTHING, f.BROKEN, None
-        # One alarm at a time, no asyncio.timeout: that takes as long as all the parsing.
-        task, last, rang = asyncio.current_task(), (until - f.clock()) / 1000 + self.loop.time(), []
-
-        def ring():
-            rang.append(True)
-            task.cancel()
-        alarm = self.loop.call_at(last, ring)
+        # No asyncio.timeout, nor a timer of the loop: either takes as long as all the parsing.
+        task, last = asyncio.current_task(), (until - f.clock()) / 1000 + self.loop.time()
+        alarm = self.alarms.set(last, task)
         try:
-            link = await self.link(ident)
+            link = self.kept(ident) or await self.link(ident)
             if not isinstance(link, Link):
-                alarm.cancel()
+                alarm.off()
                 return Ended(f.NOTHING, link)
             if f.clock() >= until or not wanted():
                 why = f.VOID
@@ -127,8 +127,8 @@
                     if wire.begun:
                         # What has begun is written: if the rest stays out, its length was a wrong one.
                         reached = f.BEGUN
-                        alarm.cancel()
-                        alarm = self.loop.call_at(min(last, self.loop.time() + self.rest_time), ring)
+                        alarm.off()
+                        alarm = self.alarms.set(min(last, self.loop.time() + self.rest_time), task)
                 # Noise behind a whole answer doesn't spoil it: its one length says where it ends.  With two
                 # lengths nobody knows; the parser refuses that at the head, so it never counts as whole.
                 if wire.whole:
@@ -138,11 +138,12 @@
         except OSError:
             pass
         except asyncio.CancelledError:
-            why = f.WITHDRAWN if not rang else f.SPOILT if reached == f.BEGUN and f.clock() < until else f.LATE
+            task.uncancel()              # it goes on: whoever it is a part of was not meant
+            why = f.WITHDRAWN if not alarm.rang else f.SPOILT if reached == f.BEGUN and f.clock() < until else f.LATE
         except Exception as fault:       # whatever it was, it has ended, and may have run
             warn("exchange", "failed: {!r}", fault)
             reached = f.WHOLE
-        alarm.cancel()
+        alarm.off()
         if link:
             # What more there is belongs to no posting: the next would take it for its answer.
             clean = answer and answer.keep and not (link.wire.whole or link.wire.begun) or why == f.VOID
@@ -155,13 +156,13 @@
             reached = f.WHOLE
         return Ended(reached, why, answer)
 
-    async def post(self, errand, seq, ident, method, url, headers, body):
-        """One posting, from the order to its report."""
+    async def post(self, errand, seq, ident, opening, body, inline=False):
+        """One posting, from the order to its report; `opening` is its head but for the time that is left.
+        Whether the task that carries the txn, and came with it (`inline`), was relieved of that meanwhile."""
         began = f.clock()
 
         def write():
-            left = b"%d" % max(1, errand.ends - f.clock())
-            return http1.request(method, url, [*headers, (b"X-Budget-Ms", left)], body)
+            return b"%bX-Budget-Ms: %d\r\n\r\n%b" % (opening, max(1, errand.ends - f.clock()), body)
 
         def wanted():
             return not errand.over and self.facade.stands(ident)
@@ -171,7 +172,14 @@
             load = self.load(answer.header(b"x-load-report"))
             rejected = answer.status in (503, 504) and answer.header(b"x-rejected") == b"1"
             why = f.SERVED if answer.status == 200 else f.REJECTED if rejected else f.ERRED
-        self.facade.report(errand, seq, ended.reached, why, f.clock() - began, load, answer)
+        relieved = inline and errand.relief is None
+        if inline:
+            errand.relief = None         # back: what the report orders needs nobody else
+        try:
+            self.facade.report(errand, seq, ended.reached, why, f.clock() - began, load, answer)
+        except Exception as fault:       # a decision that failed ends no more than its own part
+            logger.opt(exception=True).error("posting failed: {!r}", fault)
+        return relieved
 
     async def probes(self):
         while True:
@@ -189,7 +197,10 @@
         self.facade.report_probe(ident, ended.reached, why, f.clock() - began, load)
 
     def spawn(self, work):
-        task = self.loop.create_task(work)
+        return self.adopt(self.loop.create_task(work))
+
+    def adopt(self, task):
+        """Keeps a task from being collected until it has ended."""
         self.tasks.add(task)
         task.add_done_callback(self.ended)
         return task
--- a/sloeferry/net/clients.py
+++ b/sloeferry/net/clients.py
@@ -1,5 +1,7 @@
 """The clients: the listener, one connection each, /ready, and the way out after SIGTERM."""
 import asyncio
+import functools
+import re
 import socket
 from time import monotonic
 
@@ -20,6 +22,11 @@
 METHODS = (b"GET", b"POST", b"PUT", b"PATCH", b"DELETE")
 OURS = http1.HOP | {b"x-budget-ms"}      # of a request, what a backend is told anew
 REFUSALS = {http1.MALFORMED: 400, http1.UNWANTED: 400, http1.TOO_LARGE: 413}
+# A whole request in its plainest form, which may be turned away unparsed; whatever else comes is parsed first.
+PLAIN = re.compile(rb"(?:GET|POST) /[!-~]* HTTP/1\.1\r\n(?:[!#-'*+.0-9A-Z^-z|~-]+:[\t -~]*\r\n)+\r\n")
+SAID = re.compile(rb"(?i)\r\n(x-call-class|x-caller|x-again|x-budget-ms|content-length|transfer-encoding|expect"
+                  rb"|connection):[ \t]*([^\r]*?)[ \t]*(?=\r\n)")
+ODD = {b"transfer-encoding", b"expect", b"connection"}
 KEPT_BACK = http1.HOP | {b"x-load-report", b"x-rejected"}      # of an answer, what is not the client's
 
 
@@ -28,26 +35,33 @@
 
     def __init__(self, clients, sock):
         self.clients, self.sock, self.loop = clients, sock, clients.loop
-        self.wire = http1.Wire(clients.loop, sock, clients.buffers, answers=False, wanted=clients.wanted)
-        self.errand, self.busy, self.fresh, self.ended = None, False, True, False
+        self.wire = http1.Wire(clients.loop, sock, clients.buffers, answers=False, wanted=clients.wanted,
+                               glance=self.glance)
+        self.errand, self.busy, self.fresh, self.ended, self.barred = None, False, True, False, 0.0
         self.sending = None
         self.since = monotonic()         # it connected, was answered, or began to ask again
         clients.guests.add(self)
         self.task = self.loop.create_task(self.serve())
 
-    async def serve(self):
+    async def serve(self, carried=None):
+        """All requests of this connection, one after the other; `carried` is one under way, taken over."""
+        keep = True
         try:
-            while await self.one():
-                pass
+            if carried:
+                keep = await self.reply(carried[1], await self.carry(*carried))
+            while keep:
+                keep = await self.one()
         except OSError:                  # the client has gone, or takes nothing more
-            pass
+            keep = False
         except Exception as fault:       # exceptions stop here: this connection ends, no other
             logger.opt(exception=True).error("connection failed: {!r}", fault)
+            keep = False
         finally:
-            self.end()
+            if keep is not None:         # relieved, it is another's by now
+                self.end()
 
     async def one(self):
-        """The next request and its answer; whether another may follow."""
+        """The next request and its answer; whether another may follow, None if another task sees to that."""
         wire = self.wire
         # Nothing is read while a txn is out: two bodies for each client would not fit the memory.
         while not wire.whole and not wire.fault:
@@ -55,8 +69,10 @@
                 return False
             begun = wire.begun
             self.clients.seats.rest(self, self.end)
-            await wire.fill()
+            came = await wire.fill()
             self.clients.seats.wake(self)        # something came, if not a whole request: not idle
+            if came is http1.DISMISSED:
+                return await self.dismiss()
             if wire.begun and not begun and not self.fresh:
                 self.since = monotonic()         # for all of it, or drops would hold it for ever
             if wire.begun and wire.message.expects and not wire.fault:
@@ -66,7 +82,16 @@
             known = wire.message.method in METHODS or wire.fault != http1.UNWANTED
             return await self.refuse(REFUSALS.get(wire.fault) if known else 405)
         message, self.busy, self.fresh = wire.whole.pop(0), True, False
-        status, body, headers = await self.answer(message)
+        if message.barred is not None:   # more than its body was to be read, or it was no plain one
+            self.barred = message.barred
+            return await self.dismiss(message.keep and not self.clients.leaving and not wire.fault)
+        return await self.reply(message, await self.answer(message))
+
+    async def reply(self, message, said):
+        """Writes the answer; whether another request may follow."""
+        if said is None:
+            return None
+        (status, body, headers), wire = said, self.wire
         if 400 <= status < 500:          # whoever asks so once does it again: not on a connection that is kept
             return await self.refuse(status)
         keep = message.keep and not self.clients.leaving and not wire.fault
@@ -74,6 +99,42 @@
         self.busy, self.since = False, monotonic()
         return keep
 
+    def glance(self, buffer, n):
+        """Before anything is parsed, while the door may be shut: whether a plain request is turned away here."""
+        clients = self.clients
+        if not clients.facade.door.shut() or clients.leaving:
+            return False
+        text = bytes(memoryview(buffer)[:n])
+        head = PLAIN.match(text)
+        if not head:
+            return False
+        said = {}
+        for name, value in SAID.findall(text, 0, head.end() - 2):
+            if said.setdefault(name := name.lower(), value) is not value or name in ODD:
+                return False             # said twice, or framed otherwise: for the parser to judge
+        length, budget = said.get(b"content-length", b"0"), said.get(b"x-budget-ms", b"")
+        scheme, tenant = clients.schemes.get(said.get(b"x-call-class")), clients.tenant(said.get(b"x-caller"))
+        if (scheme is None or tenant is None or not budget.isdigit() or not length.isdigit() or len(length) > 9
+                or head.end() + int(length) != n):
+            return False
+        pause = clients.facade.bars(scheme, tenant, said.get(b"x-again") == b"1")
+        if pause is None:
+            clients.passed = True        # asked and let in: not asked again once it is parsed
+            return False
+        self.barred = pause
+        return True
+
+    async def dismiss(self, keep=True):
+        """Turned away before it was taken on; then reading waits its turn, if turning away takes too much."""
+        self.fresh = False
+        await self.send(http1.answer(503, headers=self.clients.pause_of(self.barred), keep=keep))
+        self.busy, self.since = False, monotonic()
+        rest = self.clients.facade.rest() if keep else 0.0
+        if rest > 1.0:
+            await asyncio.sleep(rest / 1000)
+            self.since = monotonic()
+        return keep
+
     async def refuse(self, status):
         """The last word to one that can't be read or is not wanted; nothing of what it sent goes on."""
         if status:
@@ -92,34 +153,67 @@
         self.clients.open_ids.add(ident)
         try:
             errand = self.errand = self.clients.taken(message)
-            return await self.txn(errand, message)
         except Exception as fault:
-            # In a few words: a stall brings many at once, and their stacks would make it longer.
-            warn("txn", "failed: {!r}", fault)
-            if self.errand:
-                self.clients.facade.report_left(self.errand)
-            return 504, b"", ()
-        finally:
+            return self.failed(ident, fault)
+        headers = [h for h in message.headers if h[0] not in OURS]
+        opening = http1.opening(message.method, message.url, headers, message.size)
+        return await self.carry(errand, message, opening, {})
+
+    def failed(self, ident, fault):
+        # In a few words: a stall brings many at once, and their stacks would make it longer.
+        warn("txn", "failed: {!r}", fault)
+        if self.errand:
+            self.clients.facade.report_left(self.errand)
+        self.errand = None
+        self.clients.open_ids.discard(ident)
+        return 504, b"", ()
+
+    async def carry(self, errand, message, opening, out):
+        """One txn to its end; None if another task has taken it over meanwhile."""
+        said, ident = None, message.header(b"x-call-id")
+        try:
+            said = await self.txn(errand, message, opening, out)
+        except Exception as fault:
+            return self.failed(ident, fault)
+        except BaseException:            # the connection ends, and with it what it asked
             self.errand = None
             self.clients.open_ids.discard(ident)
+            raise
+        if said is not None:
+            self.errand = None
+            self.clients.open_ids.discard(ident)
+        return said
+
+    def relieve(self, *carried):
+        """Orders have come while this connection's own task is out with a posting: another one takes them."""
+        self.clients.backends.adopt(self.task)
+        self.task = self.loop.create_task(self.serve(carried))
 
-    async def txn(self, errand, message):
+    async def txn(self, errand, message, opening, out):
         """Carries out the orders for one txn until one of them ends it."""
-        facade, backends, out = self.clients.facade, self.clients.backends, {}
-        headers, body = [h for h in message.headers if h[0] not in OURS], message.body()
+        facade, backends, body = self.clients.facade, self.clients.backends, message.body()
         while True:
-            order, *what = await facade.pick(errand)
+            order, *what = errand.orders.popleft() if errand.orders else await facade.pick(errand)
             if order == f.POST:
                 seq, ident = what
-                out[seq] = backends.spawn(backends.post(errand, seq, ident, message.method, message.url,
-                                                        headers, body))
+                if out or errand.orders:
+                    out[seq] = backends.spawn(backends.post(errand, seq, ident, opening, body))
+                    continue
+                # The only one: this task sees to it itself.  Most txns have no more, and a task for each posting
+                # costs as much as its writing; whatever is ordered before it is back calls another task.
+                out[seq] = self.task
+                errand.relief = functools.partial(self.relieve, errand, message, opening, out)
+                if await backends.post(errand, seq, ident, opening, body, inline=True):
+                    return None
+                out.clear()
             elif order == f.WITHDRAW:
                 await asyncio.sleep(0)   # a task cancelled before its first step would never report
-                out[what[0]].cancel()
+                if what[0] in out:
+                    out[what[0]].cancel()
             elif order == f.SETTLE:
                 return 200, what[0].body(), [h for h in what[0].headers if h[0] not in KEPT_BACK]
             elif order == f.DECLINE:
-                return 503, b"", [(b"Retry-After", b"%.3f" % (what[0] / 1000))] if what[0] else ()
+                return 503, b"", self.clients.pause_of(what[0])
             else:
                 return 504, b"", ()
 
@@ -163,31 +257,43 @@
     def __init__(self, loop, facade, berth, seats, buffers, backends, discovery):
         self.loop, self.facade, self.seats, self.buffers = loop, facade, seats, buffers
         self.backends, self.discovery, self.guests = backends, discovery, set()
-        self.open_ids, self.lingering = set(), 0
+        self.open_ids, self.lingering, self.passed = set(), 0, False
         self.leaving = self.left = False
-        self.schemes, self.tenants = berth.named("schemes"), berth.named("tenants")
-        self.terms = berth.terms
+        self.schemes, self.tenants = ({name.encode("latin-1", "replace"): at for name, at in berth.named(what).items()}
+                                      for what in ("schemes", "tenants"))
+        self.keyed = {at for at in self.schemes.values() if berth.terms[f"schemes.{at}.idempotency"] == "referenced"}
+        self.expiry = {at: berth.terms[f"schemes.{at}.expiry"] for at in self.schemes.values()}
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.setblocking(False)
 
+    def tenant(self, name):
+        """The customer of that name; the only one there is, whatever it is called, where none are named."""
+        return self.tenants.get(name) if self.tenants else 0
+
     def wanted(self, message):
         """Whether a head is that of a request which can be taken, or /ready; what it asks is noted on it."""
-        def text(name):
-            return (message.header(name) or b"").decode("latin-1")
+        passed, self.passed = self.passed, False
         if message.method not in METHODS:
             return False
         if message.method == b"GET" and message.url.partition(b"?")[0] == b"/ready":
             return True
-        scheme, budget = self.schemes.get(text(b"x-call-class")), text(b"x-budget-ms")
-        tenant = self.tenants.get(text(b"x-caller")) if self.tenants else 0
-        if (scheme is None or tenant is None or not text(b"x-call-id") or not text(b"host")
-                or not (budget.isascii() and budget.isdecimal() and len(budget) < 10 and int(budget))
-                or self.terms[f"schemes.{scheme}.idempotency"] == "referenced" and not text(b"idempotency-key")):
+        said = message.named.get
+        scheme, budget = self.schemes.get(said(b"x-call-class")), said(b"x-budget-ms") or b""
+        tenant = self.tenant(said(b"x-caller"))
+        if (scheme is None or tenant is None or not said(b"x-call-id") or not said(b"host")
+                or not (budget.isdigit() and len(budget) < 10 and int(budget))
+                or scheme in self.keyed and not said(b"idempotency-key")):
             return False
-        message.asks = scheme, tenant, min(float(budget), self.terms[f"schemes.{scheme}.expiry"])
+        message.asks = scheme, tenant, min(float(budget), self.expiry[scheme])
+        if not passed and self.facade.door.shut() and not self.leaving:
+            message.barred = self.facade.bars(scheme, tenant, said(b"x-again") == b"1")
         return True
 
+    @staticmethod
+    def pause_of(ms):
+        return [(b"Retry-After", b"%.3f" % (ms / 1000))] if ms else ()
+
     def taken(self, message):
         """The errand of a request."""
         scheme, tenant, left = message.asks
--- a/sloeferry/net/http1.py
+++ b/sloeferry/net/http1.py
@@ -7,6 +7,7 @@
 
 # Why there is no (further) message.
 CLOSED, MALFORMED, TOO_LARGE, UNWANTED = "closed", "malformed", "too large", "unwanted"
+DISMISSED = "dismissed"                  # no fault: a whole request, seen to before it was parsed
 BODY, HEAD = 65536, 16384                # the most that a request's body may hold, and all else of a message
 FRAMING = 9                              # bytes of chunk lines that a byte of a body may bring along
 HOP = {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
@@ -18,6 +19,7 @@
 
     def __init__(self):
         self.url, self.headers, self.named, self.parts, self.size, self.asks = b"", [], {}, [], 0, None
+        self.barred = None
         self.method, self.status, self.keep, self.expects, self.at = b"", 0, False, False, 0.0
 
     def header(self, name):
@@ -32,8 +34,8 @@
 class Wire:
     """What comes in on a socket: whole messages, or with `stream` the bits of one's body as they come."""
 
-    def __init__(self, loop, sock, buffers, answers, stream=None, wanted=None, most=BODY):
-        self.loop, self.sock, self.buffers, self.stream = loop, sock, buffers, stream
+    def __init__(self, loop, sock, buffers, answers, stream=None, wanted=None, most=BODY, glance=None):
+        self.loop, self.sock, self.buffers, self.stream, self.glance = loop, sock, buffers, stream, glance
         self.answers, self.wanted, self.most, self.beside = answers, wanted, most, 0
         self.parser = (httptools.HttpResponseParser if answers else httptools.HttpRequestParser)(self)
         self.message, self.whole, self.fault, self.begun = Message(), [], None, False
@@ -45,7 +47,10 @@
         self.message.url += url
 
     def on_header(self, name, value):
-        self.message.headers.append((name.lower(), value))
+        name, message = name.lower(), self.message
+        message.headers.append((name, value))
+        message.named[name] = None if name in message.named else value
+        message.size += len(name) + len(value) + 4
 
     def fail(self, fault):
         self.fault = fault
@@ -54,10 +59,7 @@
     def on_headers_complete(self):
         message = self.message
         message.keep = self.parser.should_keep_alive()
-        named, size = message.named, len(message.url)
-        for name, value in message.headers:
-            named[name] = None if name in named else value
-            size += len(name) + len(value) + 4
+        named, size, message.size = message.named, len(message.url) + message.size, 0
         if size > HEAD:
             self.fail(TOO_LARGE)
         if b"content-length" in named:
@@ -71,7 +73,7 @@
             message.status = self.parser.get_status_code()
         else:
             message.method = self.parser.get_method()
-            message.expects = (message.header(b"expect") or b"").lower() == b"100-continue"
+            message.expects = b"expect" in named and (named[b"expect"] or b"").lower() == b"100-continue"
             if self.wanted and not self.wanted(message):
                 self.fail(UNWANTED)      # before its body, which may be large or never come
 
@@ -96,6 +98,8 @@
         try:
             n = await self.loop.sock_recv_into(self.sock, buffer)
             if n:
+                if self.glance and not self.begun and self.glance(buffer, n):
+                    return DISMISSED
                 # Counted as it comes: of a head, a chunk line or trailer without end the parser tells nothing,
                 # it only grows; and 1xx answers may come for ever, each of them whole.
                 self.beside += n
@@ -155,11 +159,16 @@
         raise
 
 
+def opening(method, url, headers, length=0):
+    """The head of a request but for its empty line: more headers may follow."""
+    head = [b"%b %b HTTP/1.1\r\n" % (method, url), *[b"%b: %b\r\n" % h for h in headers]]
+    if length or method not in (b"GET", b"HEAD"):
+        head.append(b"Content-Length: %d\r\n" % length)
+    return b"".join(head)
+
+
 def request(method, url, headers, body=b""):
-    head = [b"%b %b HTTP/1.1" % (method, url), *(b"%b: %b" % h for h in headers)]
-    if body or method not in (b"GET", b"HEAD"):
-        head.append(b"Content-Length: %d" % len(body))
-    return b"\r\n".join(head) + b"\r\n\r\n" + body
+    return opening(method, url, headers, len(body)) + b"\r\n" + body
 
 
 REASONS = {200: b"OK", 400: b"Bad Request", 405: b"Method Not Allowed", 413: b"Content Too Large",
