--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -589,9 +589,14 @@
         """Before a txn is taken on, as cheap as it gets: the pause with which a stage turns it away, or None."""
         for stage in self.stages:
             if (pause := stage.bars(now, self.schemes[scheme], tenant, repeat)) is not None:
+                self.came(now)
                 return pause
         return None
 
+    def came(self, now):
+        self.gap += (min(now - self.last, 1000.0) - self.gap) / 100
+        self.last = now
+
     def may_repost(self, now, txn):
         return all(stage.may_repost(now, txn) for stage in self.stages)
 
@@ -625,8 +630,7 @@
         scheme = self.schemes[scheme]
         txn = Txn(ref, scheme, now, left, tenant)
         self.mean_gain += (scheme.gain - self.mean_gain) / 100
-        self.gap += (min(now - self.last, 1000.0) - self.gap) / 100
-        self.last = now
+        self.came(now)
         scheme.most_left = max(scheme.most_left, left)
         if repeat and left < scheme.most_left - 2 * self.step:
             txn.due = now + left - (scheme.expiry - scheme.sla)    # its first try began that much earlier
