--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -14,6 +14,7 @@
 from sloeferry import ports
 from sloeferry.histogram import Histogram
 from sloeferry.records import MAYBE, NEVER, OUT, Backend, Posting, Scheme, Txn
+from sloeferry.stages import Stages
 
 NEVER_RAN = (ports.TURNED_AWAY, ports.UNREACHED, ports.NEVER_SENT)
 BLAMELESS = (ports.NEVER_SENT, ports.UNKNOWN)    # tells nothing of a backend: any may have its answers spoilt
@@ -67,13 +68,10 @@
 
     def may_post(self, txn, now, instead=None):
         """Rules 1 and 2, wherever it goes; `instead` is a posting that is about to be withdrawn."""
-        if not txn.postings:
-            return not txn.answered and now < txn.ends and self.most > 0
         out = sum(p.state == OUT and p is not instead for p in txn.postings)
         if txn.answered or now >= txn.ends or len(txn.postings) >= self.most or out > self.copies:
             return False
-        maybe = txn.maybe()
-        if not maybe or txn.scheme.kind == "repeatable":
+        if not (maybe := txn.maybe()) or txn.scheme.kind == "repeatable":
             return True
         return txn.scheme.kind == "referenced" and now < maybe[0].sent + txn.scheme.window - self.p.step
 
@@ -354,6 +352,8 @@
 
     def learn(self, txn, posting, took, now):
         """What a settled (or given up) posting tells of its scheme, its backend and the fleet."""
+        if self.p.stages.behind():       # times are this proxy's own then: idle backends would look crowded
+            return
         typical, level = txn.scheme.typical(), bisect(BOUNDS, posting.figure)
         if level == 0:
             txn.scheme.took.add(took)
@@ -374,8 +374,7 @@
 
     def take(self, txn, now):
         self.txns[txn.ref] = txn
-        for stage in self.p.stages:
-            stage.taken(now, txn)
+        self.p.stages.taken(now, txn)
         self.p.later(txn.ends - 2 * self.p.step, self.expire, txn)
         self.after.take(txn, now)
 
@@ -387,9 +386,9 @@
         self.p.rules.finish(txn, pause)
         self.forget(txn)
 
-    def forget(self, txn):
-        for stage in () if txn.answered else self.p.stages:
-            stage.over(txn)
+    def forget(self, txn, served=False):
+        if not txn.answered:
+            self.p.stages.over(txn, served)
         txn.answered = True
         if not txn.out():
             self.txns.pop(txn.ref, None)
@@ -410,7 +409,7 @@
 
     def take(self, txn, now):
         # This proxy itself is behind by a good part of the SLA time: what it takes on makes all others late.
-        behind = 0 if self.p.stages else 4 * self.p.late / txn.scheme.sla - 1
+        behind = 0 if self.p.stages.all else 4 * self.p.late / txn.scheme.sla - 1
         if behind > 0 and self.p.rng.random() < behind:
             return self.p.ledger.end(txn, txn.scheme.sla if self.p.term("limits.retry_after") else 0.0)
         self.purse = min(self.purse + self.few, 8.0 * self.few)
@@ -474,8 +473,7 @@
         if not self.held:
             return
         most = 9 if self.p.late > self.p.ask.patience / 2 else INF
-        if len(self.held) > 1:
-            self.held.sort(key=lambda t: (-t.gain / (self.by_work or t.scheme.typical()), t.due))
+        self.held.sort(key=lambda t: (-t.gain / (self.by_work or t.scheme.typical()), t.due))
         for txn in self.held:
             if txn.answered:
                 continue
@@ -539,7 +537,7 @@
             p.board.probe(posting.backend, now)
             return p.later(now + p.ask.patience + p.step, self.review, txn, posting, True)
         if ((lost or p.board.silent(posting.backend, now)) and rules.may_post(txn, now, posting)
-                and p.may_repost(now, txn)):
+                and p.stages.may_repost(now, txn)):
             b, odds, takes = p.board.choose(txn, now, [x.backend for x in txn.postings])
             if odds > 0.3 and rules.copies:
                 return self.post(txn, b, now, takes)
@@ -554,7 +552,7 @@
         if now >= txn.ends - 2 * self.p.step:    # the ledger looked while this was out: nobody looks again
             return self.p.ledger.end(txn)
         b, odds, takes = self.p.board.choose(txn, now, [x.backend for x in txn.postings])
-        if odds > 0.1 and self.p.rules.may_post(txn, now) and self.p.may_repost(now, txn):
+        if odds > 0.1 and self.p.rules.may_post(txn, now) and self.p.stages.may_repost(now, txn):
             self.post(txn, b, now, takes)
         elif not txn.maybe():
             self.p.gate.take(txn, now)
@@ -571,7 +569,7 @@
         self.late = 0.0              # by how much timers have run late of late: the host has no time to spare
         self.step = self.term("step")
         self.instances, self.ordinal = int(self.term("instances")), int(self.term("ordinal"))
-        self.stages = []             # of other subsystems (ports.Stage): the host installs those that are set
+        self.stages = Stages()       # of other subsystems (ports.Stage): the host installs those that are set
         self.zone, self.turn = self.term("zone"), self.ordinal * 0.618034 % 1    # spread over the bank
         self.schemes = [Scheme(terms, at) for at in range(int(terms["schemes.count"]))]
         self.quickest = min(s.sla for s in self.schemes)
@@ -585,24 +583,18 @@
     def term(self, name):
         return self.terms[name]
 
-    def barred(self, now, scheme, tenant, repeat):
-        """Before a txn is taken on, as cheap as it gets: the pause with which a stage turns it away, or None."""
-        for stage in self.stages:
-            if (pause := stage.bars(now, self.schemes[scheme], tenant, repeat)) is not None:
-                self.came(now)
-                return pause
-        return None
+    def barred(self, now, scheme, tenant, repeat, waited):
+        """Before a txn is taken on: the pause with which a stage turns it away, or None."""
+        if (pause := self.stages.bars(now, self.schemes[scheme], tenant, repeat, waited)) is not None:
+            self.came(now)
+        return pause
 
     def came(self, now):
-        self.gap += (min(now - self.last, 1000.0) - self.gap) / 100
-        self.last = now
-
-    def may_repost(self, now, txn):
-        return all(stage.may_repost(now, txn) for stage in self.stages)
+        self.gap, self.last = self.gap + (min(now - self.last, 1000.0) - self.gap) / 100, now
 
     def moot(self, token):
         """Whether a timer is for a txn that has been answered: a host need not wake up for it."""
-        _, _, what = self.timers.get(token, (0, None, ()))
+        what = self.timers.get(token, ((),))[-1]
         return bool(what) and what[0].__class__ is Txn and what[0].answered
 
     def rushed(self):
@@ -666,7 +658,7 @@
         if how != ports.LATE and not b.own:
             b.waits_since = None
         if answered or txn.answered:
-            self.ledger.forget(txn)
+            self.ledger.forget(txn, how == ports.SETTLED)
         else:
             self.reposting.back(txn, now)
         self.gate.drain(now)
--- a/sloeferry/facade.py
+++ b/sloeferry/facade.py
@@ -54,17 +54,14 @@
         self.unix = time.time() * 1000 - clock()
         self.proxy = decide.Proxy(self, clock(), seed, terms)
         self.door, self.beats = Door(self.proxy), False
-        self.proxy.stages.append(self.door)
+        self.proxy.stages.all.append(self.door)
 
     # For the network
 
-    def bars(self, scheme, tenant, again):
-        """Asked before anything else is done for a txn: the pause to tell if it is turned away, else None."""
-        return self.proxy.barred(clock(), scheme, tenant, again)
-
-    def rest(self):
-        """For how many ms a connection whose txn was just turned away is not read."""
-        return self.door.rest(clock())
+    def bars(self, scheme, tenant, again, waited=False):
+        """Asked before anything else is done for a txn: the pause to tell if it is turned away, else None.
+        `waited`: it has been at the door for as long as it may."""
+        return self.proxy.barred(clock(), scheme, tenant, again, waited)
 
     def beat(self, now, due):
         """How late this loop runs, measured whatever else is due; it stops once nothing is left to measure."""
--- a/sloeferry/net/clients.py
+++ b/sloeferry/net/clients.py
@@ -9,6 +9,7 @@
 
 from sloeferry import facade as f
 from sloeferry.net import http1
+from sloeferry.net.lobby import Lobby
 from sloeferry.net.log import warn
 
 IDLE, CROWDED = 60.0, 2.0                # seconds between requests; where an eighth of the seats are taken
@@ -38,7 +39,7 @@
         self.wire = http1.Wire(clients.loop, sock, clients.buffers, answers=False, wanted=clients.wanted,
                                glance=self.glance)
         self.errand, self.busy, self.fresh, self.ended, self.barred = None, False, True, False, 0.0
-        self.sending = None
+        self.sending, self.enrolled = None, False
         self.since = monotonic()         # it connected, was answered, or began to ask again
         clients.guests.add(self)
         self.task = self.loop.create_task(self.serve())
@@ -69,6 +70,11 @@
                 return False
             begun = wire.begun
             self.clients.seats.rest(self, self.end)
+            if not begun and self.clients.facade.door.shut() and not self.clients.leaving:
+                await self.clients.lobby.park(self)
+                if wire.whole or wire.fault or wire.begun:       # read there already
+                    self.clients.seats.wake(self)
+                    continue
             came = await wire.fill()
             self.clients.seats.wake(self)        # something came, if not a whole request: not idle
             if came is http1.DISMISSED:
@@ -99,8 +105,9 @@
         self.busy, self.since = False, monotonic()
         return keep
 
-    def glance(self, buffer, n):
-        """Before anything is parsed, while the door may be shut: whether a plain request is turned away here."""
+    def glance(self, buffer, n, last=False):
+        """Before anything is parsed, while the door may be shut: whether a plain request is turned away here,
+        as it is for certain where it has waited for too long (`last`)."""
         clients = self.clients
         if not clients.facade.door.shut() or clients.leaving:
             return False
@@ -117,7 +124,7 @@
         if (scheme is None or tenant is None or not budget.isdigit() or not length.isdigit() or len(length) > 9
                 or head.end() + int(length) != n):
             return False
-        pause = clients.facade.bars(scheme, tenant, said.get(b"x-again") == b"1")
+        pause = clients.facade.bars(scheme, tenant, said.get(b"x-again") == b"1", last)
         if pause is None:
             clients.passed = True        # asked and let in: not asked again once it is parsed
             return False
@@ -125,14 +132,10 @@
         return True
 
     async def dismiss(self, keep=True):
-        """Turned away before it was taken on; then reading waits its turn, if turning away takes too much."""
+        """Turned away before it was taken on."""
         self.fresh = False
         await self.send(http1.answer(503, headers=self.clients.pause_of(self.barred), keep=keep))
         self.busy, self.since = False, monotonic()
-        rest = self.clients.facade.rest() if keep else 0.0
-        if rest > 1.0:
-            await asyncio.sleep(rest / 1000)
-            self.since = monotonic()
         return keep
 
     async def refuse(self, status):
@@ -247,6 +250,8 @@
         if asyncio.current_task() is not self.task:
             self.task.cancel()
         self.clients.guests.discard(self)
+        if self.enrolled:
+            self.clients.lobby.leave(self)
         self.clients.seats.wake(self)
         self.clients.seats.give()
         self.wire.close()
@@ -258,6 +263,7 @@
         self.loop, self.facade, self.seats, self.buffers = loop, facade, seats, buffers
         self.backends, self.discovery, self.guests = backends, discovery, set()
         self.open_ids, self.lingering, self.passed = set(), 0, False
+        self.lobby = Lobby(loop, facade, buffers)
         self.leaving = self.left = False
         self.schemes, self.tenants = ({name.encode("latin-1", "replace"): at for name, at in berth.named(what).items()}
                                       for what in ("schemes", "tenants"))
--- a/sloeferry/net/http1.py
+++ b/sloeferry/net/http1.py
@@ -97,25 +97,31 @@
         buffer = self.buffers.take()
         try:
             n = await self.loop.sock_recv_into(self.sock, buffer)
-            if n:
-                if self.glance and not self.begun and self.glance(buffer, n):
-                    return DISMISSED
-                # Counted as it comes: of a head, a chunk line or trailer without end the parser tells nothing,
-                # it only grows; and 1xx answers may come for ever, each of them whole.
-                self.beside += n
-                self.parser.feed_data(memoryview(buffer)[:n])
-                if self.beside > HEAD:
-                    self.fault = TOO_LARGE
-                return self.fault
-            self.fault = CLOSED          # an answer of no stated length ends so too: a cut, for all we know
+            if n and self.glance and not self.begun and self.glance(buffer, n):
+                return DISMISSED
+            return self.take(buffer, n)
         except OSError:
             self.fault = CLOSED
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.fault = self.fault or MALFORMED
         finally:
             self.buffers.give(buffer)
         return self.fault
 
+    def take(self, buffer, n):
+        """Takes in what has been received; no bytes are an end."""
+        if not n:
+            self.fault = CLOSED          # an answer of no stated length ends so too: a cut, for all we know
+            return self.fault
+        # Counted as it comes: of a head, a chunk line or trailer without end the parser tells nothing,
+        # it only grows; and 1xx answers may come for ever, each of them whole.
+        self.beside += n
+        try:
+            self.parser.feed_data(memoryview(buffer)[:n])
+            if self.beside > HEAD:
+                self.fault = TOO_LARGE
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.fault = self.fault or MALFORMED
+        return self.fault
+
     def close(self):
         """A parser and what it calls hold each other: left to the collector, ended connections pile up."""
         self.parser = None
--- a/sloeferry/overload.py
+++ b/sloeferry/overload.py
@@ -8,7 +8,7 @@
 """
 from math import inf as INF
 
-AIM = 0.6                                # of the quickest SLA time: what a txn may spend here while the bound stands
+AIM = 0.35                               # of the quickest SLA time: what a txn may spend here while the bound stands
 BEAT = 1 / 16                            # of that time: how often the beat is due, and the lateness that is too much
 WINDOW = 1.0                             # of that time: over which the least lateness counts
 STALE = 0.5                              # of that time: a beat so late comes from a stall; what waited is mostly late
@@ -18,8 +18,8 @@
 SHARES = 0.5                             # of the bound: from there on a customer keeps to its fair part
 EASE = 1.25                              # by so much the bound grows in a window without lateness
 RETRIES = 0.2                            # further postings for each first one, while the bound stands
-CHEAP = 1.0                              # txns turned away for each that ends, before reading waits for its turn
-LONGEST = 0.25                           # of the shortest expiry: the most that reading waits
+CHEAP = 4                                # txns turned away for each that is served, before others wait for their turn
+PATIENCE = 0.25                          # of the quickest SLA time: so long a request waits outside for room
 
 
 class Door:
@@ -28,7 +28,7 @@
     def __init__(self, proxy):
         self.p = proxy
         self.sla, self.every = proxy.quickest, max(proxy.step, BEAT * proxy.quickest)
-        self.longest = LONGEST * min(s.expiry for s in proxy.schemes)
+        self.patience = PATIENCE * proxy.quickest
         self.top = max(s.gain for s in proxy.schemes) or 1.0
         self.pauses = proxy.term("limits.retry_after")
         count = int(proxy.term("tenants.count"))
@@ -39,6 +39,7 @@
         self.least, self.since, self.ended, self.barred = INF, 0.0, 0, 0
         self.rate = 0.0                  # txns that end in a ms, as of late
         self.purse, self.reposts, self.excess, self.read = 0.0, 0.0, 0.0, 0.0
+        self.outside, self.spent, self.usual = INF, 0.0, 0.0     # who waits; ms of txns in a window, and of one
 
     # What the host measures
 
@@ -51,16 +52,21 @@
         rate = self.ended / (now - self.since)
         self.rate = rate if rate > self.rate else self.rate + (rate - self.rate) / 4
         self.excess = self.barred / max(1, self.ended)
-        if self.least > self.every and self.least < INF:
-            self.limit = max(LEAST, self.rate * AIM * self.sla)
-        elif self.limit < INF:
+        if self.least == INF:
+            pass
+        elif self.least > self.every:
+            self.limit = max(LEAST, self.rate * max(AIM * self.sla, 1.5 * self.usual))
+        elif self.limit < INF and (self.least < self.every / 4 or not self.outside):
             # Not at once: what was outside would come in together, and the bound swing with it.
-            self.limit = self.limit * EASE if self.limit < 64 * (LEAST + self.rate * self.sla) else INF
+            self.limit = self.limit * EASE if self.limit < 8 * (LEAST + self.rate * self.sla) else INF
+        elif self.limit == INF and self.ended:
+            self.usual += (self.spent / self.ended - self.usual) / 4
         if self.limit < INF:
             whole = sum(self.share[at] for at in self.active) or 1.0
             self.fair = [self.limit * part / whole for part in self.share]
         self.active.clear()
         self.least, self.since, self.ended, self.barred = INF, now, 0, 0
+        self.outside, self.spent = INF, 0.0
 
     # What the chain asks
 
@@ -68,32 +74,40 @@
         """Whether anybody may have to stay outside now."""
         return self.limit < INF or self.stale
 
-    def bars(self, now: float, scheme, tenant: int, repeat: bool) -> float | None:
+    def bars(self, now: float, scheme, tenant: int, repeat: bool, waited: bool) -> float | None:
         """Turns away, before it is taken, a txn that could not be finished in time; the pause to tell, or None."""
-        if self.limit == INF and not self.stale:
+        if self.limit == INF and not self.stale and not waited:
             return None
         self.active.add(tenant)
         room = self.limit * (1 - GAINS + GAINS * scheme.gain / self.top)
         if repeat:                       # further tries of clients must not keep a collapse up
             room *= REPEATS
         # One that floods pays first: past half of the bound each customer has its part of those that come.
-        if not self.stale and self.open < max(LEAST, room) and (
+        if not self.stale and not waited and self.open < max(LEAST, room) and (
                 self.open < SHARES * self.limit or self.by[tenant] < self.fair[tenant]):
             return None
         self.barred += 1
-        self.purse -= 1
         if not self.pauses:
             return 0.0
         return self.sla * min(8.0, 1 + self.excess) * (0.5 + self.p.rng.random())
 
-    def rest(self, now: float) -> float:
-        """For how long a connection just turned away is not read: turning away has its part of the time, too."""
+    def room(self) -> float:
+        """How many more may be taken on now."""
+        return 0 if self.stale else self.limit - self.open
+
+    def may_dismiss(self, now: float) -> bool:
+        """Turning away has its part of the time, too: beyond it those outside wait for their turn."""
         # Refilled by what ends: a txn turned away costs about a tenth of one served.
-        self.purse = min(LEAST * 4, self.purse + (now - self.read) * self.rate * CHEAP)
+        self.purse = min(16 * LEAST, self.purse + (now - self.read) * max(self.rate, 1 / self.sla) * CHEAP)
         self.read = now
-        if self.purse >= 0 or not self.rate:
-            return 0.0
-        return min(self.longest, -self.purse / (self.rate * CHEAP))
+        if self.purse < 1:
+            return False
+        self.purse -= 1
+        return True
+
+    def queued(self, n: int) -> None:
+        """So many wait outside that could not be let in."""
+        self.outside = min(self.outside, n)
 
     def may_repost(self, now: float, txn) -> bool:
         """Further postings have a budget while the bound stands, or they are what holds a collapse up."""
@@ -111,7 +125,12 @@
         self.by[txn.tenant] += 1
         self.reposts = min(self.reposts + RETRIES, 4 * LEAST)
 
-    def over(self, txn) -> None:
+    def over(self, txn, served: bool) -> None:
         self.open -= 1
         self.by[txn.tenant] -= 1
-        self.ended += 1
+        if served:
+            self.ended += 1
+            self.spent += max(0.0, self.p.last - txn.born)
+
+    def behind(self) -> bool:
+        return self.shut()
