--- /dev/null
+++ b/tests/test_overload.py
@@ -0,0 +1,297 @@
+"""What a proxy does when too much comes: the door's decisions, the lobby, and both on loopback."""
+import asyncio
+import socket
+import types
+import unittest
+from math import inf as INF
+from unittest import mock
+
+import uvloop
+from hypothesis import given, settings, strategies as st
+from loguru import logger
+
+from sloeferry import overload
+from sloeferry.net.alarms import Alarms
+from sloeferry.net.buffers import Buffers
+from sloeferry.net.lobby import Lobby
+from sloeferry.records import Txn
+from tests.trace import Harbour, Lines, Printer, answer, compare
+
+TWO = {"tenants.count": 2, "tenants.0.share": 3.0, "tenants.1.share": 1.0, "limits.retry_after": True,
+       "schemes.2.gain": 5.0}
+
+
+def door(**more):
+    """A door in a module of its own; the schemes have an SLA time of 700 ms, the third one the most gain."""
+    host = Printer(**{name.replace(".", "__"): value for name, value in (TWO | more).items()})
+    one = overload.Door(host.proxy)
+    host.proxy.stages.all.append(one)
+    return one, host
+
+
+def pressed(one, now, ended=60):
+    """One window in which all beats are late and so many txns are served."""
+    one.ended = ended
+    for _ in range(20):
+        now += one.every
+        one.beat(now, one.every * 2)
+    return now
+
+
+class Doors(unittest.TestCase):
+    def test_bound(self):
+        """The bound comes with a window of late beats alone, follows what is served, and goes step by step."""
+        one, host = door()
+        out, now = Lines(), 0.0
+
+        def say(what):
+            out.lines.append(f"{what}: bound {one.limit:.1f}, {one.rate * 1000:.0f} a second")
+        one.ended = 60
+        for at in range(20):
+            now += one.every
+            one.beat(now, one.every * (2 if at else 0))
+        say("one beat in time")
+        now = pressed(one, now)
+        say("all late")
+        now = pressed(one, now, 20)
+        say("less served")
+        for _ in range(12):
+            one.queued(0)
+            for _ in range(17):
+                now += one.every
+                one.beat(now, 0.0)
+            say("beats in time")
+        one.beat(now + 400, 400.0)
+        out.lines.append(f"after a stall: shut {one.shut()}")
+        one.beat(now + 450, 1.0)
+        out.lines.append(f"a beat later: shut {one.shut()}")
+        compare(self, out, "door_bound")
+
+    def test_who_stays_outside(self):
+        """Past half of the bound customers keep to their parts; repeats have less room, the best gain more."""
+        one, host = door()
+        out, now = Lines(), pressed(one, 0.0)
+        one.active = {0, 1}
+        now = pressed(one, now)
+        schemes = host.proxy.schemes
+        ref = 0
+        for tenant in (1, 0):
+            taken = 0
+            while one.bars(now, schemes[0], tenant, False, False) is None:
+                ref, taken = ref + 1, taken + 1
+                host.proxy.take(now, ref, 0, tenant, 0, 900.0, None, False)
+            out.lines.append(f"bound {one.limit:.0f}: customer {tenant} gets {taken}, open {one.open}")
+        for name, scheme, repeat in (("usual", 0, False), ("best gain", 2, False), ("best gain again", 2, True)):
+            out.lines.append(f"{name}: {'outside' if one.bars(now, schemes[scheme], 0, repeat, False) else 'in'}")
+        compare(self, out, "door_outside")
+
+    def test_reposts(self):
+        """Further postings have a budget while the bound stands, and none without it."""
+        one, host = door()
+        self.assertTrue(all(one.may_repost(0.0, None) for _ in range(100)))
+        now = pressed(one, 0.0)
+        for ref in range(20):
+            host.proxy.take(now, ref, 0, 0, 0, 900.0, None, False)
+        self.assertEqual(sum(one.may_repost(now, None) for _ in range(100)), int(20 * overload.RETRIES))
+
+    def test_nothing_learned_while_behind(self):
+        """How long things take while this proxy is behind says nothing of its backends."""
+        one, host = door()
+        host.list(("a",))
+        for behind in (False, True):
+            one.limit = 50.0 if behind else INF
+            before = host.proxy.board.spread.count
+            host.take(int(behind))
+            host.end(int(behind), 0, 0, 0, took=600.0)
+            self.assertEqual(host.proxy.board.spread.count > before, not behind)
+
+    @settings(max_examples=150, deadline=None)
+    @given(st.lists(st.tuples(st.sampled_from("beat take over ask stall".split()), st.integers(0, 2),
+                              st.integers(0, 1), st.floats(0, 200)), max_size=120))
+    def test_properties(self, steps):
+        """Counts never go wrong; without a bound nobody is outside; the better gain is never outside alone."""
+        one, host = door()
+        now, out, schemes = 0.0, [], host.proxy.schemes
+        for what, scheme, tenant, figure in steps:
+            now += one.every / 2
+            if what == "beat":
+                one.beat(now, figure)
+            elif what == "stall":
+                one.beat(now, 10 * figure)
+            elif what == "over" and out:
+                one.over(out.pop(), bool(scheme))
+            elif what == "take":
+                out.append(Txn(len(out), schemes[scheme], now, 900.0, tenant))
+                one.taken(now, out[-1])
+            said = [one.bars(now, s, tenant, False, False) for s in schemes]
+            if not one.shut():
+                self.assertEqual(said, [None] * 3)
+            self.assertTrue(all(pause is None or pause >= 0 for pause in said))
+            if said[2] is not None:
+                self.assertIsNotNone(said[0])
+            self.assertEqual((one.open, sum(one.by)), (len(out), len(out)))
+            self.assertGreaterEqual(one.limit, overload.LEAST)
+            if one.open < overload.LEAST and one.by[tenant] == 0 and not one.stale:
+                self.assertIsNone(said[2])
+
+
+class Alarming(unittest.TestCase):
+    def test_alarms(self):
+        """One timer for all: what was called off never rings, the others do in the order of their times."""
+        now, timers, rung = [0.0], [], []
+
+        def call_at(at, do):
+            timers.append([at, do])
+            return types.SimpleNamespace(cancel=lambda entry=timers[-1]: entry in timers and timers.remove(entry))
+        loop = types.SimpleNamespace(time=lambda: now[0], call_at=call_at)
+        alarms = Alarms(loop)
+
+        def task(name):
+            return types.SimpleNamespace(cancel=lambda: rung.append((name, round(now[0], 3))))
+        kept = [alarms.set(at, task(at)) for at in (0.5, 0.1, 0.3, 0.2, 0.9)]
+        kept[2].off()
+        kept[4].off()
+        while timers:
+            self.assertEqual(len(timers), 1)
+            now[0], do = timers.pop()
+            do()
+        self.assertEqual([name for name, _ in rung], [0.1, 0.2, 0.5])
+        self.assertEqual([alarm.rang for alarm in kept], [True, True, False, True, False])
+
+
+class Lobbies(unittest.TestCase):
+    def test_newest_first(self):
+        """Those with a request go on, the newest first, as far as there is room; what has waited for too long is
+        turned away, each with one read and one write; what is not plain goes on and is read as ever."""
+        calls, out = [], Lines()
+
+        class Guest:
+            def __init__(self, name, clients):
+                self.name, self.clients, self.enrolled, self.since, self.fresh, self.barred = (
+                    name, clients, False, 0.0, True, 5.0)
+                self.ours, self.theirs = socket.socketpair()
+                self.ours.setblocking(False)
+                self.sock = types.SimpleNamespace(
+                    fileno=self.ours.fileno, recv_into=lambda b: calls.append("read") or self.ours.recv_into(b),
+                    send=lambda data: calls.append("write") or self.ours.send(data))
+                self.wire = types.SimpleNamespace(take=lambda buffer, n: calls.append(f"{name} is parsed"))
+
+            def glance(self, buffer, n, last):
+                return last and bytes(buffer[:n]).startswith(b"plain")
+
+        async def story():
+            loop, room, open_ = asyncio.get_running_loop(), [0], [False]
+            gate = types.SimpleNamespace(shut=lambda: not open_[0], room=lambda: room[0], patience=0.0,
+                                         may_dismiss=lambda now: True, queued=lambda n: None)
+            lobby = Lobby(loop, types.SimpleNamespace(door=gate), Buffers())
+            clients = types.SimpleNamespace(pause_of=lambda ms: [(b"Retry-After", b"%d" % ms)])
+            guests = [Guest(name, clients) for name in "abcdef"]
+            gates = {guest.name: lobby.park(guest) for guest in guests}
+            lobby.timer.cancel()
+
+            def look(what):
+                lobby.look()
+                if lobby.timer:
+                    lobby.timer.cancel()
+                on = "".join(sorted(name for name, one in gates.items() if one.done()))
+                out.lines.append(f"{what}: gone on {on or '-'}; {', '.join(calls) or 'no call'}")
+                calls.clear()
+            gate.patience = 1e9
+            for guest in guests[:3]:
+                guest.theirs.send(b"plain")
+                look(f"{guest.name} asks, no room")
+            room[0] = 1
+            look("room for one")
+            room[0], gate.patience = 0, -1.0
+            look("the others have waited for too long")
+            out.lines.append(f"b has {guests[1].theirs.recv(99)!r}")
+            guests[3].theirs.send(b"odd")
+            look("d asks for something odd")
+            lobby.leave(guests[4])
+            guests[1].theirs.send(b"plain")
+            look("e has gone, b asks again")
+            open_[0] = True
+            look("the door is open")
+            for guest in guests:
+                guest.ours.close()
+                guest.theirs.close()
+            lobby.epoll.close()
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(story())
+        compare(self, out, "lobby")
+
+
+class Shut(unittest.TestCase):
+    def test_on_loopback(self):
+        """With the door shut: plain requests and such with bodies in pieces are declined with word when to come
+        back, unparsed ones too; what is no good request still gets its 4xx; /ready is answered; open again, all
+        is served on the connections that were kept."""
+        logger.remove()
+        harbour = Harbour({"b": answer()}, retry_after=True)
+        head = ("POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: c1\r\nX-Call-Class: once\r\nX-Caller: acme\r\n"
+                "X-Budget-Ms: 3000\r\n")
+
+        async def story(h):
+            with mock.patch.object(overload.Door, "beat"), mock.patch.object(
+                    overload.Door, "shut", lambda self: True), mock.patch.object(overload.Door, "room", lambda self: 1):
+                stay = mock.patch.object(overload.Door, "bars", lambda *_: 250.0)
+                kept = await h.open()
+                stay.start()
+                await h.call("safe", connection=kept)
+                await h.call("once", "a body", kept)
+                pieces = await h.open()
+                pieces[1].write((head + "Content-Length: 6\r\n\r\nin ").encode())
+                await asyncio.sleep(0.02)
+                await h.ask("two", pieces)
+                await h.ask(head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
+                await h.ask(head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab")
+                await h.call("safe", X_Call_Class="unheard")
+                await h.ask("GET /ready HTTP/1.1\r\n\r\n")
+                stay.stop()
+                h.say("-- let in")
+                await h.call("once", "a body", kept)
+            h.say("-- open")
+            await h.call("safe", connection=kept)
+            await h.call("once", "a body", pieces)
+
+        async def day():
+            async with harbour:
+                await story(harbour)
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(asyncio.wait_for(day(), 60))
+        compare(self, harbour, "door_shut")
+
+    def test_orders_while_out(self):
+        """Whatever is ordered while a posting is out with its client's own task is carried out all the same: a
+        second posting where the first is silent; a client that leaves; and each txn is answered once."""
+        logger.remove()
+        asked = []
+
+        async def story(h):
+            for at in range(4):          # so that it knows how long answers take
+                await h.call("safe")
+            h.say("-- the next is met by silence")
+            asked.append(True)
+            await h.call("safe")
+            h.say(f"answered, {len(h.proxy_tasks())} postings left out")
+
+        def script(n):
+            if asked:
+                asked.clear()
+                return None
+            return answer()
+        harbour = Harbour({"b": script, "c": script}, second_copies=True, probing=True, expiry=3000)
+        harbour.proxy_tasks = lambda: [t for t in asyncio.all_tasks() if "exchange" in repr(t.get_coro())]
+
+        async def day():
+            async with harbour:
+                await story(harbour)
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(asyncio.wait_for(day(), 60))
+        got = [line for line in harbour.lines if line.startswith("client gets")]
+        self.assertEqual(len(got), 5)
+        self.assertTrue(got[-1] in ("client gets: 200 done", "client gets: 503 ", "client gets: 504 "), got)
+
+
+if __name__ == "__main__":
+    unittest.main()
