--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -79,7 +79,7 @@
             taken = 0
             while one.bars(now, schemes[0], tenant, False, False) is None:
                 ref, taken = ref + 1, taken + 1
-                host.proxy.take(now, ref, 0, tenant, 0, 900.0, None, False)
+                one.taken(now, Txn(ref, schemes[0], now, 900.0, tenant))
             out.lines.append(f"bound {one.limit:.0f}: customer {tenant} gets {taken}, open {one.open}")
         for name, scheme, repeat in (("usual", 0, False), ("best gain", 2, False), ("best gain again", 2, True)):
             out.lines.append(f"{name}: {'outside' if one.bars(now, schemes[scheme], 0, repeat, False) else 'in'}")
