--- a/sloeferry/facade.py
+++ b/sloeferry/facade.py
@@ -31,7 +31,8 @@
 class Errand:
     """One txn, or one of the standing errands: where its orders wait."""
 
-    def __init__(self, ref=0, ends=0.0):
+    def __init__(self, ref=0, ends=0.0, began=0.0):
+        self.began = began
         self.ref, self.ends, self.orders, self.over, self.out, self.sent = ref, ends, deque(), False, 0, 0
         self.waiter = self.relief = None
 
@@ -81,7 +82,7 @@
         self.refs += 1
         if not self.beats:
             self.start_beat(now)
-        errand = self.errands[self.refs] = Errand(self.refs, now + left)
+        errand = self.errands[self.refs] = Errand(self.refs, now + left, now)
         try:
             self.proxy.take(now, errand.ref, scheme, tenant, 0, left, None, again)
         except Exception:
--- a/sloeferry/net/backends.py
+++ b/sloeferry/net/backends.py
@@ -13,6 +13,9 @@
 from sloeferry.net.log import warn
 
 
+LOADS = 512                              # load reports that are kept read
+
+
 class Ended(NamedTuple):
     """How a posting ended: how far it came, why it ended there, and the answer if one came whole."""
     reached: int
@@ -55,6 +58,7 @@
     def __init__(self, loop, facade, terms, seats, buffers, most=http1.BODY):
         self.loop, self.facade, self.seats, self.buffers = loop, facade, seats, buffers
         self.addresses, self.idle, self.tasks, self.alarms = {}, {}, set(), Alarms(loop)
+        self.loads = {}                  # load reports as they came, read
         self.most, self.dial_time = max(most, http1.BODY), terms["limits.dial_timeout"]
         self.idle_limit = terms["limits.conn_idle"] / 1000 * 0.8
         # In seconds: what has begun goes on within a quarter of the shortest SLA time, or it is given up.
@@ -214,10 +218,15 @@
         """A load report's figures in the order of the settings; none if it is not what it should be."""
         if not text or not self.fields:
             return ()
+        if (load := self.loads.get(text)) is not None:
+            return load                  # few figures in a report: most have been read before
         try:
             said = json.loads(text)
             load = [float(said[name]) for name in self.fields]
             if all(math.isfinite(figure) for figure in load):
+                if len(self.loads) >= LOADS:
+                    self.loads.clear()
+                self.loads[text] = load
                 return load
         except (ValueError, TypeError, KeyError, RecursionError):
             pass
--- a/sloeferry/net/clients.py
+++ b/sloeferry/net/clients.py
@@ -369,7 +369,8 @@
             await asyncio.sleep(LOOK)
             now = f.clock()
             for guest in list(self.guests):
-                if guest.errand and not guest.errand.over:
+                # Most are answered before the first look: a look at a socket costs as much as a small read.
+                if guest.errand and not guest.errand.over and now > guest.errand.began + 1000 * LOOK:
                     if now > guest.errand.ends + OVERDUE:
                         warn("txn", "no answer decided in time")
                         self.facade.report_left(guest.errand)
--- a/sloeferry/net/http1.py
+++ b/sloeferry/net/http1.py
@@ -16,6 +16,8 @@
 
 class Message:
     """A request or an answer."""
+    __slots__ = ("url", "headers", "named", "parts", "size", "asks", "barred", "method", "status", "keep",
+                 "expects", "at")
 
     def __init__(self):
         self.url, self.headers, self.named, self.parts, self.size, self.asks = b"", [], {}, [], 0, None
