A probe is unanswered only past this host's own lateness; home backends are looked at first

Probes count as unanswered after four steps; a loop late by more reads answers late, and idle backends rested for it.

--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -146,7 +146,7 @@
     def __init__(self, proxy, now):
         self.p, self.home, self.all, self.order = proxy, proxy.zone, {}, []
         self.open, self.mine, self.known = [], [], {}     # listed as ready; used here; with news of late
-        self.turning = False         # probes go round
+        self.turning, self.third = False, 0       # probes go round; which of three ends teaches in a rush
         fields = proxy.term("load_info.fields").split(",")
         self.field = fields.index("inflight") if "inflight" in fields else None
         self.by_probe = proxy.term("load_info.via") == "probe"
@@ -238,7 +238,8 @@
         """A probe is unanswered or, where they are dear, nothing was heard for longer than answers take."""
         # A proxy with a txn a second hears of a backend by its own long txn alone: that is no silence.
         if self.probing and not self.by_probe:
-            return bool(b.probes_out) and now - b.probes_out[0] > self.p.ask.patience
+            # A host that runs late reads answers late: that is no silence either.
+            return bool(b.probes_out) and now - b.probes_out[0] > max(self.p.ask.patience, 4 * self.p.late)
         return b.waits_since is not None and now - b.waits_since > self.longest
 
     # The estimate
@@ -263,7 +264,8 @@
             some = self.p.rng.sample(listed, min(len(listed), 3 * self.p.ask.AT_ONCE))
             news = [b for b in known.values() if b.standing == ports.READY and b.ident not in sick and listed]
             self.fit, self.mine = news + [b for b in some if b.ident not in known], listed
-        self.turnover = min(s.typical() for s in self.p.schemes)
+        self.near, self.away = ([b for b in self.fit if (b.zone == self.home) == at] for at in (True, False))
+        self.turnover = min([s.typical() for s in self.p.schemes])
         # Late news counts less here too: else a few old bad reports keep idle backends from being asked.
         fresh = [(0.5 ** ((now - b.heard) / self.turnover), b.others, b.zone == self.p.zone)
                  for b in self.fit if now - b.heard <= self.age_limit]
@@ -279,10 +281,8 @@
         # In a rush what a late start taught would keep all from being sent, and so from better news.
         below, stretch, rush = 0.0, self.stretch, self.p.rushed() and self.p.ask.few
         for at, seen in enumerate(self.curve):
-            guess = learned = below * (LEVELS[at] + 1) / (LEVELS[at - 1] + 1) if at else 1.0
-            if seen.count >= 3:
-                learned = seen.at(0.5)
-                learned = below if below > learned else learned
+            guess = below * (LEVELS[at] + 1) / (LEVELS[at - 1] + 1) if at else 1.0
+            learned = max(seen.at(0.5), below) if seen.count >= 3 else guess
             below = stretch[at] = guess if rush and at and guess < learned else learned
 
     def figure(self, b, now):
@@ -291,11 +291,9 @@
         A report's word on others fades, by half in the time a posting takes, into the mean of fresh ones,
         and is void past the age limit.  Else all proxies flock to whichever backend looked empty last.
         """
-        own, age, mean = b.own, now - b.heard, self.mean[b.zone == self.home]
-        if b.ghosts:
-            while b.ghosts and b.ghosts[0] <= now:
-                b.ghosts.pop(0)
-            own += len(b.ghosts)
+        while b.ghosts and b.ghosts[0] <= now:
+            b.ghosts.pop(0)
+        own, age, mean = b.own + len(b.ghosts), now - b.heard, self.mean[b.zone == self.home]
         if age > self.age_limit:
             return own + mean
         return own + mean + (b.others - mean) * 0.5 ** (age / self.turnover)
@@ -321,30 +319,32 @@
         """The lowest estimate wins, ties at random; another zone only where the gain beats the tariff.
         Returns the backend, the odds that it answers within the SLA time, and how long is expected."""
         rules, work, crowd, aside = self.p.rules, txn.scheme.typical(), self.CROWD * txn.scheme.sla, None
-        best, home, free, stretch, cold = {}, self.home, not txn.postings, self.stretch, now - rules.cold
-        for b in self.usable(now):
-            if not free and (b in leave_out or not rules.drops_repeats(txn, b)):
-                continue
-            figure, pace = self.figure(b, now), self.pace(b, now)
-            takes = work * pace * stretch[bisect(BOUNDS, figure)]
-            if takes > crowd and takes > 1.5 * work * pace * stretch[0]:
-                takes = INF          # crowded: no odds; out of the race where others were just asked
-                if aside is None:
-                    aside = self.p.ask.few and not self.stuck()
-                if aside:
+        free, stretch, cold, found = not txn.postings, self.stretch, now - rules.cold, (None, 0.0, 0.0)
+        self.usable(now)
+        for backends in (self.near, self.away):
+            # Where not even certainty there would pay for the crossing, the others need no look.
+            if found[0] is not None and (1 - found[1]) * txn.gain <= self.cross * self.p.mean_gain:
+                break
+            least, ties = INF, []
+            for b in backends:
+                if not free and (b in leave_out or not rules.drops_repeats(txn, b)):
                     continue
-            if b.launched > cold and not rules.cold_room(b, now, work):  # few are cold, and a call costs time
-                continue
-            weight = (figure + 1) * pace - 1 if pace > 1.6 else figure   # as `weight` says
-            least = best.get(b.zone == home)
-            if least is None or weight < least[0]:
-                best[b.zone == home] = (weight, [(b, takes)])
-            elif weight == least[0]:
-                least[1].append((b, takes))
-        found = (None, 0.0, 0.0)
-        for here in (True, False):
-            if here in best:
-                b, takes = self.p.rng.choice(best[here][1])
+                figure, pace = self.figure(b, now), self.pace(b, now)
+                takes = work * pace * stretch[bisect(BOUNDS, figure)]
+                if takes > crowd and takes > 1.5 * work * pace * stretch[0]:
+                    takes = INF      # crowded: no odds; out of the race where others were just asked
+                    aside = self.p.ask.few and not self.stuck() if aside is None else aside
+                    if aside:
+                        continue
+                if b.launched > cold and not rules.cold_room(b, now, work):  # few are cold: a call costs time
+                    continue
+                weight = (figure + 1) * pace - 1 if pace > 1.6 else figure       # as `weight` says
+                if weight < least:
+                    least, ties = weight, [(b, takes)]
+                elif weight == least:
+                    ties.append((b, takes))
+            if ties:
+                b, takes = self.p.rng.choice(ties)
                 odds = self.spread.under((txn.due - now) / takes)
                 if found[0] is None or (odds - found[1]) * txn.gain > self.cross * self.p.mean_gain:
                     found = (b, odds, takes)
@@ -352,7 +352,8 @@
 
     def learn(self, txn, posting, took, now):
         """What a settled (or given up) posting tells of its scheme, its backend and the fleet."""
-        if self.p.stages.behind():       # times are this proxy's own then: idle backends would look crowded
+        self.third = (self.third + 1) % 3        # in a rush a third teaches as much
+        if self.third and self.p.rushed() or self.p.stages.behind():     # behind: times are its own
             return
         typical, level = txn.scheme.typical(), bisect(BOUNDS, posting.figure)
         if level == 0:
