Rule 1 in the lobby: what waits for 0.4 of the shortest expiry is declined whatever it costs

At four times saturation 46 txns a second found no answer before their callers' patience: the budget for declines had no end. The look at the lobby goes on whatever fails in it; bad configuration exits with 2.

--- a/sloeferry/__main__.py
+++ b/sloeferry/__main__.py
@@ -97,7 +97,8 @@
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(serve(terms.read(os.environ)))
     except terms.Fault as fault:
-        sys.exit(f"sloeferry: {fault}")
+        print(f"sloeferry: {fault}", file=sys.stderr)
+        sys.exit(2)
 
 
 if __name__ == "__main__":
--- a/sloeferry/net/lobby.py
+++ b/sloeferry/net/lobby.py
@@ -48,7 +48,14 @@
 
     def look(self):
         """Who has a request, who may go on, who is turned away."""
-        self.timer, now, door = None, monotonic(), self.facade.door
+        self.timer = None
+        try:
+            self.deal(monotonic(), self.facade.door)
+        finally:                         # whatever fails, nobody waits here for ever
+            if self.parked and self.timer is None:
+                self.timer = self.loop.call_later(EVERY, self.look)
+
+    def deal(self, now, door):
         for fd, _ in self.epoll.poll(0, LATEST):
             if fd in self.parked:
                 self.waiting.append((now, fd))
@@ -57,13 +64,12 @@
         waiting, longest, room = self.waiting, door.patience / 1000, door.room()
         while waiting and room > 0:      # counted down here: those let in are taken on only once they are read
             room -= self.go(waiting.pop()[1])
-        while waiting and (waiting[0][0] < now - longest or waiting[0][1] not in self.parked):
-            if not door.may_dismiss(now * 1000):
+        while waiting and waiting[0][0] < now - longest:
+            # Rule 1: whatever turning away may cost, nobody is left without an answer until expiry.
+            if not door.may_dismiss(now * 1000) and waiting[0][0] > now - door.longest / 1000:
                 break
             self.dismiss(waiting.popleft()[1])
         door.queued(len(waiting))
-        if self.parked:
-            self.timer = self.loop.call_later(EVERY, self.look)
 
     def open(self):
         """Nobody need wait any more."""
--- a/sloeferry/overload.py
+++ b/sloeferry/overload.py
@@ -12,6 +12,7 @@
 BEAT = 1 / 16                            # of that time: how often the beat is due, and the lateness that is too much
 WINDOW = 1.0                             # of that time: over which the least lateness counts
 STALE = 0.5                              # of that time: a beat so late comes from a stall; what waited is mostly late
+LONGEST = 0.4                            # of the shortest expiry: then it is turned away, whatever that costs
 LEAST = 4                                # txns open at once that are never too many
 GAINS = 0.2                              # of the bound: kept for what has the best gain
 REPEATS = 0.7                            # of the bound: where a client's own further try has none left
@@ -29,6 +30,7 @@
         self.p = proxy
         self.sla, self.every = proxy.quickest, max(proxy.step, BEAT * proxy.quickest)
         self.patience = PATIENCE * proxy.quickest
+        self.longest = LONGEST * min(s.expiry for s in proxy.schemes)
         self.top = max(s.gain for s in proxy.schemes) or 1.0
         self.pauses = proxy.term("limits.retry_after")
         count = int(proxy.term("tenants.count"))
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -180,9 +180,9 @@
                 return last and bytes(buffer[:n]).startswith(b"plain")
 
         async def story():
-            loop, room, open_ = asyncio.get_running_loop(), [0], [False]
-            gate = types.SimpleNamespace(shut=lambda: not open_[0], room=lambda: room[0], patience=0.0,
-                                         may_dismiss=lambda now: True, queued=lambda n: None)
+            loop, room, open_, budget = asyncio.get_running_loop(), [0], [False], [True]
+            gate = types.SimpleNamespace(shut=lambda: not open_[0], room=lambda: room[0], patience=0.0, longest=1e9,
+                                         may_dismiss=lambda now: budget[0], queued=lambda n: None)
             lobby = Lobby(loop, types.SimpleNamespace(door=gate), Buffers())
             clients = types.SimpleNamespace(pause_of=lambda ms: [(b"Retry-After", b"%d" % ms)])
             guests = [Guest(name, clients) for name in "abcdef"]
@@ -210,6 +210,11 @@
             lobby.leave(guests[4])
             guests[1].theirs.send(b"plain")
             look("e has gone, b asks again")
+            budget[0] = False
+            guests[0].theirs.send(b"plain")
+            look("a asks again, nothing left to turn it away with")
+            gate.longest = -1.0
+            look("its time is nearly over")
             open_[0] = True
             look("the door is open")
             for guest in guests:
