--- a/sloeferry/load/tally.py
+++ b/sloeferry/load/tally.py
@@ -67,9 +67,12 @@
                 "gain": self.worth[0] / self.worth[1] if self.worth[1] else 0.0, **self.more}
 
     def recovered(self, since: float, bar: float = 0.9) -> float | None:
-        """Seconds after `since` until the share in time is over the bar and stays there; None: never."""
+        """Seconds after `since` until the share in time of what deserves an answer is over the bar and stays there;
+        None: never."""
+        def wanted(at):                  # a head that no proxy takes is refused, as it should be
+            return self.offered(at, at + 1) - self.total(REFUSED, at, at + 1)
         seconds = sorted(at for at in self.by_second if at >= since)
-        bad = [at for at in seconds if self.total(INTIME, at, at + 1) < bar * self.offered(at, at + 1)]
+        bad = [at for at in seconds if self.total(INTIME, at, at + 1) < bar * wanted(at)]
         if bad and bad[-1] == seconds[-1]:
             return None
         return bad[-1] + 1 - since if bad else 0.0
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -60,6 +60,7 @@
         tally = t.Tally()
         for at, good in enumerate((1, 1, 0, 0, 1, 1)):
             tally.count(at, t.INTIME if good else t.LATE)
+            tally.count(at, t.REFUSED)
         self.assertEqual(tally.recovered(2.0), 2.0)
         self.assertEqual(tally.recovered(4.0), 0.0)
         tally.count(6, t.LOST)
