--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -236,9 +236,8 @@
 
     def silent(self, b, now):
         """A probe is unanswered or, where they are dear, nothing was heard for longer than answers take."""
-        # A proxy with a txn a second hears of a backend by its own long txn alone: that is no silence.
+        # No silence: a proxy with a txn a second hears by its own long txn alone; a late host reads late.
         if self.probing and not self.by_probe:
-            # A host that runs late reads answers late: that is no silence either.
             return bool(b.probes_out) and now - b.probes_out[0] > max(self.p.ask.patience, 4 * self.p.late)
         return b.waits_since is not None and now - b.waits_since > self.longest
 
@@ -338,7 +337,7 @@
                         continue
                 if b.launched > cold and not rules.cold_room(b, now, work):  # few are cold: a call costs time
                     continue
-                weight = (figure + 1) * pace - 1 if pace > 1.6 else figure       # as `weight` says
+                weight = self.weight(figure, pace)
                 if weight < least:
                     least, ties = weight, [(b, takes)]
                 elif weight == least:
--- a/sloeferry/load/daemons.py
+++ b/sloeferry/load/daemons.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -22,7 +23,6 @@
 
 def free_ports(host, n):
     """Ports of a loopback address that nobody holds now."""
-    import socket
     socks = [socket.socket() for _ in range(n)]
     try:
         for sock in socks:
@@ -85,7 +85,6 @@
         self.address, self.every, self.over, self.seen = address, every, threading.Event(), []
 
     def run(self):
-        import socket
         while not self.over.is_set():
             try:
                 with socket.create_connection(self.address, 2) as sock:
@@ -138,7 +137,6 @@
         self.throttle, self.lag = Throttle(self.process.pid, cores), Lag(address)
 
     def ready(self):
-        import socket
         until = monotonic() + PATIENCE
         while monotonic() < until and self.process.poll() is None:
             try:
--- a/sloeferry/load/play.py
+++ b/sloeferry/load/play.py
@@ -5,7 +5,7 @@
 import signal
 import subprocess
 import sys
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from time import monotonic, sleep
 
 from sloeferry.load.daemons import Daemon, free_ports, workshop
@@ -36,7 +36,6 @@
     stalls: tuple[tuple[float, float], ...] = ()                 # at this second they stand still for so long
     restart: float | None = None                                 # at this second they are killed and started anew
     keep_logs: str | None = None
-    extra: dict = field(default_factory=dict)
 
 
 def root():
@@ -74,7 +73,7 @@
         discovery = f"{HOST}:{ports[rig.backends]}"
         addresses = [(HOST, port) for port in ports[rig.backends + 1:]]
         begin = monotonic() + 1.5 + LEAD
-        standins, daemons, workers, helpers = None, [], [], []
+        standins, daemons, workers = None, [], []
         try:
             if rig.target:
                 host, _, port = rig.target.rpartition(":")
