Few requests a proxy: one report no longer speaks for all, and its part is sent blind

Cause: on the large fleet 30 to 50 in 100 txns were declined early while backends stood half idle. A summary line a second and proxy showed why: nothing out, nothing refused by backends, purse 0 (a probe costs 0.08, so nobody is asked), and the mean at 1.9 or 4.0 for two seconds on end. With a txn every 45 ms and a half-life of 30 ms the mean is the last report alone (Board.usable); at 1.9 the stretch of a full queue makes all backends crowded (Board.choose), nothing is sent, and nothing newer comes until the report is void at 2 s. Ruled out: the door (bound never stood), this proxy's own lateness (0.7 ms), discovery, cold rooms, sick backends. Change: the mean halves its reports in four of the proxy's own gaps where those are longer; and the exception that sends a few whatever the odds, which held in a rush alone, holds where nobody can be asked, bounded by the proxy's part of one txn a backend.

--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -87,8 +87,7 @@
             return None
         posting = Posting(b, now, self.p.board.figure(b, now), expected)
         txn.postings.append(posting)
-        b.own, self.p.board.known[b.ident] = b.own + 1, b
-        b.waits_since = b.waits_since or now
+        b.own, b.waits_since, self.p.board.known[b.ident] = b.own + 1, b.waits_since or now, b
         if self.warmth(b, now) < 1.0:
             b.sent.append((now, work))
         self.p.host.post(txn.ref, b.ident, 0.0)
@@ -152,14 +151,13 @@
         self.by_probe = proxy.term("load_info.via") == "probe"
         self.age_limit, self.probe_every = 2000.0, 1000.0      # the design's own figures
         self.tariff, self.cross = proxy.term("tariffs.probe"), proxy.term("tariffs.cross_zone")
-        self.probing = proxy.term("limits.probing")
         self.curve = [Histogram(1.0, 60) for _ in LEVELS]      # how a posting stretches with the figure
         self.stretch = [1.0 + f for f in LEVELS]
         self.fit, self.ready, self.width, self.mean, self.turnover = [], 0, 0, [0.0, 0.0], 1.0
         self.looked, self.fresh_for = -INF, 4 * proxy.step
         self.spread = Histogram(1.0, 400, [0.5, 0.7, 1.0, 1.4, 2.0])
         self.smooth()
-        self.links = proxy.term("tariffs.connection") * proxy.instances / 100
+        self.links, self.probing = proxy.term("tariffs.connection") * proxy.instances / 100, proxy.term("limits.probing")
 
     def few(self, backends):
         """Where open connections have a price: this proxy's share of the backends, at home and away."""
@@ -256,8 +254,8 @@
             sick = ()
         self.ready = self.width = len(listed)
         if self.links:
-            self.fit = self.few([b for b in listed if b.ident not in sick])
-            self.width, self.mine = len(self.fit), [b for b in self.few(listed) if b.ident in sick] + self.fit
+            self.fit, fewest = self.few([b for b in listed if b.ident not in sick]), self.few(listed)
+            self.width, self.mine = len(self.fit), [b for b in fewest if b.ident in sick] + self.fit
         else:
             # Those without news are all alike: a few at random stand for them, or a pick costs a whole fleet.
             some = self.p.rng.sample(listed, min(len(listed), 3 * self.p.ask.AT_ONCE))
@@ -265,8 +263,9 @@
             self.fit, self.mine = news + [b for b in some if b.ident not in known], listed
         self.near, self.away = ([b for b in self.fit if (b.zone == self.home) == at] for at in (True, False))
         self.turnover = min([s.typical() for s in self.p.schemes])
-        # Late news counts less here too: else a few old bad reports keep idle backends from being asked.
-        fresh = [(0.5 ** ((now - b.heard) / self.turnover), b.others, b.zone == self.p.zone)
+        # Late news counts less here too, yet one report alone must not speak for all that are unknown.
+        span = max(self.turnover, 4 * self.p.gap)
+        fresh = [(0.5 ** ((now - b.heard) / span), b.others, b.zone == self.p.zone)
                  for b in self.fit if now - b.heard <= self.age_limit]
         for here in (False, True):
             # Where a crossing is dear zones are loaded apart: a full home must not make the others look full.
@@ -309,8 +308,8 @@
         return (figure + 1) * pace - 1 if pace > 1.6 else figure
 
     def stuck(self):
-        """In a rush hardly anything is out: beliefs keep all back, and only what is sent can mend them."""
-        return self.p.rushed() and sum(b.own for b in self.fit) < max(1, self.ready / 4)
+        """Less is out than this proxy's part of one a backend: only what is sent mends its beliefs."""
+        return sum(b.own for b in self.fit) < max(1, self.ready / self.p.instances)
 
     CROWD = 0.55                     # of the SLA time: a queue that takes longer only overdrives its backend
 
@@ -332,8 +331,8 @@
                 takes = work * pace * stretch[bisect(BOUNDS, figure)]
                 if takes > crowd and takes > 1.5 * work * pace * stretch[0]:
                     takes = INF      # crowded: no odds; out of the race where others were just asked
-                    aside = self.p.ask.few and not self.stuck() if aside is None else aside
-                    if aside:
+                    aside = not (self.p.rushed() and self.stuck()) if aside is None else aside
+                    if aside and self.p.ask.few:
                         continue
                 if b.launched > cold and not rules.cold_room(b, now, work):  # few are cold: a call costs time
                     continue
@@ -485,7 +484,8 @@
             b, odds, takes = board.choose(txn, now) if look else (None, 0.0, 0.0)
             pace = txn.scheme.typical() * board.stretch[0] * (board.pace(b, now) if b else 1.0)
             bar = self.NEAR * board.spread.under(txn.scheme.sla / pace)
-            if b is not None and (odds >= bar and odds > 0.05 or board.stuck()):
+            blind = self.p.rushed() or not self.p.ask.few and b and now - b.heard > board.turnover
+            if b is not None and (odds >= bar and odds > 0.05 or blind and board.stuck()):
                 self.after.post(txn, b, now, takes)
             else:
                 if look and waited or board.spread.under((txn.due - now) / pace) < bar:
