Cold backends nobody has heard of hold their part of the load, and teach no queue curve

An unreported backend starts at the mean of fresh reports; times its pace (1 / least warmth) that is the highest weight there is, for every proxy, so nobody ever hears of it. And what cold ones took was added to the curve of queues and to the scheme's usual time: a stretch of 8.0 at level 0, a usual time of 120 ms for 30 (Board.learn), after which every backend looks crowded. Change: the mean is of weights; an unheard slow backend takes its part of it, (mean + 1) / pace - 1; learn adds a slow backend's times to its own pace alone.

--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -26,12 +26,9 @@
 
     def __init__(self, proxy):
         self.p = proxy
-        self.cold = proxy.term("obligations.cold")
-        self.cold_from = proxy.term("obligations.cold_from")
-        self.fall = proxy.term("obligations.fall")
-        self.multiple = proxy.term("obligations.fall_multiple")
-        self.most = int(proxy.term("limits.most_postings"))
-        self.copies = int(proxy.term("limits.second_copies"))
+        self.cold, self.cold_from, self.fall, self.multiple = (
+            proxy.term(f"obligations.{name}") for name in ("cold", "cold_from", "fall", "fall_multiple"))
+        self.most, self.copies = (int(proxy.term(f"limits.{n}")) for n in ("most_postings", "second_copies"))
 
     def warmth(self, b, now):
         """The least part of its capacity that a backend has by now; 1 once it is warm."""
@@ -95,12 +92,11 @@
 
     def finish(self, txn, pause=0.0):
         """Rule 1: the one final answer of a txn that no backend settled."""
+        kind = txn.scheme.kind
         if txn.answered:
             return
-        kind = txn.scheme.kind
-        # Rule 2: a decline says that trying again is harmless.
         if not txn.maybe() or kind == "repeatable" or (kind == "referenced" and txn.scheme.group == "all"):
-            self.p.host.decline(txn.ref, pause)
+            self.p.host.decline(txn.ref, pause)  # rule 2: it says that trying again is harmless
         else:
             self.p.host.reverse(txn.ref)
 
@@ -111,8 +107,8 @@
     def __init__(self, proxy, now):
         self.p, self.fails, self.waiting, self.deemed_old = proxy, 0, 0, INF
         self.asks = proxy.term("discovery") == "subscribe"
+        self.patience = proxy.term("obligations.must_ask_in")
         if self.asks:
-            self.patience = proxy.term("obligations.must_ask_in")
             self.deemed_old = now + self.patience
             turn = (proxy.ordinal + proxy.rng.random()) / proxy.instances
             proxy.later(now + turn * self.patience / 4, self.ask)
@@ -141,23 +137,25 @@
     """The backends: list, reports, own sends, health.  Every pick is made here."""
 
     HALF_POINT = 0.005               # what a convenience may cost, by its tariff
+    CROWD = 0.55                     # of the SLA time: a queue that takes longer only overdrives its backend
+    SLOW = 1.6                       # a pace from which reports don't track real work
 
     def __init__(self, proxy, now):
         self.p, self.home, self.all, self.order = proxy, proxy.zone, {}, []
         self.open, self.mine, self.known = [], [], {}     # listed as ready; used here; with news of late
-        self.turning, self.third = False, 0       # probes go round; which of three ends teaches in a rush
+        self.turning, self.third, self.looked = False, 0, -INF   # probes go round; of three ends one teaches
         fields = proxy.term("load_info.fields").split(",")
         self.field = fields.index("inflight") if "inflight" in fields else None
         self.by_probe = proxy.term("load_info.via") == "probe"
-        self.age_limit, self.probe_every = 2000.0, 1000.0      # the design's own figures
+        self.age_limit, self.probe_every, self.fresh_for = 2000.0, 1000.0, 4 * proxy.step
         self.tariff, self.cross = proxy.term("tariffs.probe"), proxy.term("tariffs.cross_zone")
         self.curve = [Histogram(1.0, 60) for _ in LEVELS]      # how a posting stretches with the figure
         self.stretch = [1.0 + f for f in LEVELS]
         self.fit, self.ready, self.width, self.mean, self.turnover = [], 0, 0, [0.0, 0.0], 1.0
-        self.looked, self.fresh_for = -INF, 4 * proxy.step
         self.spread = Histogram(1.0, 400, [0.5, 0.7, 1.0, 1.4, 2.0])
         self.smooth()
-        self.links, self.probing = proxy.term("tariffs.connection") * proxy.instances / 100, proxy.term("limits.probing")
+        self.links = proxy.term("tariffs.connection") * proxy.instances / 100
+        self.probing = proxy.term("limits.probing")
 
     def few(self, backends):
         """Where open connections have a price: this proxy's share of the backends, at home and away."""
@@ -263,10 +261,9 @@
             self.fit, self.mine = news + [b for b in some if b.ident not in known], listed
         self.near, self.away = ([b for b in self.fit if (b.zone == self.home) == at] for at in (True, False))
         self.turnover = min([s.typical() for s in self.p.schemes])
-        # Late news counts less here too, yet one report alone must not speak for all that are unknown.
-        span = max(self.turnover, 4 * self.p.gap)
-        fresh = [(0.5 ** ((now - b.heard) / span), b.others, b.zone == self.p.zone)
-                 for b in self.fit if now - b.heard <= self.age_limit]
+        span = max(self.turnover, 4 * self.p.gap)        # one report must not speak for all that are unknown
+        fresh = [(0.5 ** ((now - b.heard) / span), self.weight(b.others, self.pace(b, now)),
+                  b.zone == self.home) for b in self.fit if now - b.heard <= self.age_limit]
         for here in (False, True):
             # Where a crossing is dear zones are loaded apart: a full home must not make the others look full.
             these = [f for f in fresh if f[2] == here or self.cross <= 2 * self.HALF_POINT] or fresh
@@ -292,6 +289,8 @@
         while b.ghosts and b.ghosts[0] <= now:
             b.ghosts.pop(0)
         own, age, mean = b.own + len(b.ghosts), now - b.heard, self.mean[b.zone == self.home]
+        if (pace := self.pace(b, now)) > self.SLOW:      # the mean is of loads: of the same one it holds less
+            mean = max(0.0, (mean + 1) / pace - 1)
         if age > self.age_limit:
             return own + mean
         return own + mean + (b.others - mean) * 0.5 ** (age / self.turnover)
@@ -305,14 +304,12 @@
 
     def weight(self, figure, pace):
         """The figure; a slow or cold backend, whose reports don't track real work, counts for more."""
-        return (figure + 1) * pace - 1 if pace > 1.6 else figure
+        return (figure + 1) * pace - 1 if pace > self.SLOW else figure
 
     def stuck(self):
         """Less is out than this proxy's part of one a backend: only what is sent mends its beliefs."""
         return sum(b.own for b in self.fit) < max(1, self.ready / self.p.instances)
 
-    CROWD = 0.55                     # of the SLA time: a queue that takes longer only overdrives its backend
-
     def choose(self, txn, now, leave_out=()):
         """The lowest estimate wins, ties at random; another zone only where the gain beats the tariff.
         Returns the backend, the odds that it answers within the SLA time, and how long is expected."""
@@ -353,14 +350,16 @@
         self.third = (self.third + 1) % 3        # in a rush a third teaches as much
         if self.third and self.p.rushed() or self.p.stages.behind():     # behind: times are its own
             return
-        typical, level = txn.scheme.typical(), bisect(BOUNDS, posting.figure)
-        if level == 0:
-            txn.scheme.took.add(took)
-        self.curve[level].add(took / typical)
-        b = posting.backend
+        typical, level, b = txn.scheme.typical(), bisect(BOUNDS, posting.figure), posting.backend
+        slow = self.pace(b, now) > self.SLOW
         b.slow.add(took / (typical * self.stretch[level]))
         # Not the median: where reports hide a queue, answers are either quick or never come.
         b.pace, b.learned = b.slow.at(0.7) * self.spread.at(0.5) / self.spread.at(0.7), now
+        if slow:                         # cold, above all: that it takes long tells of no queue elsewhere
+            return
+        if level == 0:
+            txn.scheme.took.add(took)
+        self.curve[level].add(took / typical)
         self.spread.add(took / posting.expected)
         self.smooth()
 
@@ -628,8 +627,8 @@
             txn.due = now + left - (scheme.expiry - scheme.sla)    # its first try began that much earlier
         self.ledger.take(txn, now)
 
-    def started(self, now, ref, seq):
-        self.left(now, ref)          # the stream is the client's now
+    def started(self, now, ref, seq):    # the stream is the client's now
+        self.left(now, ref)
 
     def ended(self, now, ref, seq, how, answered, took, report):
         txn = self.ledger.txns.get(ref)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -111,6 +111,25 @@
         host.until(host.now + 400.0)
         compare(self, host, "one_report")
 
+    def test_cold_ones_hold_their_part(self):
+        """Half of the fleet has just started and nobody has heard of it: of the load that all share a cold backend
+        holds less, so it is tried; and what it takes, being cold, is no news of the queues elsewhere."""
+        host = Printer(instances=40, tariffs__probe=1.0, limits__probing=True, obligations__cold=8000.0,
+                       obligations__cold_from=0.25, obligations__fall=1000.0, obligations__fall_multiple=3.0)
+        host.until(50000.0)
+        host.list(*((f"w{n}",) for n in range(6)), *((f"c{n}", 0, ports.READY, 48000.0) for n in range(6)))
+        for n in range(6):
+            host.report(f"w{n}", 5)
+        board = host.proxy.board
+        board.usable(host.now)
+        host.say(" ".join(f"{b.ident}={board.figure(b, host.now):.1f}" for b in board.order[:4]))
+        for ref in range(4):
+            host.until(host.now + 2000.0)
+            host.take(ref)
+            host.end(ref, 0, ports.SETTLED, 0, took=600.0)
+        host.say(f"stretch {board.stretch[0]:.1f}, usual {host.proxy.schemes[0].typical():.0f}")
+        compare(self, host, "cold_part")
+
     def test_no_time_to_spare(self):
         """Timers that all run late by half the SLA time: the proxy is behind and declines most at once, with
         word when to come back; where txns come faster than a question is answered none is asked."""
