--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -429,8 +429,9 @@
                for b in usable):
             self.purse += self.AT_ONCE
             return ()
-        # By the figure alone: cold backends are asked like others, or nobody would see them idle.
-        lowest = sorted((board.figure(b, now), self.p.rng.random(), b) for b in usable)
+        # Unheard, cold backends count for as much as others: asked first, they would get all of the purse.
+        lowest = sorted((board.weight(board.figure(b, now), board.pace(b, now)), self.p.rng.random(), b)
+                        for b in usable)
         lowest = [b for _, _, b in lowest if now - b.heard > self.patience][:self.AT_ONCE]
         for b in lowest:
             if not b.probes_out and self.purse >= 1:
