The mean is that of backends at their usual pace, over sixteen requests, and ties are ties

Cause: counted over the fleet, believed figures of 4 to 8 stood for 2.5 in truth while a quarter was declined. The mean was drawn up by slow and cold backends that hold more than their part (2 in hand at a pace of 5 counts 14), and swung by its own few reports. And the weight of an unheard cold backend equals the mean but for rounding, which decided for all. Change: only backends at their usual pace speak for the unknown, unless there are none; sixteen gaps instead of four; weights are rounded before they are compared.

--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -146,7 +146,7 @@
         self.turning, self.third, self.looked = False, 0, -INF   # probes go round; of three ends one teaches
         fields = proxy.term("load_info.fields").split(",")
         self.field = fields.index("inflight") if "inflight" in fields else None
-        self.by_probe = proxy.term("load_info.via") == "probe"
+        self.by_probe, self.probing = proxy.term("load_info.via") == "probe", proxy.term("limits.probing")
         self.age_limit, self.probe_every, self.fresh_for = 2000.0, 1000.0, 4 * proxy.step
         self.tariff, self.cross = proxy.term("tariffs.probe"), proxy.term("tariffs.cross_zone")
         self.curve = [Histogram(1.0, 60) for _ in LEVELS]      # how a posting stretches with the figure
@@ -155,7 +155,6 @@
         self.spread = Histogram(1.0, 400, [0.5, 0.7, 1.0, 1.4, 2.0])
         self.smooth()
         self.links = proxy.term("tariffs.connection") * proxy.instances / 100
-        self.probing = proxy.term("limits.probing")
 
     def few(self, backends):
         """Where open connections have a price: this proxy's share of the backends, at home and away."""
@@ -261,9 +260,11 @@
             self.fit, self.mine = news + [b for b in some if b.ident not in known], listed
         self.near, self.away = ([b for b in self.fit if (b.zone == self.home) == at] for at in (True, False))
         self.turnover = min([s.typical() for s in self.p.schemes])
-        span = max(self.turnover, 4 * self.p.gap)        # one report must not speak for all that are unknown
-        fresh = [(0.5 ** ((now - b.heard) / span), self.weight(b.others, self.pace(b, now)),
-                  b.zone == self.home) for b in self.fit if now - b.heard <= self.age_limit]
+        span = max(self.turnover, 16 * self.p.gap)       # a few reports must not speak for all unknown
+        heard = [(b, self.pace(b, now)) for b in self.fit if now - b.heard <= self.age_limit]
+        # The slow have more in hand than their part: of them only where there are no others.
+        fresh = [(0.5 ** ((now - b.heard) / span), self.weight(b.others, pace), b.zone == self.home)
+                 for b, pace in [h for h in heard if h[1] <= self.SLOW] or heard]
         for here in (False, True):
             # Where a crossing is dear zones are loaded apart: a full home must not make the others look full.
             these = [f for f in fresh if f[2] == here or self.cross <= 2 * self.HALF_POINT] or fresh
@@ -304,7 +305,7 @@
 
     def weight(self, figure, pace):
         """The figure; a slow or cold backend, whose reports don't track real work, counts for more."""
-        return (figure + 1) * pace - 1 if pace > self.SLOW else figure
+        return round((figure + 1) * pace - 1 if pace > self.SLOW else figure, 9)      # or ties are none
 
     def stuck(self):
         """Less is out than this proxy's part of one a backend: only what is sent mends its beliefs."""
@@ -477,8 +478,7 @@
             if txn.answered:
                 continue
             waited = now - txn.born > txn.scheme.sla / 4 * min(2.0, txn.gain / self.p.mean_gain)
-            # A proxy has little time to spare: after three in vain the next event looks further.  One that is
-            # behind bounds all looks, or on an overloaded day they take all its time.
+            # Little time to spare: after three in vain the next event looks further; one behind bounds all looks.
             look = misses < 3 or waited and looks < most
             looks += look
             b, odds, takes = board.choose(txn, now) if look else (None, 0.0, 0.0)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -123,6 +123,10 @@
         board = host.proxy.board
         board.usable(host.now)
         host.say(" ".join(f"{b.ident}={board.figure(b, host.now):.1f}" for b in board.order[:4]))
+        host.report("c5", 3)             # more than its part: no word on what the others hold
+        board.looked = -1.0
+        board.usable(host.now)
+        host.say(f"mean {board.mean[True]:.1f}")
         for ref in range(4):
             host.until(host.now + 2000.0)
             host.take(ref)
