--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -478,7 +478,7 @@
             if txn.answered:
                 continue
             waited = now - txn.born > txn.scheme.sla / 4 * min(2.0, txn.gain / self.p.mean_gain)
-            # Little time to spare: after three in vain the next event looks further; one behind bounds all looks.
+            # Little time: after three in vain the next event looks further; one that is behind bounds all.
             look = misses < 3 or waited and looks < most
             looks += look
             b, odds, takes = board.choose(txn, now) if look else (None, 0.0, 0.0)
