A proxy with a list at hand is ready at once and calls for the list in its turn

Cause (herd, replayed with logs): 28 of 40 proxies restarted within a second; each opened its watch in the same moment (Discovery.run), 18 calls waited 2.3 s and ended with 503, and /ready waited for that although the list as last held stood in the configuration: restarts took 0.3 to 2.3 s while 12 proxies got 290 txns a second instead of 930. Change: ready with a list at hand that names a backend; the first watch is then opened when the decisions ask, spread over a quarter of the patience by ordinal and chance as it was already for later ones. Rule 3 holds as before: the time from which an unheard list counts as told runs from the start. With it: what a crowded backend is sent all the same (its part, blind) was expected to take for ever, so its answer counted as 0 of what was expected in Board.spread, and it was never looked after. It is expected to take what its queue takes, with odds of nought.

--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -327,8 +327,8 @@
                     continue
                 figure, pace = self.figure(b, now), self.pace(b, now)
                 takes = work * pace * stretch[bisect(BOUNDS, figure)]
-                if takes > crowd and takes > 1.5 * work * pace * stretch[0]:
-                    takes = INF      # crowded: no odds; out of the race where others were just asked
+                if full := takes > crowd and takes > 1.5 * work * pace * stretch[0]:
+                    # Crowded: no odds; out of the race where others were just asked.
                     aside = not (self.p.rushed() and self.stuck()) if aside is None else aside
                     if aside and self.p.ask.few:
                         continue
@@ -336,12 +336,12 @@
                     continue
                 weight = self.weight(figure, pace)
                 if weight < least:
-                    least, ties = weight, [(b, takes)]
+                    least, ties = weight, [(b, takes, full)]
                 elif weight == least:
-                    ties.append((b, takes))
+                    ties.append((b, takes, full))
             if ties:
-                b, takes = self.p.rng.choice(ties)
-                odds = self.spread.under((txn.due - now) / takes)
+                b, takes, full = self.p.rng.choice(ties)
+                odds = 0.0 if full else self.spread.under((txn.due - now) / takes)
                 if found[0] is None or (odds - found[1]) * txn.gain > self.cross * self.p.mean_gain:
                     found = (b, odds, takes)
         return found
--- a/sloeferry/net/discovery.py
+++ b/sloeferry/net/discovery.py
@@ -26,18 +26,23 @@
         self.watching = self.former = None       # the watch, and after a move the one before until this stands
         if berth.known:
             self.take(berth.known, cached=True)
+            # A bank that restarts as one asks a discovery that has no time for all: who knows whom to send to
+            # serves on that, under rule 3 as ever, and calls when its turn comes.
+            if any(line[4] == "ready" for line in self.known.values()):
+                self.ready.set()
 
     async def run(self):
-        """One watch at the start, without being asked: until the list is in, no client is sent here.
-        Then one whenever one is wanted; where changes come unasked, always."""
-        self.watching = self.loop.create_task(self.watch())
+        """One watch at the start, without being asked, where no list is at hand: until it is in, no client is
+        sent here.  Then one whenever one is wanted; where changes come unasked, always."""
+        if self.pushed or not self.ready.is_set():
+            self.watching = self.loop.create_task(self.watch())
         while True:
             if self.pushed:
                 await asyncio.wait([self.watching])
                 await asyncio.sleep(self.patience / 8000)
             else:
                 await self.facade.pick(self.facade.listing)
-            if self.watching.done():
+            if not self.watching or self.watching.done():
                 self.watching = self.loop.create_task(self.watch())
             elif self.standing:          # it stands already, and all it said has been passed on
                 self.facade.report_list(False, ())
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,6 +1,8 @@
 """Failures met so far, each as a short trace: what the design alone would do is the tempting action."""
 import unittest
 
+from hypothesis import given, settings, strategies
+
 from sloeferry import ports
 from tests.trace import NAMES, Lines, Printer, compare
 
@@ -93,6 +95,18 @@
         host.until(400.0)
         compare(self, host, "starved")
 
+    def test_crowded_teaches_what_it_took(self):
+        """One sent although all look crowded was expected to take as long as its queue: not for ever."""
+        host = Printer(instances=40, tariffs__probe=1.0, limits__probing=True)
+        host.list(("a",))
+        host.proxy.board.usable(host.now)
+        host.proxy.board.mean = [9.0, 9.0]
+        host.proxy.board.looked = 500.0
+        host.take(0)
+        host.end(0, 0, ports.SETTLED, 4, took=900.0)
+        host.say(f"a tenth end within {host.proxy.board.spread.at(0.1):.2f} of what is expected")
+        compare(self, host, "crowded_teaches")
+
     def test_one_report_speaks_not_for_all(self):
         """One of forty proxies, a txn now and then: its last report is not the fleet's load, and where none can be
         asked it sends its part of one txn a backend rather than none for as long as it believes that report."""
@@ -134,6 +148,40 @@
         host.say(f"stretch {board.stretch[0]:.1f}, usual {host.proxy.schemes[0].typical():.0f}")
         compare(self, host, "cold_part")
 
+    def calls(self, seed):
+        """When each of forty that restart at once with a list at hand asks, if no call is answered for 6 s: first
+        calls, further ones."""
+        first, more = [], []
+        for ordinal in range(40):
+            host = Printer(instances=40, ordinal=ordinal, seed=seed + ordinal, discovery="subscribe",
+                           obligations__must_ask_in=10000.0)
+            host.list(("a",), scope=ports.CACHED)
+            asked = 0
+            while host.now < 6000.0:
+                host.until(host.now + 5.0)
+                for line in host.lines[asked:]:
+                    (more if asked else first).append(float(line.split()[0]))
+                    host.listed_at = host.now + 2000.0           # a call waits its turn and is turned away
+                    asked += 1
+                if asked and host.now == host.listed_at:
+                    host.list(scope=ports.FAILED)
+        return sorted(first), sorted(more)
+
+    def test_all_restart_at_once(self):
+        """The bank's calls for the list spread over a quarter of the patience, and further ones by chance."""
+        host = Lines()
+        for name, times in zip(("first", "further"), self.calls(7)):
+            host.lines.append(name + " calls by half second: " + " ".join(
+                str(sum(half * 500 <= at < half * 500 + 500 for at in times)) for half in range(12)))
+        compare(self, host, "restart_at_once")
+
+    @settings(max_examples=5, deadline=None, derandomize=True)
+    @given(strategies.integers(0, 1 << 32))
+    def test_calls_never_bunch(self, seed):
+        for times in self.calls(seed):
+            most = max(sum(at <= other < at + 250 for other in times) for at in times)
+            self.assertLessEqual(most, 20, times)    # half of the bank in a quarter second
+
     def test_no_time_to_spare(self):
         """Timers that all run late by half the SLA time: the proxy is behind and declines most at once, with
         word when to come back; where txns come faster than a question is answered none is asked."""
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -223,8 +223,10 @@
         self.play(story, "sockets_list", Harbour({"b": answer()}))
 
         async def down(h):
+            # Ready on the list as last held: forty that restart at once would all ask in the same moment.
+            h.say(f"calls for the list before the first client: {len(h.calls)}")
             await h.call("safe")
-        self.play(down, "sockets_list_down", Harbour({"b": answer()}, known=["b"]))
+        self.play(down, "sockets_list_down", Harbour({"b": answer()}, known=["b"], ask_in=400000))
 
     def test_rough_discovery(self):
         """Whatever ends a watch, or leaves it silent, the next call asks from the last version on."""
--- a/tests/trace.py
+++ b/tests/trace.py
@@ -26,6 +26,7 @@
 
     def __init__(self, **more):
         self.lines, self.now, self.wakes, self.sent = [], 0.0, [], {}
+        seed = more.pop("seed", 7)
         told = {"schemes.count": len(SCHEMES), "instances": 1, "step": 1.0, "limits.most_postings": 4,
                 "limits.cancel": True, "load_info.fields": "inflight", "load_info.via": "answers"}
         for at, (kind, group) in enumerate(SCHEMES):
@@ -33,7 +34,7 @@
                 ("idempotency", kind), ("group", group), ("sla_time", 700.0), ("expiry", 1000.0),
                 ("gain", 1.0), ("dedup_window", 300.0))})
         told.update({name.replace("__", "."): value for name, value in more.items()})
-        self.proxy = decide.Proxy(self, 0.0, 7, terms.complete(told))
+        self.proxy = decide.Proxy(self, 0.0, seed, terms.complete(told))
 
     def say(self, text):
         self.lines.append(f"{self.now:7.1f}  {text}")
