Cold backends alone hold less of the mean and teach no curve; blind sends where answers report

Change: both exceptions look at the time since the start, not at the pace; blind sends only where reports come with answers.

--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -261,10 +261,10 @@
         self.near, self.away = ([b for b in self.fit if (b.zone == self.home) == at] for at in (True, False))
         self.turnover = min([s.typical() for s in self.p.schemes])
         span = max(self.turnover, 16 * self.p.gap)       # a few reports must not speak for all unknown
-        heard = [(b, self.pace(b, now)) for b in self.fit if now - b.heard <= self.age_limit]
-        # The slow have more in hand than their part: of them only where there are no others.
-        fresh = [(0.5 ** ((now - b.heard) / span), self.weight(b.others, pace), b.zone == self.home)
-                 for b, pace in [h for h in heard if h[1] <= self.SLOW] or heard]
+        heard = [b for b in self.fit if now - b.heard <= self.age_limit]
+        warm = [b for b in heard if b.launched <= now - self.p.rules.cold]   # the cold speak for no others
+        fresh = [(2 ** ((b.heard - now) / span), b.others if warm else
+                  self.weight(b.others, self.pace(b, now)), b.zone == self.home) for b in warm or heard]
         for here in (False, True):
             # Where a crossing is dear zones are loaded apart: a full home must not make the others look full.
             these = [f for f in fresh if f[2] == here or self.cross <= 2 * self.HALF_POINT] or fresh
@@ -290,8 +290,8 @@
         while b.ghosts and b.ghosts[0] <= now:
             b.ghosts.pop(0)
         own, age, mean = b.own + len(b.ghosts), now - b.heard, self.mean[b.zone == self.home]
-        if (pace := self.pace(b, now)) > self.SLOW:      # the mean is of loads: of the same one it holds less
-            mean = max(0.0, (mean + 1) / pace - 1)
+        if b.launched > now - self.p.rules.cold and (pace := self.pace(b, now)) > self.SLOW:
+            mean = max(0.0, (mean + 1) / pace - 1)       # of the load that all share a cold one holds less
         if age > self.age_limit:
             return own + mean
         return own + mean + (b.others - mean) * 0.5 ** (age / self.turnover)
@@ -352,11 +352,10 @@
         if self.third and self.p.rushed() or self.p.stages.behind():     # behind: times are its own
             return
         typical, level, b = txn.scheme.typical(), bisect(BOUNDS, posting.figure), posting.backend
-        slow = self.pace(b, now) > self.SLOW
         b.slow.add(took / (typical * self.stretch[level]))
         # Not the median: where reports hide a queue, answers are either quick or never come.
         b.pace, b.learned = b.slow.at(0.7) * self.spread.at(0.5) / self.spread.at(0.7), now
-        if slow:                         # cold, above all: that it takes long tells of no queue elsewhere
+        if self.p.rules.warmth(b, now) < 1.0:    # that a cold one takes long tells of no queue elsewhere
             return
         if level == 0:
             txn.scheme.took.add(took)
@@ -484,7 +483,8 @@
             b, odds, takes = board.choose(txn, now) if look else (None, 0.0, 0.0)
             pace = txn.scheme.typical() * board.stretch[0] * (board.pace(b, now) if b else 1.0)
             bar = self.NEAR * board.spread.under(txn.scheme.sla / pace)
-            blind = self.p.rushed() or not self.p.ask.few and b and now - b.heard > board.turnover
+            blind = not (self.p.ask.few or board.by_probe) and b and now - b.heard > board.turnover
+            blind = blind or self.p.rushed()     # or else: only what is sent brings news, nobody is asked
             if b is not None and (odds >= bar and odds > 0.05 or blind and board.stuck()):
                 self.after.post(txn, b, now, takes)
             else:
