--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -156,14 +156,14 @@
             host = Printer(instances=40, ordinal=ordinal, seed=seed + ordinal, discovery="subscribe",
                            obligations__must_ask_in=10000.0)
             host.list(("a",), scope=ports.CACHED)
-            asked = 0
+            asked, back = 0, None
             while host.now < 6000.0:
                 host.until(host.now + 5.0)
                 for line in host.lines[asked:]:
                     (more if asked else first).append(float(line.split()[0]))
-                    host.listed_at = host.now + 2000.0           # a call waits its turn and is turned away
+                    back = host.now + 2000.0         # a call waits its turn and is turned away
                     asked += 1
-                if asked and host.now == host.listed_at:
+                if host.now == back:
                     host.list(scope=ports.FAILED)
         return sorted(first), sorted(more)
 
