A txn's key draws it to the few backends that all proxies send it to

Seen in throw-away lines: answers told nothing of the believed figure (median stretch 1.5 to 2.3 at every belief), zone 2 idle at 0.2 in flight while zone 0 held 3.4 and declined, jammed backends sent 5 to 10 txns a second that all came late. Lines at fault: Proxy.take dropped the key; Board.usable took the home mean for an unheard zone; Reposting's late endings blamed nobody before 98 in 100 answers' time; Gate sent one blind txn a proxy where a part is 0.6 of one. Change, where answers report and nobody may be asked: keepers of a key (rendezvous order, more for a frequent key), an unheard zone counts as empty, a crossing is weighed against the queue spared, a late ending has its backend rest at once and stays counted, a high report holds for half the age limit while a low one fades at once, what is out here tells of the others before late reports do, and a third of the blind sends. Every end says when to come back where clients are told (Ledger.end).

--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -7,12 +7,13 @@
 What comes back runs through the chain the other way.  Rules holds the four rules: every posting and
 every decline goes through it.
 """
-from bisect import bisect, insort
+from bisect import bisect
 from math import inf as INF
 from random import Random
 
 from sloeferry import ports
 from sloeferry.histogram import Histogram
+from sloeferry.keys import Keys
 from sloeferry.records import MAYBE, NEVER, OUT, Backend, Posting, Scheme, Txn
 from sloeferry.stages import Stages
 
@@ -23,7 +24,6 @@
 
 class Rules:
     """The four rules.  Nothing is posted or declined but through here."""
-
     def __init__(self, proxy):
         self.p = proxy
         self.cold, self.cold_from, self.fall, self.multiple = (
@@ -41,13 +41,12 @@
             return True
         board, budget = self.p.board, self.multiple * self.warmth(b, now)
         # Hundreds of proxies have parts far below one txn; a report just in speaks for all, for one send.
-        fresh = now - b.heard <= board.fresh_for and not (b.sent and b.sent[-1][0] > now - self.fall)
-        if fresh and (b.others + b.own + 1) * work <= budget * self.fall / 2:
+        recent = b.sent and b.sent[-1][0] > now - self.fall or board.dated or now - b.heard > board.fresh_for
+        if not recent and (b.others + b.own + 1) * work <= budget * self.fall / 2:
             return True
         # This proxy's part of one core, less some slack.  Not what it sends a warm backend, though machines
         # have more cores: on an overloaded day that pushed cold ones over.
-        sharers = max(1.0, self.p.instances * board.width / max(board.ready, 1))
-        share = 0.85 * self.fall / sharers
+        share = 0.85 * self.fall / max(1.0, self.p.instances)
         span = self.fall * max(1.0, work / budget / share)   # a txn over the budget waits longer for its turn
         while b.sent and b.sent[0][0] <= now - span:
             b.sent.popleft()
@@ -92,32 +91,28 @@
 
     def finish(self, txn, pause=0.0):
         """Rule 1: the one final answer of a txn that no backend settled."""
-        kind = txn.scheme.kind
-        if txn.answered:
-            return
-        if not txn.maybe() or kind == "repeatable" or (kind == "referenced" and txn.scheme.group == "all"):
-            self.p.host.decline(txn.ref, pause)  # rule 2: it says that trying again is harmless
-        else:
-            self.p.host.reverse(txn.ref)
+        kind, group = txn.scheme.kind, txn.scheme.group
+        # Rule 2: a decline says that trying again is harmless.
+        harmless = not txn.maybe() or kind == "repeatable" or kind == "referenced" and group == "all"
+        if not txn.answered:
+            self.p.host.decline(txn.ref, pause) if harmless else self.p.host.reverse(txn.ref)
 
 
 class Discovery:
     """The list where it must be asked for: shared and of limited capacity, so calls are spread out."""
-
     def __init__(self, proxy, now):
         self.p, self.fails, self.waiting, self.deemed_old = proxy, 0, 0, INF
         self.asks = proxy.term("discovery") == "subscribe"
         self.patience = proxy.term("obligations.must_ask_in")
         if self.asks:
             self.deemed_old = now + self.patience
-            turn = (proxy.ordinal + proxy.rng.random()) / proxy.instances
-            proxy.later(now + turn * self.patience / 4, self.ask)
+            proxy.later(now + (proxy.ordinal + proxy.rng.random()) / proxy.instances * self.patience / 4,
+                        self.ask)
 
     def ask(self, now, number=None):
         if number not in (None, self.waiting):
             return                   # that call has been answered meanwhile
-        self.waiting += 1
-        self.deemed_old = now + self.patience
+        self.waiting, self.deemed_old = self.waiting + 1, now + self.patience
         self.p.host.watch()
         self.p.later(now + self.patience / 2, self.ask, self.waiting)
 
@@ -127,50 +122,42 @@
         if not failed:
             self.fails, self.deemed_old = 0, INF
             return
-        self.fails = min(self.fails + 1, 3)
-        self.deemed_old = now + 4 * self.patience
-        wait = self.patience / 16 * 2 ** self.fails * (0.5 + self.p.rng.random())
-        self.p.later(now + wait, self.ask)
+        self.fails, self.deemed_old = min(self.fails + 1, 3), now + 4 * self.patience
+        self.p.later(now + self.patience / 16 * 2 ** self.fails * (0.5 + self.p.rng.random()), self.ask)
 
 
 class Board:
     """The backends: list, reports, own sends, health.  Every pick is made here."""
-
     HALF_POINT = 0.005               # what a convenience may cost, by its tariff
     CROWD = 0.55                     # of the SLA time: a queue that takes longer only overdrives its backend
+    SPLIT = 1.5                      # a key fills this part of a backend's due at the most: 1 / 1.5
+    QUEUE = 0.1                      # of a mean gain: what each place in a queue costs those behind it
     SLOW = 1.6                       # a pace from which reports don't track real work
 
     def __init__(self, proxy, now):
-        self.p, self.home, self.all, self.order = proxy, proxy.zone, {}, []
-        self.open, self.mine, self.known = [], [], {}     # listed as ready; used here; with news of late
-        self.turning, self.third, self.looked = False, 0, -INF   # probes go round; of three ends one teaches
+        self.p, self.home, self.all = proxy, proxy.zone, {}
+        # Listed as ready, with news of late; whether probes go round; of three ends one teaches; last look.
+        self.open, self.known, self.turning, self.third, self.looked = [], {}, False, 0, -INF
         fields = proxy.term("load_info.fields").split(",")
         self.field = fields.index("inflight") if "inflight" in fields else None
-        self.by_probe, self.probing = proxy.term("load_info.via") == "probe", proxy.term("limits.probing")
+        via, self.probing = proxy.term("load_info.via"), proxy.term("limits.probing")
+        # Told with answers: backends can be asked first, or what they say is of an age that nobody knows.
+        told, self.by_probe = via == "answers", via == "probe"
+        self.asked, self.dated = told and self.probing, told and not self.probing
         self.age_limit, self.probe_every, self.fresh_for = 2000.0, 1000.0, 4 * proxy.step
         self.tariff, self.cross = proxy.term("tariffs.probe"), proxy.term("tariffs.cross_zone")
         self.curve = [Histogram(1.0, 60) for _ in LEVELS]      # how a posting stretches with the figure
         self.stretch = [1.0 + f for f in LEVELS]
-        self.fit, self.ready, self.width, self.mean, self.turnover = [], 0, 0, [0.0, 0.0], 1.0
+        self.fit, self.ready, self.mean, self.out, self.turnover = [], 0, [0.0, 0.0], [0.0, 0.0], 1.0
         self.spread = Histogram(1.0, 400, [0.5, 0.7, 1.0, 1.4, 2.0])
         self.smooth()
-        self.links = proxy.term("tariffs.connection") * proxy.instances / 100
-
-    def few(self, backends):
-        """Where open connections have a price: this proxy's share of the backends, at home and away."""
-        # Hundreds of proxies connected to all backends fill their tables, and none gets in any more.
-        most = max(2, round(self.HALF_POINT / 2 * self.ready / self.links))
-        home = [b for b in backends if b.zone == self.p.zone]
-        return home[:most] + [b for b in backends if b.zone != self.p.zone][:most - bool(home)]
+        self.sick, self.keys, self.keyed = (), Keys(), proxy.term("family_info.warm_keys")
+        self.knew, self.new, self.part = Histogram(1.0, 200, [0.5] * 8), Histogram(1.0, 200, [1.0] * 8), 0.5
 
     def listed(self, now, scope, lines):
         for ident, zone, _, cell, standing, _, launched in lines:
-            b = self.all.get(ident)
-            if b is None:
+            if (b := self.all.get(ident)) is None:
                 b = self.all[ident] = Backend(ident)
-                # A stable order of this proxy's own: where it uses but a few, it uses the first ones.
-                b.rank = Random(f"{self.p.ordinal} {ident}").random()
-                insort(self.order, b, key=lambda b: b.rank)
                 if self.probing and not self.turning:
                     self.turning = True
                     self.p.later(now + self.p.rng.random() * self.probe_every, self.probe_in_turn, 0)
@@ -180,25 +167,21 @@
         self.looked = -INF
         if scope != ports.CHANGES:       # who is missing from a whole list is gone
             named = {line[0] for line in lines}
-            for b in self.order:
+            for b in self.all.values():
                 b.standing = b.standing if b.ident in named else ports.GONE
         # Ids are ever new: who is gone, with nothing out, is forgotten, or a long day fills the memory.
-        for b in [b for b in self.order if b.standing == ports.GONE and not (b.own or b.probes_out)]:
-            self.order.remove(b)
+        for b in [b for b in self.all.values() if b.standing == ports.GONE and not (b.own or b.probes_out)]:
             del self.all[b.ident]
             self.known.pop(b.ident, None)
-        self.open = [b for b in self.order if b.standing == ports.READY]
-
-    # Reports and probes
+        self.open = [b for b in self.all.values() if b.standing == ports.READY]
+        self.keys.orders.clear()
 
     def probe_in_turn(self, now, turn):
         """Each backend in use once a second; more often where half a point in a hundred pays for it."""
         every, due = self.probe_every, [b for b in self.known.values() if b.fails or b.probes_out]
         if self.by_probe:
-            self.usable(now)
-            every = min(every, max(every / 5, len(self.mine) * self.tariff / self.HALF_POINT * self.p.gap))
-            every /= max(1, len(self.mine))
-            due = self.mine and [self.mine[turn % len(self.mine)]]
+            every = min(every, max(every / 5, len(self.open) * self.tariff / self.HALF_POINT * self.p.gap))
+            every, due = every / max(1, len(self.open)), self.open and [self.open[turn % len(self.open)]]
         # One timer for all: with a timer for each, hundreds of proxies do little else.
         self.p.later(now + every, self.probe_in_turn, turn + 1)
         for b in due:
@@ -215,13 +198,11 @@
         if self.field is not None and len(report) > self.field:
             b.others, b.heard = max(0.0, round(report[self.field]) - b.own), now
 
-    # Health
-
     def bad(self, b, now):
         """A backend that errs, refuses connections or is silent rests, longer each time."""
         b.fails, self.known[b.ident] = b.fails + 1, b
-        if b.fails >= 2:
-            rest = self.probe_every / 2 * 2 ** min(b.fails - 2, 4)
+        if b.fails >= 2 or self.dated:   # where nobody can be asked no second txn is spent to be sure
+            rest = self.probe_every / 2 * 2 ** min(b.fails - 2 + 2 * self.dated, 4 + self.dated)
             b.rest_until = now + rest * (0.75 + self.p.rng.random() / 2)
 
     def overtaken(self, posting):
@@ -236,39 +217,41 @@
             return bool(b.probes_out) and now - b.probes_out[0] > max(self.p.ask.patience, 4 * self.p.late)
         return b.waits_since is not None and now - b.waits_since > self.longest
 
-    # The estimate
-
     def usable(self, now):
         """Who may be picked, without the sick as long as more than half are well; anew every few steps."""
         if now < self.looked + self.fresh_for:
             return self.fit
-        self.looked, listed = now, self.open if now <= self.p.discovery.deemed_old else []
+        passed, self.looked = now - self.looked, now
+        listed = self.open if now <= self.p.discovery.deemed_old else []
         self.known = known = {ident: b for ident, b in self.known.items() if b.own or b.ghosts or b.probes_out
                               or b.fails or now - b.heard <= self.age_limit}
         sick = {b.ident for b in known.values() if b.standing == ports.READY
                 and (b.rest_until > now or self.silent(b, now))}
-        if 2 * len(sick) >= len(listed):
-            sick = ()
-        self.ready = self.width = len(listed)
-        if self.links:
-            self.fit, fewest = self.few([b for b in listed if b.ident not in sick]), self.few(listed)
-            self.width, self.mine = len(self.fit), [b for b in fewest if b.ident in sick] + self.fit
-        else:
-            # Those without news are all alike: a few at random stand for them, or a pick costs a whole fleet.
-            some = self.p.rng.sample(listed, min(len(listed), 3 * self.p.ask.AT_ONCE))
-            news = [b for b in known.values() if b.standing == ports.READY and b.ident not in sick and listed]
-            self.fit, self.mine = news + [b for b in some if b.ident not in known], listed
+        self.sick = sick = sick if 2 * len(sick) < len(listed) else ()
+        self.ready = len(listed)
+        # Those without news are all alike: a few at random stand for them, or a pick costs a whole fleet.
+        some = self.p.rng.sample(listed, min(len(listed), 3 * self.p.ask.AT_ONCE))
+        news = [b for b in known.values() if b.standing == ports.READY and b.ident not in sick and listed]
+        self.fit = news + [b for b in some if b.ident not in known]
         self.near, self.away = ([b for b in self.fit if (b.zone == self.home) == at] for at in (True, False))
         self.turnover = min([s.typical() for s in self.p.schemes])
-        span = max(self.turnover, 16 * self.p.gap)       # a few reports must not speak for all unknown
+        self.fade = self.age_limit / 2 if self.dated else self.turnover
+        span = max(self.fade, 16 * self.p.gap)       # a few reports must not speak for all unknown
         heard = [b for b in self.fit if now - b.heard <= self.age_limit]
         warm = [b for b in heard if b.launched <= now - self.p.rules.cold]   # the cold speak for no others
         fresh = [(2 ** ((b.heard - now) / span), b.others if warm else
                   self.weight(b.others, self.pace(b, now)), b.zone == self.home) for b in warm or heard]
+        others = (self.p.instances - 1) / max(self.ready, 1)
         for here in (False, True):
             # Where a crossing is dear zones are loaded apart: a full home must not make the others look full.
-            these = [f for f in fresh if f[2] == here or self.cross <= 2 * self.HALF_POINT] or fresh
+            these = [f for f in fresh if f[2] == here or self.cross <= 2 * self.HALF_POINT]
+            # Unheard and never tried, a zone with room would stay unheard: it counts as empty until it tells.
+            these = these or (fresh if here or not self.dated else ())
             self.mean[here] = sum(w * n for w, n, _ in these) / sum(f[0] for f in these) if these else 0.0
+            if self.dated:       # what takes long reports late: what is out tells before it, if all do alike
+                out = sum(b.own + len(b.ghosts) for b in known.values() if (b.zone == self.home) == here)
+                self.out[here] += (out - self.out[here]) * (1 - 0.5 ** (8 * passed / self.age_limit))
+                self.mean[here] = max(self.mean[here], self.out[here] * others)
         return self.fit
 
     def smooth(self):
@@ -278,7 +261,7 @@
         below, stretch, rush = 0.0, self.stretch, self.p.rushed() and self.p.ask.few
         for at, seen in enumerate(self.curve):
             guess = below * (LEVELS[at] + 1) / (LEVELS[at - 1] + 1) if at else 1.0
-            learned = max(seen.at(0.5), below) if seen.count >= 3 else guess
+            learned = max(seen.at(0.5), below) if seen.count >= 3 and (at or not self.dated) else guess
             below = stretch[at] = guess if rush and at and guess < learned else learned
 
     def figure(self, b, now):
@@ -294,7 +277,9 @@
             mean = max(0.0, (mean + 1) / pace - 1)       # of the load that all share a cold one holds less
         if age > self.age_limit:
             return own + mean
-        return own + mean + (b.others - mean) * 0.5 ** (age / self.turnover)
+        # Who looked empty fills at once, by all who heard it; who was full stays so while reports hold.
+        half = self.fade if b.others > mean else self.turnover
+        return own + mean + (b.others - mean) * 0.5 ** (age / half)
 
     def pace(self, b, now):
         """How much longer than usual a posting takes here: as measured, or as the least warmth says."""
@@ -303,13 +288,23 @@
         # What was slow is believed ever less, or it would never be tried again.
         return 1 + (b.pace - 1) * 0.5 ** ((now - b.learned) / (4 * self.age_limit)) if b.pace != 1.0 else 1.0
 
-    def weight(self, figure, pace):
-        """The figure; a slow or cold backend, whose reports don't track real work, counts for more."""
-        return round((figure + 1) * pace - 1 if pace > self.SLOW else figure, 9)      # or ties are none
+    def weight(self, figure, pace, part=1.0):
+        """The figure; a slow or cold backend, whose reports don't track real work, counts for more, one that
+        knows the txn's key for less."""
+        return round((figure + 1) * (pace if pace > self.SLOW else 1.0) * part - 1, 9)      # or ties are none
+
+    def keepers(self, txn):
+        """Who is likely to have met its key: the first in each zone, more of them the more often it comes."""
+        if not (self.keyed and txn.key):
+            return ()
+        often = self.SPLIT * self.keys.part(txn.key)
+        return {b for row in self.keys.order(txn.key, self.open) for b in row[:1 + int(often * len(row))]}
 
     def stuck(self):
         """Less is out than this proxy's part of one a backend: only what is sent mends its beliefs."""
-        return sum(b.own for b in self.fit) < max(1, self.ready / self.p.instances)
+        # A like part each is too much where parts are below one: there a third of them tells as much.
+        out = sum(b.own + len(b.ghosts) * self.dated for b in (self.fit, self.known.values())[self.dated])
+        return out < max(1, self.ready / self.p.instances) and (not self.dated or self.p.rng.random() < 1 / 3)
 
     def choose(self, txn, now, leave_out=()):
         """The lowest estimate wins, ties at random; another zone only where the gain beats the tariff.
@@ -317,24 +312,28 @@
         rules, work, crowd, aside = self.p.rules, txn.scheme.typical(), self.CROWD * txn.scheme.sla, None
         free, stretch, cold, found = not txn.postings, self.stretch, now - rules.cold, (None, 0.0, 0.0)
         self.usable(now)
+        lowest, keepers = INF, self.keepers(txn)
+        more = [b for b in keepers if b.ident not in self.sick and b not in self.fit] if self.fit else []
         for backends in (self.near, self.away):
+            backends = backends + [b for b in more if (b.zone == self.home) == (backends is self.near)]
             # Where not even certainty there would pay for the crossing, the others need no look.
-            if found[0] is not None and (1 - found[1]) * txn.gain <= self.cross * self.p.mean_gain:
+            if found[0] and not self.dated and (1 - found[1]) * txn.gain <= self.cross * self.p.mean_gain:
                 break
             least, ties = INF, []
             for b in backends:
                 if not free and (b in leave_out or not rules.drops_repeats(txn, b)):
                     continue
                 figure, pace = self.figure(b, now), self.pace(b, now)
-                takes = work * pace * stretch[bisect(BOUNDS, figure)]
-                if full := takes > crowd and takes > 1.5 * work * pace * stretch[0]:
+                part = self.part if b in keepers else 1.0
+                takes = work * pace * part * stretch[bisect(BOUNDS, figure)]
+                if full := takes > crowd and takes > 1.5 * work * pace * part * stretch[0]:
                     # Crowded: no odds; out of the race where others were just asked.
                     aside = not (self.p.rushed() and self.stuck()) if aside is None else aside
                     if aside and self.p.ask.few:
                         continue
                 if b.launched > cold and not rules.cold_room(b, now, work):  # few are cold: a call costs time
                     continue
-                weight = self.weight(figure, pace)
+                weight = self.weight(figure, pace, part)
                 if weight < least:
                     least, ties = weight, [(b, takes, full)]
                 elif weight == least:
@@ -342,31 +341,40 @@
             if ties:
                 b, takes, full = self.p.rng.choice(ties)
                 odds = 0.0 if full else self.spread.under((txn.due - now) / takes)
-                if found[0] is None or (odds - found[1]) * txn.gain > self.cross * self.p.mean_gain:
+                # Where nobody can be asked the queue spared counts for a crossing too: others wait in it.
+                spared = self.QUEUE * (lowest - least) if self.dated and lowest < INF else 0.0
+                price = (self.cross - spared) * self.p.mean_gain
+                if found[0] is None or (odds - found[1]) * txn.gain > price:
                     found = (b, odds, takes)
+                lowest = min(lowest, least)
         return found
 
-    def learn(self, txn, posting, took, now):
+    def learn(self, txn, posting, took, now, how=ports.SETTLED):
         """What a settled (or given up) posting tells of its scheme, its backend and the fleet."""
         self.third = (self.third + 1) % 3        # in a rush a third teaches as much
         if self.third and self.p.rushed() or self.p.stages.behind():     # behind: times are its own
             return
         typical, level, b = txn.scheme.typical(), bisect(BOUNDS, posting.figure), posting.backend
+        ratio = took / posting.expected
+        if self.keyed and txn.key:       # against what it would take without: where known, and elsewhere
+            kept = b in self.keepers(txn)
+            (self.knew if kept else self.new).add(took / (typical * self.stretch[level]))
+            took /= self.part if kept else 1.0
+            self.part = min(1.0, self.knew.at(0.5) / self.new.at(0.5))
         b.slow.add(took / (typical * self.stretch[level]))
         # Not the median: where reports hide a queue, answers are either quick or never come.
         b.pace, b.learned = b.slow.at(0.7) * self.spread.at(0.5) / self.spread.at(0.7), now
         if self.p.rules.warmth(b, now) < 1.0:    # that a cold one takes long tells of no queue elsewhere
             return
-        if level == 0:
-            txn.scheme.took.add(took)
+        if how == ports.SETTLED if self.dated else level == 0:      # only the asked are known to be idle
+            txn.scheme.took.add(took * self.stretch[0] / self.stretch[level])
         self.curve[level].add(took / typical)
-        self.spread.add(took / posting.expected)
+        self.spread.add(ratio)
         self.smooth()
 
 
 class Ledger:
     """First stage: each txn taken has one answer, and before its expiry."""
-
     def __init__(self, proxy, after):
         self.p, self.after, self.txns = proxy, after, {}
 
@@ -380,8 +388,10 @@
         if not txn.answered and not txn.out():
             self.end(txn)
 
-    def end(self, txn, pause=0.0):
-        self.p.rules.finish(txn, pause)
+    def end(self, txn, pause=None):
+        """Given up: said at once, with when to come back where clients are told."""
+        pause = txn.scheme.typical() if pause is None else pause
+        self.p.rules.finish(txn, pause if self.p.term("limits.retry_after") else 0.0)
         self.forget(txn)
 
     def forget(self, txn, served=False):
@@ -399,17 +409,15 @@
 
     def __init__(self, proxy, after):
         self.p, self.after, self.waiting, self.purse = proxy, after, [], 0.0
-        tariff = proxy.term("tariffs.probe")
-        by_answers = proxy.term("load_info.via") == "answers" and proxy.term("limits.probing")
         # A point and a half in a hundred, for asking in vain alone: where all are busy, more finds no place.
-        self.few = 0 if not by_answers else min(16, int(0.015 / tariff)) if tariff else 8
-        self.patience = 4 * proxy.step
+        few = min(16, int(0.015 / proxy.board.tariff)) if proxy.board.tariff else 8
+        self.few, self.patience = few if proxy.board.asked else 0, 4 * proxy.step
 
     def take(self, txn, now):
         # This proxy itself is behind by a good part of the SLA time: what it takes on makes all others late.
         behind = 0 if self.p.stages.all else 4 * self.p.late / txn.scheme.sla - 1
         if behind > 0 and self.p.rng.random() < behind:
-            return self.p.ledger.end(txn, txn.scheme.sla if self.p.term("limits.retry_after") else 0.0)
+            return self.p.ledger.end(txn, txn.scheme.sla)
         self.purse = min(self.purse + self.few, 8.0 * self.few)
         # Where txns come faster than an answer, asking only adds to the work that keeps this proxy from them.
         self.look(txn, now, 0 if self.p.rushed() else self.WAVES)
@@ -425,13 +433,12 @@
         """Ask those that look lowest, unless one just heard of is idle; as far as the purse goes."""
         board = self.p.board
         usable = board.usable(now) if self.purse >= 1 else ()
-        if any(now - b.heard <= self.patience and board.weight(board.figure(b, now), board.pace(b, now)) < 0.5
-               for b in usable):
+        # Unheard, cold backends count for as much as others: asked first, they would get all of the purse.
+        weights = [(board.weight(board.figure(b, now), board.pace(b, now)), b) for b in usable]
+        if any(now - b.heard <= self.patience and weight < 0.5 for weight, b in weights):
             self.purse += self.AT_ONCE
             return ()
-        # Unheard, cold backends count for as much as others: asked first, they would get all of the purse.
-        lowest = sorted((board.weight(board.figure(b, now), board.pace(b, now)), self.p.rng.random(), b)
-                        for b in usable)
+        lowest = sorted((weight, self.p.rng.random(), b) for weight, b in weights)
         lowest = [b for _, _, b in lowest if now - b.heard > self.patience][:self.AT_ONCE]
         for b in lowest:
             if not b.probes_out and self.purse >= 1:
@@ -460,7 +467,6 @@
 
     def __init__(self, proxy, after):
         self.p, self.after, self.held, self.ticking = proxy, after, [], False
-        self.by_work = proxy.term("gain_per") == "work"
 
     def take(self, txn, now):
         self.held.append(txn)
@@ -472,7 +478,7 @@
         if not self.held:
             return
         most = 9 if self.p.late > self.p.ask.patience / 2 else INF
-        self.held.sort(key=lambda t: (-t.gain / (self.by_work or t.scheme.typical()), t.due))
+        self.held.sort(key=lambda t: (-t.gain / t.scheme.typical(), t.due))
         for txn in self.held:
             if txn.answered:
                 continue
@@ -483,20 +489,20 @@
             b, odds, takes = board.choose(txn, now) if look else (None, 0.0, 0.0)
             pace = txn.scheme.typical() * board.stretch[0] * (board.pace(b, now) if b else 1.0)
             bar = self.NEAR * board.spread.under(txn.scheme.sla / pace)
-            blind = not (self.p.ask.few or board.by_probe) and b and now - b.heard > board.turnover
-            blind = blind or self.p.rushed()     # or else: only what is sent brings news, nobody is asked
+            # Nobody is asked, and nothing was heard of the lowest: only what is sent brings news.
+            blind = b and not (self.p.ask.few or board.by_probe) and now - b.heard > board.fade
+            blind = blind or self.p.rushed()
             if b is not None and (odds >= bar and odds > 0.05 or blind and board.stuck()):
                 self.after.post(txn, b, now, takes)
+            elif look and waited or board.spread.under((txn.due - now) / pace) < bar:
+                self.p.ledger.end(txn)
             else:
-                if look and waited or board.spread.under((txn.due - now) / pace) < bar:
-                    self.decline(txn)
-                else:
-                    misses += 1
-                    kept.append(txn)
+                misses += 1
+                kept.append(txn)
         # No more are held than can hope for a place: what ends here in the time that a txn may wait.
         out = sum(b.own for b in board.known.values()) if kept else 0
         while kept and len(kept) > 1 + out * kept[-1].scheme.sla / 4 / kept[-1].scheme.typical():
-            self.decline(kept.pop())
+            self.p.ledger.end(kept.pop())
         self.held = kept
         if kept and not self.ticking:
             self.ticking = True
@@ -508,13 +514,9 @@
             self.p.ask.refresh(now)
         self.drain(now)
 
-    def decline(self, txn):
-        self.p.ledger.end(txn, txn.scheme.typical() if self.p.term("limits.retry_after") else 0.0)
-
 
 class Reposting:
     """Last stage: the posting itself, a second look while it is out, and a further one after it."""
-
     def __init__(self, proxy):
         self.p = proxy
 
@@ -562,11 +564,10 @@
 
 class Proxy:
     """One instance: takes the host's calls, keeps the timers and the chain."""
-
     def __init__(self, host, now, seed, terms):
-        self.host, self.terms, self.rng = host, terms, Random(seed)
-        self.timers, self.token, self.gap, self.last = {}, 0, 50.0, now      # gap: between txns taken
-        self.late = 0.0              # by how much timers have run late of late: the host has no time to spare
+        self.host, self.terms, self.term, self.rng = host, terms, terms.__getitem__, Random(seed)
+        # gap: between txns taken; late: by how much timers run late, the host has no time to spare
+        self.timers, self.token, self.gap, self.last, self.late = {}, 0, 50.0, now, 0.0
         self.step = self.term("step")
         self.instances, self.ordinal = int(self.term("instances")), int(self.term("ordinal"))
         self.stages = Stages()       # of other subsystems (ports.Stage): the host installs those that are set
@@ -580,9 +581,6 @@
         self.ask = Ask(self, self.gate)
         self.ledger = Ledger(self, self.ask)
 
-    def term(self, name):
-        return self.terms[name]
-
     def barred(self, now, scheme, tenant, repeat, waited):
         """Before a txn is taken on: the pause with which a stage turns it away, or None."""
         if (pause := self.stages.bars(now, self.schemes[scheme], tenant, repeat, waited)) is not None:
@@ -620,7 +618,8 @@
 
     def take(self, now, ref, scheme, tenant, key, left, work, repeat):
         scheme = self.schemes[scheme]
-        txn = Txn(ref, scheme, now, left, tenant)
+        txn = Txn(ref, scheme, now, left, tenant, key)
+        self.board.keys.met(key)
         self.mean_gain += (scheme.gain - self.mean_gain) / 100
         self.came(now)
         scheme.most_left = max(scheme.most_left, left)
@@ -646,15 +645,18 @@
             self.board.learn(txn, posting, took, now)
         elif how in (ports.LATE, ports.WITHDRAWN):
             if took > posting.expected and not self.board.overtaken(posting):
-                self.board.learn(txn, posting, took * 1.5, now)
-            if self.board.silent(b, now):
+                self.board.learn(txn, posting, took * 1.5, now, how)
+            if self.board.dated:         # given up here, it goes on there: no report says so in time
+                b.ghosts.append(now + took)
+            late = self.board.dated and how == ports.LATE and took > 2 * posting.expected
+            if late or self.board.silent(b, now):
                 self.board.bad(b, now)
         elif how not in BLAMELESS:
             # A quick error must not make a backend look empty: its send stays counted for a while.
             b.ghosts.append(now + 4 * txn.scheme.typical())
             self.board.bad(b, now)
             if how == ports.TURNED_AWAY:     # a full house, whatever its reports say
-                self.board.learn(txn, posting, max(posting.expected, txn.scheme.sla), now)
+                self.board.learn(txn, posting, max(posting.expected, txn.scheme.sla), now, how)
         if how != ports.LATE and not b.own:
             b.waits_since = None
         if answered or txn.answered:
@@ -664,11 +666,9 @@
         self.gate.drain(now)
 
     def probed(self, now, backend, how, took, report):
-        b = self.board.all.get(backend)
-        if b is None:
+        if (b := self.board.all.get(backend)) is None:
             return
-        if b.probes_out:
-            b.probes_out.pop(0)
+        del b.probes_out[:1]
         if how == ports.SETTLED:
             self.board.report(b, now, report)
         elif how not in BLAMELESS:       # this proxy's own want, of a connection say, tells nothing of b
--- /dev/null
+++ b/sloeferry/keys.py
@@ -0,0 +1,35 @@
+"""What a proxy knows of txns' keys: how often each comes, and in which order backends stand for it.  No decisions.
+
+The order is the same at every proxy, by key and id alone: who comes or goes moves its own keys and no others.
+"""
+from collections import Counter
+from hashlib import blake2b
+
+OFTEN = 400                          # txns over which keys are counted, halved then
+
+
+class Keys:
+    def __init__(self):
+        self.counts, self.total, self.orders = Counter(), 0, {}
+
+    def met(self, key):
+        if not key:                  # none: nothing to tell apart
+            return
+        self.counts[key] += 1
+        self.total += 1
+        if self.total > OFTEN:
+            self.counts = Counter({k: n / 2 for k, n in self.counts.items() if n > 1})
+            self.total = sum(self.counts.values())
+
+    def part(self, key):
+        """Of all txns, those with this key, as far as this proxy has seen; 1 for the first one met."""
+        return self.counts[key] / max(1, self.total)
+
+    def order(self, key, backends):
+        """The backends of each zone in this key's order; forgotten when the list changes (`orders`)."""
+        if key not in self.orders:
+            rows = {}
+            for b in sorted(backends, key=lambda b: blake2b(f"{key} {b.ident}".encode(), digest_size=8).digest()):
+                rows.setdefault(b.zone, []).append(b)
+            self.orders[key] = tuple(rows.values())
+        return self.orders[key]
--- a/sloeferry/records.py
+++ b/sloeferry/records.py
@@ -32,8 +32,8 @@
 class Txn:
     """A txn taken; `now` to `ends` is all the time there is, `due` is its SLA time."""
 
-    def __init__(self, ref, scheme, now, left, tenant=0):
-        self.ref, self.scheme, self.born, self.tenant = ref, scheme, now, tenant
+    def __init__(self, ref, scheme, now, left, tenant=0, key=0):
+        self.ref, self.scheme, self.born, self.tenant, self.key = ref, scheme, now, tenant, key
         self.ends, self.due, self.gain = now + left, now + scheme.sla, scheme.gain
         self.postings, self.answered = [], False
 
--- a/sloeferry/terms.py
+++ b/sloeferry/terms.py
@@ -13,7 +13,7 @@
 DEFAULTS = {
     "discovery": "automatic", "gain_per": "request", "instances": 1, "kinds": "", "ordinal": 0, "step": 1.0,
     "tenants.count": 0, "zone": 0, "zones": "",
-    "limits.cancel": False, "limits.conn_idle": 10000.0, "limits.dial_timeout": 250.0,
+    "family_info.warm_keys": False, "limits.cancel": False, "limits.conn_idle": 10000.0, "limits.dial_timeout": 250.0,
     "limits.most_postings": 1, "limits.probing": False, "limits.retry_after": False,
     "limits.second_copies": False, "load_info.fields": "", "load_info.via": "none",
     "obligations.cold": 0.0, "obligations.cold_from": 1.0, "obligations.fall": 1000.0,
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -100,6 +100,7 @@
         """Nothing comes back: a final answer all the same, and before the client gives up."""
         async def story(h):
             await h.call("once")
+            await asyncio.sleep(0.7)     # what was given up on counts as there for as long again
             await h.call("safe")
         self.play(story, "sockets_silent", Harbour({"b": None}, expiry=300))
 
