One seam for sockets, clocks and epoll; nothing is gone through in a set's order

Change: machine.py holds these four, and one call to stand in for them. serve() is told its environment and whom to call once all is built; the collector's settings are main's own now.

The ordinary path pays one attribute more a look at the clock.

--- a/sloeferry/__main__.py
+++ b/sloeferry/__main__.py
@@ -42,16 +42,17 @@
             self.hurry(self.facade.next)
 
 
-def renew(discovery):
+def renew(discovery, environ):
     """SIGHUP: the configuration has been replaced.  What may change while it serves is where discovery is;
     a file that can't be used changes nothing, and nothing in it may end the program."""
     try:
-        discovery.move(terms.read(os.environ, again=True).discovery)
+        discovery.move(terms.read(environ, again=True).discovery)
     except Exception as fault:
         logger.error("SIGHUP, all stays as it was: {}", fault)
 
 
-async def serve(berth):
+async def serve(berth, environ=os.environ, settled=lambda facade: None):
+    """One proxy, until it has left; `settled` is called once all is built and nothing has come yet."""
     loop = asyncio.get_running_loop()
     work = Clockwork(loop)
     facade = work.facade = Facade(berth.seed, berth.terms, work.hurry)
@@ -69,13 +70,12 @@
     leave = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, leave.set)
     loop.add_signal_handler(signal.SIGINT, leave.set)
-    loop.add_signal_handler(signal.SIGHUP, renew, discovery)
+    loop.add_signal_handler(signal.SIGHUP, renew, discovery, environ)
     tasks = [loop.create_task(work) for work in (
         backends.probes(), backends.sweep(), discovery.run(), clients.sweep(), clients.backstop())]
     for task in tasks:                   # none of them ends by itself
         task.add_done_callback(lambda task: leave.set())
-    gc.freeze()                          # what the start made stays; looking through it again takes a stall's time
-    gc.set_threshold(20000, 20, 50)
+    settled(facade)
     clients.open()
     logger.info("{} listens on {}:{}", berth.name, *berth.listen)
     try:
@@ -89,13 +89,19 @@
         backends.close()
 
 
+def spare(facade):
+    """What the start made stays; looking through it again takes a stall's time."""
+    gc.freeze()
+    gc.set_threshold(20000, 20, 50)
+
+
 def main():
     try:
         logger.remove()
         logger.add(sys.stderr, level=terms.log_level(os.environ), diagnose=False,
                    format="{time:HH:mm:ss.SSS} {level} {message}")
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(terms.read(os.environ)))
+            runner.run(serve(terms.read(os.environ), settled=spare))
     except terms.Fault as fault:
         print(f"sloeferry: {fault}", file=sys.stderr)
         sys.exit(2)
--- a/sloeferry/facade.py
+++ b/sloeferry/facade.py
@@ -4,14 +4,13 @@
 posting ended; probes and the list have an errand each that stands for as long as the program runs.
 `tick` fires what is due and says when it wants to be called again.  No decisions here.
 """
-import time
 from asyncio import get_running_loop
 from collections import deque
 from heapq import heappop, heappush
 
 from loguru import logger
 
-from sloeferry import decide, ports
+from sloeferry import decide, machine, ports
 from sloeferry.overload import Door
 
 # Orders: (POST, seq, backend), (WITHDRAW, seq), (SETTLE, answer), (DECLINE, pause), (REVERSE,), (LEAVE,),
@@ -25,7 +24,7 @@
 
 
 def clock():
-    return time.monotonic() * 1000
+    return machine.monotonic() * 1000
 
 
 class Errand:
@@ -52,7 +51,7 @@
         self.hurry = hurry               # called with a time: be back by then
         self.timers, self.errands, self.refs, self.next = [], {}, 0, None
         self.probing, self.listing = Errand(), Errand()
-        self.unix = time.time() * 1000 - clock()
+        self.unix = machine.unix() * 1000 - clock()
         self.proxy = decide.Proxy(self, clock(), seed, terms)
         self.door, self.beats = Door(self.proxy), False
         self.proxy.stages.all.append(self.door)
--- /dev/null
+++ b/sloeferry/machine.py
@@ -0,0 +1,29 @@
+"""What the daemon has of the machine it runs on: two clocks, sockets, an epoll.
+
+This is the one seam for a rehearsal, which plays a whole bank in one process on a clock and a network of its own
+(`sloeferry/rehearsal/`): it puts its own in their place before anything is built.  Nothing else ever does.
+"""
+import select
+import socket
+import time
+
+monotonic, unix = time.monotonic, time.time      # in seconds
+epoll = select.epoll
+
+
+def tcp():
+    """A new TCP socket that never blocks."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        return sock
+    except BaseException:
+        sock.close()
+        raise
+
+
+def stand_in(**ours):
+    """For a rehearsal alone: its own in the place of these."""
+    if unknown := set(ours) - {"monotonic", "unix", "epoll", "tcp"}:
+        raise ValueError(f"no part of the machine: {sorted(unknown)}")
+    globals().update(ours)
--- a/sloeferry/net/backends.py
+++ b/sloeferry/net/backends.py
@@ -2,12 +2,11 @@
 import asyncio
 import json
 import math
-from time import monotonic
 from typing import NamedTuple
 
 from loguru import logger
 
-from sloeferry import facade as f
+from sloeferry import facade as f, machine
 from sloeferry.net import http1
 from sloeferry.net.alarms import Alarms
 from sloeferry.net.log import warn
@@ -29,16 +28,16 @@
     def __init__(self, backends, ident, address, sock):
         self.backends, self.ident, self.address, self.sock = backends, ident, address, sock
         self.wire = http1.Wire(backends.loop, sock, backends.buffers, answers=True, most=backends.most)
-        self.since = monotonic()
+        self.since = machine.monotonic()
 
     def usable(self):
         """Whether it still stands, and its backend won't close it for idleness any moment."""
-        if monotonic() - self.since > self.backends.idle_limit:
+        if machine.monotonic() - self.since > self.backends.idle_limit:
             return False
         return http1.quiet(self.sock)    # else an end, or bytes that nobody asked for
 
     def rest(self):
-        self.since = monotonic()
+        self.since = machine.monotonic()
         self.backends.idle.setdefault(self.ident, []).append(self)
         self.backends.seats.rest(self, self.close)
 
--- a/sloeferry/net/buffers.py
+++ b/sloeferry/net/buffers.py
@@ -1,6 +1,5 @@
 """Buffers of one size, used again; and seats: all connections together stay below the limit of sockets."""
-from time import monotonic
-
+from sloeferry import machine
 from sloeferry.net.http1 import quiet
 
 
@@ -30,7 +29,7 @@
         while self.taken >= self.most and self.idle:
             connection, (since, end) = next(iter(self.idle.items()))
             # In a rush of newcomers the request of the one before may be on its way: ended, it would be lost.
-            if monotonic() - since < self.REST:
+            if machine.monotonic() - since < self.REST:
                 return False
             self.wake(connection)
             if quiet(connection.sock):
@@ -46,7 +45,7 @@
         self.taken -= 1
 
     def rest(self, connection, end):
-        self.idle[connection] = monotonic(), end
+        self.idle[connection] = machine.monotonic(), end
 
     def wake(self, connection):
         self.idle.pop(connection, None)
--- a/sloeferry/net/clients.py
+++ b/sloeferry/net/clients.py
@@ -3,11 +3,10 @@
 import functools
 import re
 import socket
-from time import monotonic
 
 from loguru import logger
 
-from sloeferry import facade as f
+from sloeferry import facade as f, machine
 from sloeferry.net import http1
 from sloeferry.net.lobby import Lobby
 from sloeferry.net.log import warn
@@ -41,8 +40,8 @@
                                glance=self.glance)
         self.errand, self.busy, self.fresh, self.ended, self.barred = None, False, True, False, 0.0
         self.sending, self.enrolled = None, False
-        self.since = monotonic()         # it connected, was answered, or began to ask again
-        clients.guests.add(self)
+        self.since = machine.monotonic()         # it connected, was answered, or began to ask again
+        clients.guests[self] = None   # in the order they came, not a set's, which is chance's
         self.task = self.loop.create_task(self.serve())
 
     async def serve(self, carried=None):
@@ -81,7 +80,7 @@
             if came is http1.DISMISSED:
                 return await self.dismiss()
             if wire.begun and not begun and not self.fresh:
-                self.since = monotonic()         # for all of it, or drops would hold it for ever
+                self.since = machine.monotonic()         # for all of it, or drops would hold it for ever
             if wire.begun and wire.message.expects and not wire.fault:
                 wire.message.expects = False
                 await self.send(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -103,7 +102,7 @@
             return await self.refuse(status)
         keep = message.keep and not self.clients.leaving and not wire.fault
         await self.send(http1.answer(status, body, headers, keep))
-        self.busy, self.since = False, monotonic()
+        self.busy, self.since = False, machine.monotonic()
         return keep
 
     def glance(self, buffer, n, last=False):
@@ -136,7 +135,7 @@
         """Turned away before it was taken on."""
         self.fresh = False
         await self.send(http1.answer(503, headers=self.clients.pause_of(self.barred), keep=keep))
-        self.busy, self.since = False, monotonic()
+        self.busy, self.since = False, machine.monotonic()
         return keep
 
     async def refuse(self, status):
@@ -222,7 +221,7 @@
                 return 504, b"", ()
 
     async def send(self, data):
-        self.sending = monotonic()       # the sweep looks at it: a timer for each answer costs more than the answer
+        self.sending = machine.monotonic()       # the sweep looks at it: a timer for each answer costs more than the answer
         await self.loop.sock_sendall(self.sock, data)
         self.sending = None
 
@@ -250,7 +249,7 @@
         self.ended = True
         if asyncio.current_task() is not self.task:
             self.task.cancel()
-        self.clients.guests.discard(self)
+        self.clients.guests.pop(self, None)
         if self.enrolled:
             self.clients.lobby.leave(self)
         self.clients.seats.wake(self)
@@ -262,7 +261,7 @@
 class Clients:
     def __init__(self, loop, facade, berth, seats, buffers, backends, discovery):
         self.loop, self.facade, self.seats, self.buffers = loop, facade, seats, buffers
-        self.backends, self.discovery, self.guests = backends, discovery, set()
+        self.backends, self.discovery, self.guests = backends, discovery, {}
         self.open_ids, self.lingering, self.passed = set(), 0, False
         self.lobby = Lobby(loop, facade, buffers)
         self.leaving = self.left = False
@@ -271,9 +270,8 @@
         self.keyed = {at for at in self.schemes.values() if berth.terms[f"schemes.{at}.idempotency"] == "referenced"}
         self.warm_keys = berth.terms["family_info.warm_keys"]
         self.expiry = {at: berth.terms[f"schemes.{at}.expiry"] for at in self.schemes.values()}
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock = machine.tcp()
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sock.setblocking(False)
 
     def tenant(self, name):
         """The customer of that name; the only one there is, whatever it is called, where none are named."""
@@ -305,7 +303,7 @@
     def taken(self, message):
         """The errand of a request."""
         scheme, tenant, left = message.asks
-        left -= (monotonic() - message.at) * 1000        # one read ahead of its turn has waited here already
+        left -= (machine.monotonic() - message.at) * 1000        # one read ahead of its turn has waited here already
         key = self.warm_keys and ENTITY.search(message.header(b"x-call-info") or b"")
         return self.facade.take(scheme, tenant, max(1.0, left), message.header(b"x-again") == b"1",
                                 key[1].decode("latin-1") if key else 0)
@@ -357,13 +355,13 @@
             most = CROWDED if len(self.guests) > self.seats.most / 8 else IDLE
             for guest in list(self.guests):
                 owed = READING if guest.fresh or guest.wire.begun else most
-                if (not guest.busy and not guest.wire.whole and monotonic() > guest.since + owed
-                        or guest.sending and monotonic() > guest.sending + SENDING):
+                if (not guest.busy and not guest.wire.whole and machine.monotonic() > guest.since + owed
+                        or guest.sending and machine.monotonic() > guest.sending + SENDING):
                     guest.end()
             # Some ask once and stay for good; those who let clients connect allow them only so many.
             idle = list(self.seats.idle.items())
             for guest, (since, end) in idle[:max(0, len(idle) - self.seats.most // 4)]:
-                if monotonic() - since > STALE and http1.quiet(guest.sock):
+                if machine.monotonic() - since > STALE and http1.quiet(guest.sock):
                     end()
 
     async def backstop(self):
--- a/sloeferry/net/discovery.py
+++ b/sloeferry/net/discovery.py
@@ -156,7 +156,7 @@
         if ours:
             self.revision = revision
         self.known = {ident: line for ident, line in known.items() if line[4] != "gone"}
-        for ident in set(self.backends.addresses) - set(self.known):
+        for ident in [ident for ident in self.backends.addresses if ident not in self.known]:
             self.backends.told(ident, None)
         if ours and not cached:
             if self.former:              # its list is whole now
--- a/sloeferry/net/http1.py
+++ b/sloeferry/net/http1.py
@@ -1,10 +1,11 @@
 """HTTP/1.1 on one socket, with httptools.  What goes wrong is a value, never an exception."""
 import asyncio
 import socket
-from time import monotonic
 
 import httptools
 
+from sloeferry import machine
+
 # Why there is no (further) message.
 CLOSED, MALFORMED, TOO_LARGE, UNWANTED = "closed", "malformed", "too large", "unwanted"
 DISMISSED = "dismissed"                  # no fault: a whole request, seen to before it was parsed
@@ -89,7 +90,7 @@
         self.message.parts.append(data)
 
     def on_message_complete(self):
-        self.begun, self.message.at = False, monotonic()
+        self.begun, self.message.at = False, machine.monotonic()
         if not 100 <= self.message.status < 200:
             self.whole.append(self.message)
             self.beside = 0
@@ -152,9 +153,8 @@
 
 async def dial(loop, address, patience):
     """A connected socket, or None; an OSError if this machine has no socket to give."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock = machine.tcp()
     try:
-        sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         async with asyncio.timeout(patience / 1000):
             await loop.sock_connect(sock, address)
--- a/sloeferry/net/lobby.py
+++ b/sloeferry/net/lobby.py
@@ -9,8 +9,8 @@
 """
 import select
 from collections import deque
-from time import monotonic
 
+from sloeferry import machine
 from sloeferry.net import http1
 
 EVERY = 0.003                            # seconds between two looks
@@ -27,7 +27,7 @@
     def park(self, guest):
         """A future that is done once this guest may read."""
         if self.epoll is None:
-            self.epoll = select.epoll()
+            self.epoll = machine.epoll()
         fd, gate = guest.sock.fileno(), self.loop.create_future()
         if guest.enrolled:
             self.epoll.modify(fd, select.EPOLLIN | select.EPOLLONESHOT)
@@ -50,7 +50,7 @@
         """Who has a request, who may go on, who is turned away."""
         self.timer = None
         try:
-            self.deal(monotonic(), self.facade.door)
+            self.deal(machine.monotonic(), self.facade.door)
         finally:                         # whatever fails, nobody waits here for ever
             if self.parked and self.timer is None:
                 self.timer = self.loop.call_later(EVERY, self.look)
@@ -95,7 +95,7 @@
             if n and guest.glance(buffer, n, last=True):
                 answer = http1.answer(503, headers=guest.clients.pause_of(guest.barred))
                 if guest.sock.send(answer) == len(answer):
-                    guest.since, guest.fresh = monotonic(), False
+                    guest.since, guest.fresh = machine.monotonic(), False
                     self.epoll.modify(fd, select.EPOLLIN | select.EPOLLONESHOT)
                     return
                 n = 0                    # it takes nothing more: it ends as one that has closed
--- a/sloeferry/net/log.py
+++ b/sloeferry/net/log.py
@@ -1,14 +1,15 @@
 """Warnings, a few lines a kind and minute: a fault that comes with every txn must not fill the log."""
-from time import monotonic
 
 from loguru import logger
 
+from sloeferry import machine
+
 EACH, SPAN = 5, 60.0
 _since, _count = {}, {}
 
 
 def warn(kind, text, *what):
-    now = monotonic()
+    now = machine.monotonic()
     if now - _since.get(kind, -SPAN) >= SPAN:
         if _count.get(kind, 0) > EACH:
             logger.warning("{}: {} more in the last minute", kind, _count[kind] - EACH)
