A slow sender gets its 408; what lay unread during a standstill is not taken for new

Guest.hurry now has it answered 408 and lingers, as other refusals do. - a proxy that got no time for 250 to 500 ms took what lay in its sockets for new and sent some on up to 330 ms past expiry: the door's stale window covers one pass, a crowd takes several. Clients.backstop now tells a standstill (over half the quickest SLA time) by its own lateness, notes it on each unread connection, also those in the backlog; what has no time left is turned away by the door's word.

Also: SLOEFERRY_LOG_FORMAT=json, one JSON object a line by loguru's own serializer.

--- a/sloeferry/__main__.py
+++ b/sloeferry/__main__.py
@@ -98,7 +98,8 @@
 def main():
     try:
         logger.remove()
-        logger.add(sys.stderr, level=terms.log_level(os.environ), diagnose=False,
+        level, as_json = terms.log_terms(os.environ)
+        logger.add(sys.stderr, level=level, diagnose=False, serialize=as_json,
                    format="{time:HH:mm:ss.SSS} {level} {message}")
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(serve(terms.read(os.environ), settled=spare))
--- a/sloeferry/net/clients.py
+++ b/sloeferry/net/clients.py
@@ -21,7 +21,7 @@
 PAUSE = 0.01                             # seconds until a full table is tried again
 METHODS = (b"GET", b"POST", b"PUT", b"PATCH", b"DELETE")
 OURS = http1.HOP | {b"x-budget-ms"}      # of a request, what a backend is told anew
-REFUSALS = {http1.MALFORMED: 400, http1.UNWANTED: 400, http1.TOO_LARGE: 413}
+REFUSALS = {http1.MALFORMED: 400, http1.UNWANTED: 400, http1.TOO_LARGE: 413, http1.OVERDUE: 408}
 # A whole request in its plainest form, which may be turned away unparsed; whatever else comes is parsed first.
 PLAIN = re.compile(rb"(?:GET|POST) /[!-~]* HTTP/1\.1\r\n(?:[!#-'*+.0-9A-Z^-z|~-]+:[\t -~]*\r\n)+\r\n")
 SAID = re.compile(rb"(?i)\r\n(x-call-class|x-caller|x-again|x-budget-ms|content-length|transfer-encoding|expect"
@@ -39,7 +39,7 @@
         self.wire = http1.Wire(clients.loop, sock, clients.buffers, answers=False, wanted=clients.wanted,
                                glance=self.glance)
         self.errand, self.busy, self.fresh, self.ended, self.barred = None, False, True, False, 0.0
-        self.sending, self.enrolled = None, False
+        self.sending, self.enrolled, self.overdue, self.waited = None, False, False, 0.0
         self.since = machine.monotonic()         # it connected, was answered, or began to ask again
         clients.guests[self] = None   # in the order they came, not a set's, which is chance's
         self.task = self.loop.create_task(self.serve())
@@ -75,7 +75,13 @@
                 if wire.whole or wire.fault or wire.begun:       # read there already
                     self.clients.seats.wake(self)
                     continue
-            came = await wire.fill()
+            try:
+                came = await wire.fill()
+            except asyncio.CancelledError:
+                if not self.overdue:
+                    raise
+                self.task.uncancel()
+                came = wire.fault = http1.OVERDUE
             self.clients.seats.wake(self)        # something came, if not a whole request: not idle
             if came is http1.DISMISSED:
                 return await self.dismiss()
@@ -88,10 +94,15 @@
             known = wire.message.method in METHODS or wire.fault != http1.UNWANTED
             return await self.refuse(REFUSALS.get(wire.fault) if known else 405)
         message, self.busy, self.fresh = wire.whole.pop(0), True, False
+        waited, self.waited = self.waited, 0.0
+        if waited and message.asks and message.asks[2] <= waited:
+            # Its time went by while this program stood still: the door turns it away, whatever it could take.
+            scheme, tenant, _ = message.asks
+            message.barred = self.clients.facade.bars(scheme, tenant, message.header(b"x-again") == b"1", True)
         if message.barred is not None:   # more than its body was to be read, or it was no plain one
             self.barred = message.barred
             return await self.dismiss(message.keep and not self.clients.leaving and not wire.fault)
-        return await self.reply(message, await self.answer(message))
+        return await self.reply(message, await self.answer(message, waited))
 
     async def reply(self, message, said):
         """Writes the answer; whether another request may follow."""
@@ -145,7 +156,7 @@
             await self.linger()
         return False
 
-    async def answer(self, message):
+    async def answer(self, message, waited=0.0):
         """Status, body and headers for one request."""
         if message.asks is None:         # /ready
             ready = self.clients.discovery.ready.is_set() and not self.clients.leaving
@@ -155,7 +166,7 @@
             return 409, b"", ()
         self.clients.open_ids.add(ident)
         try:
-            errand = self.errand = self.clients.taken(message)
+            errand = self.errand = self.clients.taken(message, waited)
         except Exception as fault:
             return self.failed(ident, fault)
         headers = [h for h in message.headers if h[0] not in OURS]
@@ -225,6 +236,13 @@
         await self.loop.sock_sendall(self.sock, data)
         self.sending = None
 
+    def hurry(self):
+        """Half a request, and its time is over.  It is told so: closed without a word, one whose last byte is on
+        its way would be lost (rule 1)."""
+        if not self.overdue:
+            self.overdue = True
+            self.task.cancel()
+
     async def linger(self):
         """Closed over unread bytes, a socket resets, and the answer is lost with it.  Few at a time do so, and
         not for long: they hold seats, and one with 60 MB to send would take the time of all others."""
@@ -300,9 +318,10 @@
     def pause_of(ms):
         return [(b"Retry-After", b"%.3f" % (ms / 1000))] if ms else ()
 
-    def taken(self, message):
-        """The errand of a request."""
+    def taken(self, message, waited=0.0):
+        """The errand of a request; `waited`: for how long it lay unread while this program stood still, in ms."""
         scheme, tenant, left = message.asks
+        left -= waited
         left -= (machine.monotonic() - message.at) * 1000        # one read ahead of its turn has waited here already
         key = self.warm_keys and ENTITY.search(message.header(b"x-call-info") or b"")
         return self.facade.take(scheme, tenant, max(1.0, left), message.header(b"x-again") == b"1",
@@ -355,9 +374,10 @@
             most = CROWDED if len(self.guests) > self.seats.most / 8 else IDLE
             for guest in list(self.guests):
                 owed = READING if guest.fresh or guest.wire.begun else most
-                if (not guest.busy and not guest.wire.whole and machine.monotonic() > guest.since + owed
-                        or guest.sending and machine.monotonic() > guest.sending + SENDING):
+                if guest.sending and machine.monotonic() > guest.sending + SENDING:
                     guest.end()
+                elif not guest.busy and not guest.wire.whole and machine.monotonic() > guest.since + owed:
+                    guest.hurry() if guest.wire.begun else guest.end()
             # Some ask once and stay for good; those who let clients connect allow them only so many.
             idle = list(self.seats.idle.items())
             for guest, (since, end) in idle[:max(0, len(idle) - self.seats.most // 4)]:
@@ -368,8 +388,11 @@
         """Looks after those whose txn is out: the client may have gone meanwhile, and should the decisions
         fail, which answer before expiry, it is answered all the same."""
         while True:
+            before = machine.monotonic()
             await asyncio.sleep(LOOK)
             now = f.clock()
+            if self.facade.door.stood(late := now - 1000 * (before + LOOK)):
+                self.stood(late)
             for guest in list(self.guests):
                 # Most are answered before the first look: a look at a socket costs as much as a small read.
                 if guest.errand and not guest.errand.over and now > guest.errand.began + 1000 * LOOK:
@@ -379,6 +402,17 @@
                     elif http1.gone(guest.sock):
                         self.facade.report_left(guest.errand)
 
+    def stood(self, late):
+        """This program got no time for so long (ms).  What lies unread has waited for most of it, and its client's
+        time runs from when it was sent: taken for new, it would be sent on past its expiry (rule 1)."""
+        for guest in self.guests:
+            guest.waited = 0.0 if guest.busy or http1.quiet(guest.sock) else late
+        if not self.leaving:
+            before = len(self.guests)
+            self.accept(BACKLOG)         # those who came meanwhile
+            for guest in list(self.guests)[before:]:
+                guest.waited = late
+
     # The way out
 
     def close(self):
--- a/sloeferry/net/http1.py
+++ b/sloeferry/net/http1.py
@@ -7,7 +7,7 @@
 from sloeferry import machine
 
 # Why there is no (further) message.
-CLOSED, MALFORMED, TOO_LARGE, UNWANTED = "closed", "malformed", "too large", "unwanted"
+CLOSED, MALFORMED, TOO_LARGE, UNWANTED, OVERDUE = "closed", "malformed", "too large", "unwanted", "overdue"
 DISMISSED = "dismissed"                  # no fault: a whole request, seen to before it was parsed
 BODY, HEAD = 65536, 16384                # the most that a request's body may hold, and all else of a message
 FRAMING = 9                              # bytes of chunk lines that a byte of a body may bring along
@@ -179,7 +179,7 @@
     return opening(method, url, headers, len(body)) + b"\r\n" + body
 
 
-REASONS = {200: b"OK", 400: b"Bad Request", 405: b"Method Not Allowed", 413: b"Content Too Large",
+REASONS = {200: b"OK", 400: b"Bad Request", 405: b"Method Not Allowed", 408: b"Request Timeout", 413: b"Content Too Large",
            409: b"Conflict", 503: b"Service Unavailable", 504: b"Gateway Timeout"}
 
 
--- a/sloeferry/overload.py
+++ b/sloeferry/overload.py
@@ -72,6 +72,10 @@
 
     # What the chain asks
 
+    def stood(self, late: float) -> bool:
+        """Whether being so late (ms) comes from standing still, not from much to do."""
+        return late > STALE * self.sla
+
     def shut(self) -> bool:
         """Whether anybody may have to stay outside now."""
         return self.limit < INF or self.stale
--- a/sloeferry/rehearsal/live.py
+++ b/sloeferry/rehearsal/live.py
@@ -115,6 +115,7 @@
 
     def stop(self, seconds):
         if self.process:
+            self.bank.judge.stopped(self.name, self.loop.time(), self.loop.time() + seconds)
             os.killpg(self.process.pid, signal.SIGSTOP)
             self.loop.call_later(seconds, self.end, signal.SIGCONT)
 
--- a/sloeferry/rehearsal/play.py
+++ b/sloeferry/rehearsal/play.py
@@ -108,6 +108,7 @@
             self.start()
 
     def stop(self, seconds):
+        self.bank.judge.stopped(self.name, self.house.world.now, self.house.world.now + seconds)
         self.process.halt(seconds)
 
     def starve(self, share):
--- a/sloeferry/terms.py
+++ b/sloeferry/terms.py
@@ -121,11 +121,14 @@
     return host, int(port)
 
 
-def log_level(environ):
-    level = environ.get("SLOEFERRY_LOG") or "INFO"
+def log_terms(environ):
+    """The level of the log, and whether each line is a JSON object."""
+    level, form = environ.get("SLOEFERRY_LOG") or "INFO", environ.get("SLOEFERRY_LOG_FORMAT") or "text"
     if level not in LEVELS:
         raise Fault(f"SLOEFERRY_LOG: {level!r} is none of {', '.join(LEVELS)}")
-    return level
+    if form not in ("text", "json"):
+        raise Fault(f"SLOEFERRY_LOG_FORMAT: {form!r} is neither text nor json")
+    return level, form == "json"
 
 
 def read(environ, again=False):
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -283,6 +283,16 @@
                        for clock in ("12:00:00", "23:59:58"))
         self.assertEqual(plain, late)
 
+    def test_one_moment(self):
+        """Answers, time-outs and drains within one millisecond: one answer each, nothing twice, nothing after."""
+        hows = {}
+        for seed in range(6):
+            record = play.play(s.read(HERE / "instant.toml"), seed)
+            self.assertEqual((record["breaches"], record["faults"]), ([], []))
+            for how, count in record["txns"].items():
+                hows[how] = hows.get(how, 0) + count
+        self.assertTrue(hows["settled"] and hows["reversed"] and hows["runs_again"], hows)
+
     def test_live(self):
         """A short play with real daemons ends, with every txn counted; how it went is the machine's affair."""
         told = squall(lines=[("seconds = 9", "seconds = 2"), ("proxies = 3", "proxies = 2"), ("[[9, 70]]", "[[2, 30]]"),
@@ -314,6 +324,16 @@
             self.assertEqual(self.broken(squall(lines=lines), policy="round-robin" if lines is self.COLD else "design"),
                              ({}, []))
 
+    def test_stood_still(self):
+        """Guards Clients.stood: what lay unread while the proxy got no time is not new.  Taken for new it was sent
+        on past its expiry."""
+        told = s.read(HERE / "standstill.toml")
+        self.assertEqual(self.broken(told), ({}, []))
+        with mock.patch.object(clients.Clients, "stood", lambda *_: None):
+            rules, texts = self.broken(told)
+        self.assertIn("1", rules, texts)
+        self.assertIn("past its expiry", texts[0])
+
     def test_answered_twice(self):
         send, count = clients.Guest.send, [0]
 
