--- a/sloeferry/rehearsal/judge.py
+++ b/sloeferry/rehearsal/judge.py
@@ -233,6 +233,10 @@
         else:
             self.deemed.setdefault(node, now + self.scenario.discovery.deemed_s)
 
+    def started(self, node):
+        """It runs again: what was never told of its end counts as told no more."""
+        self.deemed.pop(node, None)
+
     def was_killed(self, proxy, now):
         self.killed[proxy] = now
 
--- a/sloeferry/rehearsal/troubles.py
+++ b/sloeferry/rehearsal/troubles.py
@@ -90,6 +90,7 @@
 
     def starts(self, node):
         self.loop.create_task(node.start())
+        self.bank.judge.started(node.ident)
         self.bank.roster.happened(node, "active", self.bank.scenario.discovery.add_s, self.bank.house.unix())
 
     def deploy(self, trouble, rng):
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -283,6 +283,14 @@
                        for clock in ("12:00:00", "23:59:58"))
         self.assertEqual(plain, late)
 
+    def test_other_luck(self):
+        """Another draw of chance on the same day: the same txns are asked, other things come of them."""
+        told = squall(lines=[("seconds = 9", "seconds = 3"), *EARLY])
+        one, other = (play.play(told, 5, chance=chance) for chance in (0, 1))
+        self.assertEqual(one["txns"]["asked"], other["txns"]["asked"])
+        self.assertEqual([w["asked"] for w in one["windows"]], [w["asked"] for w in other["windows"]])
+        self.assertNotEqual(one["world"], other["world"])
+
     def test_one_moment(self):
         """Answers, time-outs and drains within one millisecond: one answer each, nothing twice, nothing after."""
         hows = {}
