The kit read over: what both houses share stands once, what nothing read is gone

Seen on reading the whole change: virtual and live plays each had their own proxy's place and configuration, READY and LONGEST, the start of troubles and the closing of the books; a node was given the judge twice; Process.used, Proxy.lives, Judge.kept, Sock.held, getpeername and getsockname were read by nothing or derivable; Door.beat had the test that Door.stood names; play.py named the seam's parts a second time; the roster made one set anew for each entry; the platform's names of kinds stood beside terms.KINDS; a free port was sought beside free_ports.

Change: bank.Berth, Bank.record and Bank.begin have what is shared; machine.stand_in tells what stood there before; Process.put queues for call_soon and for what came; Judge.gain and Judge.died; the rest is removed or calls what there was. Kept traces are named like the others.

Result: no behaviour changed.

--- a/sloeferry/cli.py
+++ b/sloeferry/cli.py
@@ -2,6 +2,7 @@
 import os
 import pathlib
 import sys
+from importlib import import_module
 
 import click
 
@@ -45,7 +46,6 @@
 
 def run():
     """The entry point: a subsystem's verbs are read in only where they are asked for and its extra is installed."""
-    from importlib import import_module
     for verb, (module, extra, about) in VERBS.items():
         if verb not in sys.argv[1:2]:
             main.add_command(click.Command(verb, help=f"{about} (extra: sloeferry[{extra}])."))
--- a/sloeferry/machine.py
+++ b/sloeferry/machine.py
@@ -23,7 +23,9 @@
 
 
 def stand_in(**ours):
-    """For a rehearsal alone: its own in the place of these."""
+    """For a rehearsal alone: its own in the place of these; what stood there before."""
     if unknown := set(ours) - {"monotonic", "unix", "epoll", "tcp"}:
         raise ValueError(f"no part of the machine: {sorted(unknown)}")
+    before = {name: globals()[name] for name in ours}
     globals().update(ours)
+    return before
--- a/sloeferry/overload.py
+++ b/sloeferry/overload.py
@@ -47,7 +47,7 @@
 
     def beat(self, now: float, late: float) -> None:
         """A regular beat, due every `every` ms, ran so late."""
-        self.stale = late > STALE * self.sla
+        self.stale = self.stood(late)
         self.least = min(self.least, late)
         if now - self.since < WINDOW * self.sla:
             return
--- a/sloeferry/rehearsal/bank.py
+++ b/sloeferry/rehearsal/bank.py
@@ -2,20 +2,27 @@
 
 The same for the rehearsal's own loop and for a real one; `House` says what differs between the two.
 """
+import json
 import math
+import pathlib
 from typing import Protocol
 
+from sloeferry import terms
 from sloeferry.rehearsal.callers import Callers, Front
 from sloeferry.rehearsal.judge import Judge, arrivals
 from sloeferry.rehearsal.nodes import Memory, Node
 from sloeferry.rehearsal.roster import Roster
+from sloeferry.rehearsal.troubles import Troubles
 
-KINDS = {"repeatable": "retryable", "referenced": "dedup", "once-only": "fragile"}       # on the platform's wire
+KINDS = {ours: wire for wire, ours in terms.KINDS.items()} | {"once-only": "fragile"}   # on the platform's wire
+READY = 30.0                             # seconds until a play begins whoever is ready
+LONGEST = 3.7                            # seconds from SIGTERM to SIGKILL
 
 
 class House(Protocol):
     """Where the stand-ins run."""
     loop: object                         # of whoever causes the troubles
+    folder: str                          # where proxies' configurations stand
 
     def rng(self, what: str): ...
     def unix(self) -> float: ...
@@ -24,6 +31,19 @@
     def proxy(self, bank, at: int): ...  # a proxy: start, kill, leave, stop(seconds), starve(share), renew
 
 
+class Berth:
+    """What a proxy has in either house: its place, its configuration and its share of a core."""
+
+    def __init__(self, house, bank, at):
+        self.house, self.bank, self.at = house, bank, at
+        self.name, self.address, self.zone = bank.places[at]
+        self.path, self.seeds = pathlib.Path(house.folder) / f"{self.name}.json", house.rng(f"proxy-{at}")
+        self.process, self.leaving, self.share = None, False, bank.scenario.bank.share
+
+    def write(self):
+        self.path.write_text(json.dumps(self.bank.berth(self.at, self.seeds.getrandbits(64))))
+
+
 def spot(block, at):
     """A loopback address of its own for each."""
     return f"127.{block}.{at // 250}.{at % 250 + 1}"
@@ -41,7 +61,7 @@
 class Bank:
     def __init__(self, scenario, house, port=8000):
         self.scenario, self.house, self.loop, self.port = scenario, house, house.loop, port
-        zones, rules = scenario.network.zones, scenario.obligations
+        zones = scenario.network.zones
         self.judge = Judge(scenario, arrivals(scenario, house.rng("arrivals")))
         self.places = [(f"p{at}", (spot(10, at), port), zones[at % len(zones)]) for at in range(scenario.bank.proxies)]
         self.judge.proxies = {name: zone for name, _, zone in self.places}
@@ -66,14 +86,14 @@
         ident = f"s-{at:04x}"
         # A scheme's group says who remembers its repeats: all nodes, or those of one zone.
         memories = {group: self.memories.setdefault(where, Memory()) for group, where in (("all", ""), ("zone", zone))}
-        return Node(self.house.place(ident, address, zone), told, ident, address, zone, self.judge, self.judge, memories,
+        return Node(self.house.place(ident, address, zone), told, ident, address, zone, self.judge, memories,
                     self.scenario.obligations, self.house.rng(f"node-{at}"))
 
     def settings(self, at):
         """What the platform tells the proxy of that number, times in microseconds."""
         told = self.scenario
         cold_s, cold_from = told.cold()
-        settings = {
+        return {
             "instances": told.bank.proxies, "ordinal": at, "zone": at % len(told.network.zones),
             "zones": list(told.network.zones), "kinds": sorted({nodes.kind for nodes in told.nodes}),
             "step": 1000, "discovery": told.discovery.mode,
@@ -89,7 +109,6 @@
                             "must_ask_in": told.discovery.patience_s * 1e6},
             "tariffs": {"cross_zone": told.prices.cross, "probe": told.prices.probe},
             "load_info": {"fields": ["inflight", "queue", "util"], "via": "answers"}}
-        return settings
 
     def berth(self, at, seed):
         """The configuration of the proxy of that number, as the platform writes it."""
@@ -111,10 +130,17 @@
         self.judge.begin = now
         for callers in self.callers:
             callers.begin(now)
+        Troubles(self).begin(now)
 
     def busy(self):
         return any(callers.open for callers in self.callers)
 
+    def record(self, now):
+        """The judge's record, once all that could end has ended."""
+        for ask in [ask for callers in self.callers for ask in callers.asks if not ask.how]:
+            self.judge.breach("1", now, f"txn {ask.number} had no end")
+        return self.judge.record()
+
     def longest(self):
         """Seconds that the last txn may still take, with all its tries."""
         told = self.scenario.callers
--- a/sloeferry/rehearsal/cli.py
+++ b/sloeferry/rehearsal/cli.py
@@ -69,8 +69,10 @@
 def run_one(scenario, seed, live, policy, chance, record, as_json, log):
     """Plays SCENARIO (a shipped name, or a path).  Exit 0: rules kept, 1: one broken, 2: can't be played."""
     told, show = s.read(scenario), (lambda text: click.echo(text, err=True)) if log else None
-    if live and (policy != "design" or chance):
-        raise s.Fault("--policy: a live play has the design alone" if not chance else "--chance: a live play has luck of its own")
+    if live and policy != "design":
+        raise s.Fault("--policy: a live play has the design alone")
+    if live and chance:
+        raise s.Fault("--chance: a live play has luck of its own")
     if record and not record.parent.is_dir():
         raise s.Fault(f"--record: {record.parent} is no folder")
     if live:
--- a/sloeferry/rehearsal/judge.py
+++ b/sloeferry/rehearsal/judge.py
@@ -4,8 +4,11 @@
 Free of I/O.
 """
 from dataclasses import dataclass, field
+from math import log, sqrt
 from random import Random
 
+from sloeferry.rehearsal.scenario import Heavy
+
 WINDOW = 5.0                             # seconds
 RULES = ("1", "2", "3", "4", "protocol", "crash")
 TEXTS = 20                               # breaches that are kept in words
@@ -46,10 +49,10 @@
 def arrivals(scenario, rng: Random):
     """All that is asked in a play, the same for the same seed whatever is answered."""
     schemes, customers = scenario.scheme, scenario.customer
-    heavy = [t for t in scenario.trouble if type(t).__name__ == "Heavy"]
+    heavy = [t for t in scenario.trouble if isinstance(t, Heavy)]
     low, high = scenario.callers.patience
-    at, begun, found, pieces = 0.0, 0.0, [], list(scenario.callers.curve)
-    if begun + sum(length for length, _ in pieces) < scenario.seconds:
+    begun, found, pieces = 0.0, [], list(scenario.callers.curve)
+    if sum(length for length, _ in pieces) < scenario.seconds:
         pieces.append((scenario.seconds, pieces[-1][1]))
     weights = [1 / (1 + scenario.callers.skew) ** (client % len(scenario.network.zones))
                for client in range(scenario.callers.clients)]
@@ -77,7 +80,6 @@
 
 def shape(cv):
     """Of a lognormal with mean 1 and that coefficient of variation."""
-    from math import log, sqrt
     variance = log(1 + cv * cv)
     return -variance / 2, sqrt(variance)
 
@@ -154,12 +156,16 @@
     def unheard(self, ident):
         """Whether a request may have crossed the end of an idle connection: no proxy died, and no node has it."""
         found = self.tries[ident]
-        return not found.posted and self.killed.get(found.proxy, -1.0) < found.at - self.slack
+        return not found.posted and not self.died(found)
+
+    def died(self, found):
+        """Whether its proxy was killed while it had this."""
+        return self.killed.get(found.proxy, -1.0) >= found.at - self.slack
 
     def lost(self, ident, now, why):
         """No answer came: its connection ended, or its time did.  A proxy that was killed with it is excused."""
         found = self.tries[ident]
-        if self.killed.get(found.proxy, -1.0) >= found.at - self.slack:
+        if self.died(found):
             return "killed"
         if self.stood(found):
             return "late"
@@ -249,9 +255,12 @@
     def in_time(self, ask):
         return ask.how == "settled" and ask.ended - ask.first <= self.scenario.scheme[ask.scheme].sla_ms / 1000
 
+    def gain(self, asks):
+        return sum(self.scenario.scheme[a.scheme].gain for a in asks)
+
     def share(self, asks):
-        asked = sum(self.scenario.scheme[a.scheme].gain for a in asks)
-        return sum(self.scenario.scheme[a.scheme].gain for a in asks if self.in_time(a)) / asked if asked else None
+        asked = self.gain(asks)
+        return self.gain(filter(self.in_time, asks)) / asked if asked else None
 
     def record(self):
         """All that a play is worth telling, for one seed the same to the byte."""
@@ -270,9 +279,9 @@
         weights = {key: getattr(scenario.goal, key) for key in parts}
         total = sum(weights.values())
         count, prices = max(1, len(asks)), scenario.prices
-        gain = sum(scenario.scheme[a.scheme].gain for a in asks) or 1.0
-        late = sum(scenario.scheme[a.scheme].gain for a in asks if a.how != "settled" and a.how != "left"
-                   and a.ended - a.first > scenario.scheme[a.scheme].sla_ms / 1000)
+        gain = self.gain(asks) or 1.0
+        late = self.gain(a for a in asks if a.how not in ("settled", "left")
+                         and a.ended - a.first > scenario.scheme[a.scheme].sla_ms / 1000)
         useful = sum(a.work for a in asks if a.how == "settled")
         asked = sum(a.work for a in asks) or 1.0
         prices = {"waste": prices.waste * max(0.0, self.work_done + self.probe_work - useful) / asked,
@@ -297,9 +306,6 @@
                      "probes": self.probes, "crossings": self.crossings},
             "nodes": {"choked": len(self.choked_nodes), "work_s": near(self.work_done / 1000)}}
 
-    def kept(self):
-        return not any(self.breaches.values())
-
 
 def name(ident):
     return ident.decode("latin-1")
--- a/sloeferry/rehearsal/live.py
+++ b/sloeferry/rehearsal/live.py
@@ -4,7 +4,6 @@
 say nothing here, but their connections come up).  All processes started here are ended here, by id.
 """
 import asyncio
-import json
 import os
 import pathlib
 import signal
@@ -16,11 +15,9 @@
 import uvloop
 
 from sloeferry.load.daemons import Throttle, free_ports
-from sloeferry.rehearsal.bank import Bank
+from sloeferry.rehearsal.bank import LONGEST, READY, Bank, Berth
 from sloeferry.rehearsal.scenario import Fault
-from sloeferry.rehearsal.troubles import Troubles
 
-READY, LONGEST = 30.0, 3.7               # seconds: until a play begins whoever is ready; from SIGTERM to SIGKILL
 MOST, SECONDS = 16, 600                  # proxies, and length of a play, that a machine is asked to carry
 
 
@@ -45,18 +42,12 @@
         return Daemon(self, bank, at)
 
 
-class Daemon:
+class Daemon(Berth):
     """One proxy: a real process, and its lives (as play.Proxy)."""
 
     def __init__(self, house, bank, at):
-        self.house, self.bank, self.at, self.loop = house, bank, at, house.loop
-        self.name, self.address, self.zone = bank.places[at]
-        self.path, self.seeds = pathlib.Path(house.folder) / f"{self.name}.json", house.rng(f"proxy-{at}")
-        self.process, self.throttle, self.leaving, self.killed, self.over = None, None, False, False, False
-        self.share = bank.scenario.bank.share
-
-    def write(self):
-        self.path.write_text(json.dumps(self.bank.berth(self.at, self.seeds.getrandbits(64))))
+        super().__init__(house, bank, at)
+        self.loop, self.throttle, self.killed, self.over = house.loop, None, False, False
 
     def start(self):
         self.loop.create_task(self.run())
@@ -154,15 +145,12 @@
             await asyncio.sleep(0.05)
         begun = loop.time()
         bank.begin(begun)
-        Troubles(bank).begin(begun)
         last = begun + scenario.seconds
         while loop.time() < last or bank.busy() and loop.time() < last + bank.longest():
             await asyncio.sleep(0.25)
             if progress:
                 progress(loop.time() - begun, bank)
-        for ask in [ask for callers in bank.callers for ask in callers.asks if not ask.how]:
-            bank.judge.breach("1", loop.time(), f"txn {ask.number} had no end")
-        return bank.judge.record()
+        return bank.record(loop.time())
     finally:
         for proxy in bank.proxies:
             proxy.over = True
--- a/sloeferry/rehearsal/network.py
+++ b/sloeferry/rehearsal/network.py
@@ -93,7 +93,6 @@
         if kind == "data":
             self.bytes += len(data)
             peer.inbox.append(data)
-            peer.held += len(data)
         elif kind == "end":
             peer.eof = True
         else:
@@ -129,7 +128,7 @@
         net.fds += 1
         self.fd = net.fds
         self.peer = self.address = self.remote = self.backlog = self.fault = self.epoll = None
-        self.inbox, self.held, self.out, self.last = deque(), 0, 0, 0.0
+        self.inbox, self.out, self.last = deque(), 0, 0.0
         self.eof = self.ended = self.closed = self.up = False
         self.reader = self.writer = self.gate = self.call = None
         self.most, self.stirred, self.armed = 0, False, False
@@ -147,14 +146,6 @@
     def setsockopt(self, *what):
         pass
 
-    def getpeername(self):
-        if self.remote is None:
-            raise broken(errno.ENOTCONN)
-        return self.remote
-
-    def getsockname(self):
-        return self.address or (self.process.host.ip, 0)
-
     def port(self):
         self.net.ports += 1
         self.address = self.process.host.ip, 32768 + self.net.ports % 28000
@@ -311,7 +302,6 @@
 
     def took(self, n):
         """Bytes have been read: there is room for the other side to send more."""
-        self.held -= n
         if (peer := self.peer) is not None:
             peer.out -= n
             if peer.writer is not None:
--- a/sloeferry/rehearsal/nodes.py
+++ b/sloeferry/rehearsal/nodes.py
@@ -39,9 +39,9 @@
 
 
 class Node:
-    def __init__(self, loop, told, ident, address, zone, judge, ledger, memories, rules, rng):
+    def __init__(self, loop, told, ident, address, zone, judge, memories, rules, rng):
         self.loop, self.told, self.ident, self.address, self.zone = loop, told, ident, address, zone
-        self.judge, self.ledger, self.memories, self.rules, self.rng = judge, ledger, memories, rules, rng
+        self.judge, self.memories, self.rules, self.rng = judge, memories, rules, rng
         self.server, self.peers, self.running, self.queue, self.timer = None, {}, [], deque(), None
         self.up = self.draining = self.mute = False      # mute: cut off, says nothing
         self.born, self.at, self.shown = 0.0, 0.0, (0.0, b"")
@@ -157,7 +157,7 @@
     def fill(self):
         while self.queue and len(self.running) < self.told.cores:
             job = self.queue.popleft()
-            if self.told.drops_late and (job.peer.gone or self.ledger.over(job.ident, self.loop.time())):
+            if self.told.drops_late and (job.peer.gone or self.judge.over(job.ident, self.loop.time())):
                 job.peer.answer(answer(503, b"", b"X-Rejected: 1\r\n" + self.report()))
                 continue
             self.begin(job)
@@ -179,7 +179,7 @@
             return peer.answer(answer(500, b"", self.report()))
         if self.odds_cut and self.rng.random() < self.odds_cut:
             return peer.cut(b"HTTP/1.1 200 X\r\nContent-Le")
-        body = ident + b" " * (self.ledger.answer_size(ident) - len(ident))
+        body = ident + b" " * (self.judge.answer_size(ident) - len(ident))
         peer.answer(answer(200, body, self.report()))
 
     def crowd(self):
@@ -199,7 +199,7 @@
     def came(self, peer, line, fields, since):
         """A whole request; `since` is when its first byte came."""
         now, peer.busy, ident = self.loop.time(), True, fields.get(b"x-call-id")
-        if ident is not None and self.ledger.scheme(ident):
+        if ident is not None and self.judge.scheme(ident):
             self.judge.posted(self.ident, self.zone, ident, since)
         if now < self.stalled - 1e-9:
             self.late.append((peer, line, fields, now))
@@ -214,14 +214,14 @@
             self.judge.probed(self.ident, PROBE_MS)
             return peer.answer(answer(200, self.report()[15:-2] if path == b"/status/load" else b""))
         ident = fields.get(b"x-call-id", b"")
-        scheme = self.ledger.scheme(ident)
+        scheme = self.judge.scheme(ident)
         if scheme is None:
             self.judge.breach("protocol", now, f"{self.ident} was sent an id that nobody asked: {ident!r}")
             return peer.answer(answer(400))
         # An error says nothing of what ran: half come at once, half when all has been done.
         if self.odds_err and self.rng.random() < self.odds_err / 2:
             return peer.answer(answer(500, b"", self.report()))
-        work = self.ledger.work(ident)
+        work = self.judge.work(ident)
         if not self.weigh(now, min(work, HEAVIEST * scheme.work_ms)):
             return
         if self.crowd() >= self.told.cores * (1 + self.told.queue):
--- a/sloeferry/rehearsal/play.py
+++ b/sloeferry/rehearsal/play.py
@@ -1,24 +1,19 @@
 """One play in virtual time: the daemon's own code, as many proxies as the scenario says, and everybody else."""
-import json
-import os
-import pathlib
 import signal
+import sys
 import tempfile
 
 from loguru import logger
 
 from sloeferry import __main__ as daemon, machine, terms
 from sloeferry.rehearsal import baselines
-from sloeferry.rehearsal.bank import Bank
+from sloeferry.rehearsal.bank import LONGEST, READY, Bank, Berth
 from sloeferry.rehearsal.network import Epoll, Host, Net
 from sloeferry.rehearsal.scenario import moment
-from sloeferry.rehearsal.troubles import Troubles
-from sloeferry.rehearsal.world import Process, World
+from sloeferry.rehearsal.world import BEGIN, Process, World
 
 EPOCH = 1767225600.0                     # Unix time at the start where the scenario says none
 CALLS = {"read": 2, "write": 2, "dial": 3, "accept": 2}      # what calls cost, in parts of a txn's four calls
-READY = 30.0                             # seconds until a play begins whoever is ready
-LONGEST = 3.7                            # seconds from SIGTERM to SIGKILL
 
 
 class Virtual:
@@ -46,27 +41,20 @@
         return Proxy(self, bank, at)
 
 
-class Proxy:
+class Proxy(Berth):
     """One proxy: a process that runs `serve`, and its lives."""
 
     def __init__(self, house, bank, at):
-        self.house, self.bank, self.at = house, bank, at
-        self.name, self.address, self.zone = bank.places[at]
-        self.path = pathlib.Path(house.folder) / f"{self.name}.json"
-        self.process, self.leaving, self.lives, self.share, self.used = None, False, 0, bank.scenario.bank.share, 0.0
-        self.seeds = house.rng(f"proxy-{at}")
+        super().__init__(house, bank, at)
         unit = bank.scenario.bank.txn_us / 1e6 / 8
         self.costs = {call: parts * unit for call, parts in CALLS.items()} if unit else {}
 
-    def write(self):
-        self.path.write_text(json.dumps(self.bank.berth(self.at, self.seeds.getrandbits(64))))
-
     def start(self):
         if self.process and not self.process.dead:
             return
         self.write()
         environ = {"BALANCER_CONFIG": str(self.path)}
-        self.lives, self.leaving = self.lives + 1, False
+        self.leaving = False
         host = self.house.host(self.address, self.zone)
         process = self.process = Process(self.house.world, host, self.name, self.costs)
         process.share = self.share
@@ -76,7 +64,6 @@
 
     def over(self, process):
         """It ended by itself: as it was told to, or not."""
-        self.used += process.used
         if process is not self.process:
             return
         if not self.leaving:
@@ -88,7 +75,6 @@
     def kill(self):
         if self.process.dead:
             return
-        self.used += self.process.used
         self.bank.judge.was_killed(self.name, self.house.world.now)
         self.process.kill()
         self.bank.front.ended(self.name, self.bank.scenario.front.notice_s)
@@ -132,7 +118,7 @@
         level = record["level"].name
         self.count[level] = self.count.get(level, 0) + 1
         if self.show:
-            self.show(f"{machine.monotonic() - 1000:9.4f} {level} {record['message']}")
+            self.show(f"{machine.monotonic() - BEGIN:9.4f} {level} {record['message']}")
 
 
 def play(scenario, seed, policy="design", progress=None, show=None, chance=0):
@@ -140,11 +126,11 @@
     txns and troubles, drawn anew in what its network and its proxies leave to luck."""
     with tempfile.TemporaryDirectory(prefix="rehearsal-") as folder:
         house = Virtual(scenario, seed, folder, policy, chance)
-        world, real = house.world, {name: getattr(machine, name) for name in ("monotonic", "unix", "tcp", "epoll")}
-        log = Log(show)
+        world, log = house.world, Log(show)
         logger.remove()
         logger.add(log, level="INFO", format="{message}", catch=False)
-        machine.stand_in(monotonic=world.monotonic, unix=world.unix, tcp=house.net.sock, epoll=lambda: Epoll(house.net))
+        real = machine.stand_in(monotonic=world.monotonic, unix=world.unix, tcp=house.net.sock,
+                                epoll=lambda: Epoll(house.net))
         try:
             bank = Bank(scenario, house)
             house.loop.create_task(bank.open())
@@ -156,16 +142,12 @@
                 world.run(world.now + 0.1)
             begun = world.now
             bank.begin(begun)
-            Troubles(bank).begin(begun)
             last = begun + scenario.seconds
             while world.now < last or bank.busy() and world.now < last + bank.longest():
                 world.run(min(world.now + 1.0, last + bank.longest()))
                 if progress:
                     progress(world.now - begun, bank)
-            left = [ask for callers in bank.callers for ask in callers.asks if not ask.how]
-            for ask in left:
-                bank.judge.breach("1", world.now, f"txn {ask.number} had no end")
-            record = bank.judge.record()
+            record = bank.record(world.now)
             record["seed"], record["policy"], record["chance"] = seed, policy, chance
             record["log"] = dict(sorted(log.count.items()))
             record["faults"] = world.faults[:20]
@@ -175,4 +157,4 @@
             world.end()
             machine.stand_in(**real)
             logger.remove()
-            logger.add(os.sys.stderr, level="WARNING")
+            logger.add(sys.stderr, level="WARNING")
--- a/sloeferry/rehearsal/roster.py
+++ b/sloeferry/rehearsal/roster.py
@@ -65,7 +65,8 @@
         """The wire's own record of who has been told what."""
         now, known = self.loop.time(), self.lists.setdefault(proxy, {})
         if document["complete"]:
-            for ident in [ident for ident in known if ident not in {m["id"] for m in document["members"]}]:
+            named = {member["id"] for member in document["members"]}
+            for ident in [ident for ident in known if ident not in named]:
                 del known[ident]
                 self.judge.told(proxy, ident, "left", now)
         for entry in document["members"]:
--- a/sloeferry/rehearsal/scenario.py
+++ b/sloeferry/rehearsal/scenario.py
@@ -4,6 +4,7 @@
 milliseconds, `_s` or none seconds.
 """
 import pathlib
+from datetime import datetime
 from typing import Annotated, Literal
 
 import msgspec
@@ -296,8 +297,8 @@
 
     def no(key, why):
         raise Fault(f"{name}: {key}: {why}")
-    zones = told.network.zones
-    for key, names in (("network.zones", zones), ("scheme", [s.name for s in told.scheme]),
+    zones, schemes = told.network.zones, [scheme.name for scheme in told.scheme]
+    for key, names in (("network.zones", zones), ("scheme", schemes),
                        ("customer", [c.name for c in told.customer])):
         if len(set(names)) < len(names):
             no(key, "a name stands twice")
@@ -319,7 +320,7 @@
             no(f"trouble[{at}].zone", f"{trouble.zone!r} is none of {', '.join(zones)}")
         if trouble.at > told.seconds:
             no(f"trouble[{at}].at", "comes after the end")
-        if isinstance(trouble, Heavy) and trouble.scheme not in [s.name for s in told.scheme]:
+        if isinstance(trouble, Heavy) and trouble.scheme not in schemes:
             no(f"trouble[{at}].scheme", f"{trouble.scheme!r} is no scheme")
     if told.clock:
         moment(told.clock, lambda why: no("clock", why))
@@ -329,7 +330,6 @@
 
 
 def moment(text, no):
-    from datetime import datetime
     try:
         when = datetime.fromisoformat(text)
     except ValueError:
--- a/sloeferry/rehearsal/world.py
+++ b/sloeferry/rehearsal/world.py
@@ -45,7 +45,7 @@
         event[2] = None
 
     def run(self, until):
-        """Lets time pass; False once nothing is left to happen."""
+        """Lets time pass."""
         heap = self.heap
         while heap and heap[0][0] <= until:
             when, _, call, what = heappop(heap)
@@ -54,7 +54,6 @@
                 self.events += 1
                 call(*what)
         self.now = max(self.now, until)
-        return bool(heap)
 
     def monotonic(self):
         return self.current.time() if self.current else self.now
@@ -93,7 +92,7 @@
         self.world, self.host, self.name, self.costs = world, host, name, costs or {}
         self.share = 1.0                 # of a core that it gets
         self.ready, self.timers, self.count, self.incoming = deque(), [], 0, deque()
-        self.running, self.cost, self.free, self.plan, self.used = False, 0.0, 0.0, None, 0.0
+        self.running, self.cost, self.free, self.plan = False, 0.0, 0.0, None
         self.dead, self.tasks, self.socks, self.signals = False, {}, {}, {}
         self.left = self.over = None     # how it ended by itself; who is told
         world.processes.append(self)
@@ -128,15 +127,16 @@
         return task
 
     def call_soon(self, call, *what, context=None):
-        handle = Handle(call, what, context)
+        return self.put(self.ready, Handle(call, what, context))
+
+    def put(self, queue, handle):
+        """For the next pass."""
         if not self.dead:
-            self.ready.append(handle)
+            queue.append(handle)
             if not self.running:
                 self.wake(self.world.now)
         return handle
 
-    call_soon_threadsafe = call_soon
-
     def call_later(self, delay, call, *what, context=None):
         return self.call_at(self.time() + delay, call, *what, context=context)
 
@@ -184,11 +184,11 @@
             for _ in range(len(ready)):
                 self.run(ready.popleft())
             for _ in range(len(self.incoming)):
-                self.run(Handle(self.incoming.popleft(), (), None))
+                self.run(self.incoming.popleft())
         finally:
             events._set_running_loop(None)
             world.current, self.running = None, False
-            self.free, self.used, self.cost = max(self.free, world.now + self.cost), self.used + self.cost, 0.0
+            self.free, self.cost = max(self.free, world.now + self.cost), 0.0
         if self.dead:
             return
         if ready or self.incoming:
@@ -211,10 +211,7 @@
 
     def came(self, react):
         """Something has come over the network: seen at the end of the next pass."""
-        if not self.dead:
-            self.incoming.append(react)
-            if not self.running:
-                self.wake(self.world.now)
+        self.put(self.incoming, Handle(react, (), None))
 
     def halt(self, seconds):
         """It gets no time at all for so long, and never notices."""
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -18,17 +18,17 @@
 from sloeferry.rehearsal import bank, live, play, scenario as s, troubles
 from sloeferry.rehearsal.cli import rehearse
 from sloeferry.rehearsal.network import SENT, Epoll, Host, Net
-from sloeferry.rehearsal.world import Process, World
+from sloeferry.rehearsal.world import BEGIN, Process, World
 from tests import trace
 
 HERE = pathlib.Path(__file__).parent
 SQUALL = HERE / "squall.toml"
 
 
-def squall(**more):
+def squall(lines=()):
     """The tests' day, with some lines changed: `old` -> `new`."""
     text = SQUALL.read_text()
-    for old, new in more.pop("lines", ()):
+    for old, new in lines:
         assert old in text, old
         text = text.replace(old, new)
     return s.checked(text, "squall")
@@ -45,7 +45,7 @@
                                  (("127.0.0.1", "a"), ("127.0.0.2", "b")))
 
     def say(self, text):
-        self.lines.append(f"{1000 * (self.world.monotonic() - 1000):9.3f}  {text}")
+        self.lines.append(f"{1000 * (self.world.monotonic() - BEGIN):9.3f}  {text}")
 
     def run(self, *works, seconds=30):
         for process, work in works:
@@ -131,13 +131,13 @@
             await here.sock_sendall(four, b"into nothing")
             here.create_task(quay.dial(here, "six", 82))
             await asyncio.sleep(5)
-            quay.say(f"cut off: the other end has {five.held} bytes, four is {'up' if four.up else 'down'}")
+            quay.say(f"cut off: the other end has {sum(map(len, five.inbox))} bytes, four is {'up' if four.up else 'down'}")
             there.host.cut = False
             there.kill()                 # it comes back as a new process, which knows of no connection
             await quay.read(here, four, "four")
             world.current.call_soon(quay.say, "end")
         quay.run((quay.here, course()))
-        trace.compare(self, quay, "rehearsal_network.txt")
+        trace.compare(self, quay, "rehearsal_network")
 
     @settings(max_examples=25, deadline=None)
     @given(st.lists(st.integers(1, 3 * SENT // 2), min_size=1, max_size=5), st.floats(0, 0.9), st.integers(1, 9999),
@@ -209,7 +209,7 @@
             quay.world.after(0.05, quay.here.halt, 2)
             await asyncio.sleep(0)
         quay.run((quay.here, course()))
-        trace.compare(self, quay, "rehearsal_time.txt")
+        trace.compare(self, quay, "rehearsal_time")
 
 
 class Scenarios(unittest.TestCase):
@@ -236,7 +236,7 @@
             with self.assertRaises(s.Fault) as caught:
                 s.checked(text.replace(old, new, 1))
             lines.lines.append(f"{new.splitlines()[-1]}  ->  {caught.exception}")
-        trace.compare(self, lines, "rehearsal_faults.txt")
+        trace.compare(self, lines, "rehearsal_faults")
         for words in (["run", "no-such-thing"], ["run", "calm", "--live", "--policy", "random"],
                       ["compare", "calm", "--seeds", "x"], ["run", "large", "--live"],
                       ["run", "nobody", "--record", "/no/such/folder/file"]):
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -1,12 +1,12 @@
 """What is said of a configuration that can't be used: each fault names its key."""
 import json
-import socket
 import subprocess
 import sys
 import tempfile
 import unittest
 
 from sloeferry import terms
+from sloeferry.load.daemons import free_ports
 from tests.trace import Lines, compare
 
 GOOD = {"name": "n0", "listen": "127.0.0.1:8000", "discovery": "127.0.0.1:8500", "seed": "8c1f",
@@ -40,13 +40,12 @@
             out.lines.append(f"exit {ended.returncode}: {ended.stderr.strip()}")
         compare(self, out, "terms")
 
-
     def test_json_log(self):
         """One JSON object a line, with the same words as in text."""
         with tempfile.NamedTemporaryFile("w") as file:
             json.dump(GOOD, file)
             file.flush()
-            environ = {"BALANCER_CONFIG": file.name, "BALANCER_LISTEN": f"127.0.0.1:{free_port()}",
+            environ = {"BALANCER_CONFIG": file.name, "BALANCER_LISTEN": f"127.0.0.1:{free_ports('127.0.0.1', 1)[0]}",
                        "BALANCER_DISCOVERY": "127.0.0.1:1", "SLOEFERRY_LOG_FORMAT": "json"}
             with subprocess.Popen([sys.executable, "-m", "sloeferry"], env=environ, stderr=subprocess.PIPE) as daemon:
                 try:
@@ -57,11 +56,6 @@
         self.assertEqual(first["record"]["level"]["name"], "INFO")
 
 
-def free_port():
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return sock.getsockname()[1]
-
-
 def read(told):
     with tempfile.NamedTemporaryFile("w") as file:
         file.write(told if isinstance(told, str) else json.dumps(told))
