Txns that drag or err wherever they go are blamed on their kind, not on the backends

Ruled out: backends that are slow (the others' txns were quick there as soon as that region's were kept back), errors of backends (what erred at one settled nowhere else). At fault: Board.learn and Board.bad blame the backend alone.

Change: Prompt counts for each scheme and each customer the part of its postings in time, those out as soon as they are overdue. A kind at a fifth, while another is at over twice that, goes on one at a time, the rest declined with word when to come back; nothing is learned from it of backends. An error is the backend's if the txn settles elsewhere, or if so many in a row are beyond what chance sends it; where errors are seldom cured one in five is tried again. It should guard too against a scheme that waits on something outside; it does harm where one customer's txns are rightly far slower than the others'. Hints of cost scale what a txn is expected to take, and gain goes by work where the settings say so.

--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -14,7 +14,7 @@
 from sloeferry import ports
 from sloeferry.histogram import Histogram
 from sloeferry.keys import Keys
-from sloeferry.records import MAYBE, NEVER, OUT, Backend, Posting, Scheme, Txn
+from sloeferry.records import MAYBE, NEVER, OUT, Backend, Posting, Prompt, Scheme, Txn
 from sloeferry.stages import Stages
 
 NEVER_RAN = (ports.TURNED_AWAY, ports.UNREACHED, ports.NEVER_SENT)
@@ -77,12 +77,15 @@
 
     def post(self, txn, b, now, expected):
         """The one place that sends; None where a rule forbids it."""
-        work = txn.scheme.typical()
+        work = txn.usual()
         if not (self.in_use(b, now) and self.may_post(txn, now) and self.drops_repeats(txn, b)
                 and self.cold_room(b, now, work)):
             return None
         posting = Posting(b, now, self.p.board.figure(b, now), expected)
         txn.postings.append(posting)
+        posting.overdue = now + min(txn.scheme.sla, self.p.board.OVERDUE * expected)
+        for kind in txn.kinds:
+            kind.sent(posting)
         b.own, b.waits_since, self.p.board.known[b.ident] = b.own + 1, b.waits_since or now, b
         if self.warmth(b, now) < 1.0:
             b.sent.append((now, work))
@@ -134,6 +137,8 @@
     CROWD = 0.55                     # of the SLA time: a queue that takes longer only overdrives its backend
     SPLIT = 1.5                      # a key fills this part of a backend's due at the most: 1 / 1.5
     QUEUE = 0.1                      # of a mean gain: what each place in a queue costs those behind it
+    OVERDUE = 3                      # times what was expected
+    DRAG, AGAIN = 0.2, 0.4           # the part in time at which a kind drags, and no longer does
     SLOW = 1.6                       # a pace from which reports don't track real work
 
     def __init__(self, proxy, now):
@@ -153,7 +158,9 @@
         self.fit, self.ready, self.mean, self.out, self.turnover = [], 0, [0.0, 0.0], [0.0, 0.0], 1.0
         self.spread = Histogram(1.0, 400, [0.5, 0.7, 1.0, 1.4, 2.0])
         self.smooth()
-        self.sick, self.keys, self.keyed = (), Keys(), proxy.term("family_info.warm_keys")
+        # Of txns that erred: the part that settled elsewhere; of postings: the part that errs.
+        self.cured, self.errs, self.sick = 1.0, 0.0, ()
+        self.keys, self.keyed = Keys(), proxy.term("family_info.warm_keys")
         self.knew, self.new, self.part = Histogram(1.0, 200, [0.5] * 8), Histogram(1.0, 200, [1.0] * 8), 0.5
 
     def listed(self, now, scope, lines):
@@ -207,6 +214,25 @@
             rest = self.probe_every / 2 * 2 ** min(b.fails - 2 + 2 * self.dated, 4 + self.dated)
             b.rest_until = now + rest * (0.75 + self.p.rng.random() / 2)
 
+    def erred(self, txn, b, now):
+        """Whether the txn or the backend is to blame for an error shows where the txn is tried next.  One
+        that errs so often in a row that chance can't have sent it so many bad txns is to blame as well."""
+        b.errs += 1
+        if any(p.how == ports.ERRED for p in txn.postings[:-1]):
+            self.cured -= self.cured / 8         # at two backends: the txn
+        elif self.cured > 0.5:
+            # A quick error must not make a backend look empty: its send stays counted for a while.
+            b.ghosts.append(now + 4 * txn.usual())
+        if self.errs ** b.errs < 0.001 or txn.scheme.kind == "once-only" and self.cured > 0.5:
+            self.bad(b, now)
+
+    def cure(self, txn, now):
+        """It settled: whoever erred with it before is to blame."""
+        for posting in txn.postings:
+            if posting.how == ports.ERRED:
+                self.cured += (1 - self.cured) / 8
+                self.bad(posting.backend, now)
+
     def overtaken(self, posting):
         """Three sent there later have settled: this one's connection is dead, its backend is not."""
         done = posting.backend.done
@@ -224,6 +250,7 @@
         if now < self.looked + self.fresh_for:
             return self.fit
         passed, self.looked = now - self.looked, now
+        self.blame_kinds(now)
         listed = self.open if now <= self.p.discovery.deemed_old else []
         self.known = known = {ident: b for ident, b in self.known.items() if b.own or b.ghosts or b.probes_out
                               or b.fails or now - b.heard <= self.age_limit}
@@ -256,6 +283,21 @@
                 self.mean[here] = max(self.mean[here], self.out[here] * others)
         return self.fit
 
+    def blame_kinds(self, now):
+        """Txns of one scheme or customer that are overdue wherever they go, while others are not, hold places
+        that the others need: one at a time goes on, to tell when that has ended, and blames no backend."""
+        for kinds in self.p.kinds:
+            for kind in kinds:
+                kind.look(now)
+            for kind in kinds:
+                rest = [k.part for k in kinds if k is not kind and now - k.told < self.age_limit]
+                before, bar = kind.dragging, self.AGAIN if kind.dragging else self.DRAG
+                kind.dragging = kind.part < min(max(rest, default=0.0) / 2, bar)
+                if kind.dragging > before:       # what the others suffered from it is held against nobody
+                    for k in sum(self.p.kinds, []):
+                        k.part = k.part if k.dragging else 1.0
+                        k.unjudged.clear()
+
     def smooth(self):
         """The stretch of each level; one not met yet grows from the level below as a full backend's would."""
         self.longest = max([s.typical() for s in self.p.schemes]) * self.spread.at(0.98)
@@ -310,7 +352,7 @@
     def choose(self, txn, now, leave_out=()):
         """The lowest estimate wins, ties at random; another zone only where the gain beats the tariff.
         Returns the backend, the odds that it answers within the SLA time, and how long is expected."""
-        rules, work, crowd, aside = self.p.rules, txn.scheme.typical(), self.CROWD * txn.scheme.sla, None
+        rules, work, crowd, aside = self.p.rules, txn.usual(), self.CROWD * txn.scheme.sla, None
         free, stretch, cold, found = not txn.postings, self.stretch, now - rules.cold, (None, 0.0, 0.0)
         self.usable(now)
         lowest, keepers = INF, self.keepers(txn)
@@ -354,9 +396,9 @@
     def learn(self, txn, posting, took, now, how=ports.SETTLED):
         """What a settled (or given up) posting tells of its scheme, its backend and the fleet."""
         self.third = (self.third + 1) % 3        # in a rush a third teaches as much
-        if self.third and self.p.rushed() or self.p.stages.behind():     # behind: times are its own
-            return
-        typical, level, b = txn.scheme.typical(), bisect(BOUNDS, posting.figure), posting.backend
+        if self.third and self.p.rushed() or self.p.stages.behind() or txn.drags():
+            return                               # behind: times are its own
+        typical, level, b = txn.usual(), bisect(BOUNDS, posting.figure), posting.backend
         ratio = took / posting.expected
         if txn.key:  # against what it would take without: where known, and elsewhere
             kept = b in self.keepers(txn)
@@ -369,7 +411,7 @@
         if self.p.rules.warmth(b, now) < 1.0:    # that a cold one takes long tells of no queue elsewhere
             return
         if how == ports.SETTLED if self.dated else level == 0:      # only the asked are known to be idle
-            txn.scheme.took.add(took * self.stretch[0] / self.stretch[level])
+            txn.scheme.took.add(took * self.stretch[0] / self.stretch[level] / txn.size)
         self.curve[level].add(took / typical)
         self.spread.add(ratio)
         self.smooth()
@@ -392,7 +434,7 @@
 
     def end(self, txn, pause=None):
         """Given up: said at once, with when to come back where clients are told."""
-        pause = txn.scheme.typical() if pause is None else pause
+        pause = txn.usual() if pause is None else pause
         self.p.rules.finish(txn, pause if self.p.term("limits.retry_after") else 0.0)
         self.forget(txn)
 
@@ -480,16 +522,19 @@
         if not self.held:
             return
         most = 9 if self.p.late > self.p.ask.patience / 2 else INF
-        self.held.sort(key=lambda t: (-t.gain / t.scheme.typical(), t.due))
+        self.held.sort(key=lambda t: (-t.gain / t.usual(), t.due))
         for txn in self.held:
             if txn.answered:
                 continue
+            if txn.drags() and any(kind.open for kind in txn.kinds if kind.dragging):
+                self.p.ledger.end(txn, txn.scheme.sla)
+                continue
             waited = now - txn.born > txn.scheme.sla / 4 * min(2.0, txn.gain / self.p.mean_gain)
             # Little time: after three in vain the next event looks further; one that is behind bounds all.
             look = misses < 3 or waited and looks < most
             looks += look
             b, odds, takes = board.choose(txn, now) if look else (None, 0.0, 0.0)
-            pace = txn.scheme.typical() * board.stretch[0] * (board.pace(b, now) if b else 1.0)
+            pace = txn.usual() * board.stretch[0] * (board.pace(b, now) if b else 1.0)
             bar = self.NEAR * board.spread.under(txn.scheme.sla / pace)
             # Nobody is asked, and nothing was heard of the lowest: only what is sent brings news.
             blind = self.p.rushed() or b and not asks and now - b.heard > board.fade
@@ -555,9 +600,12 @@
         if now >= txn.ends - 2 * self.p.step:    # the ledger looked while this was out: nobody looks again
             return self.p.ledger.end(txn)
         b, odds, takes = self.p.board.choose(txn, now, [x.backend for x in txn.postings])
-        if odds > 0.1 and self.p.rules.may_post(txn, now) and self.p.stages.may_repost(now, txn):
+        rules, erred = self.p.rules, txn.postings[-1].how == ports.ERRED
+        hopeless = erred and self.p.board.cured < 0.5 and self.p.rng.random() > 0.2     # a few, to see it end
+        if (odds > 0.1 and not hopeless and rules.may_post(txn, now)
+                and self.p.stages.may_repost(now, txn)):
             self.post(txn, b, now, takes)
-        elif not txn.maybe():
+        elif not (txn.maybe() or hopeless):
             self.p.gate.take(txn, now)
         else:
             self.p.ledger.end(txn)
@@ -573,8 +621,12 @@
         self.step, self.stages = terms["step"], Stages()     # of other subsystems, as the host installs them
         self.zone, self.turn = self.term("zone"), self.ordinal * 0.618034 % 1    # spread over the bank
         self.schemes = [Scheme(terms, at) for at in range(int(terms["schemes.count"]))]
+        self.customers = [Prompt() for _ in range(int(terms["tenants.count"]))]
+        self.kinds = [s.prompt for s in self.schemes], self.customers
+        self.by_work = self.term("gain_per") == "work"
         self.quickest = min(s.sla for s in self.schemes)
-        self.mean_gain = sum(s.gain for s in self.schemes) / len(self.schemes)
+        gains = [s.gain * (s.typical() if self.by_work else 1.0) for s in self.schemes]
+        self.mean_gain = sum(gains) / len(gains)
         self.rules, self.discovery, self.board = Rules(self), Discovery(self, now), Board(self, now)
         self.reposting = Reposting(self)
         self.gate = Gate(self, self.reposting)
@@ -618,9 +670,15 @@
 
     def take(self, now, ref, scheme, tenant, key, left, work, repeat):
         scheme = self.schemes[scheme]
-        txn = Txn(ref, scheme, now, left, tenant, key if self.board.keyed else 0)
+        if work:
+            scheme.hints = min(100, scheme.hints + 1)
+            scheme.hint += (work - scheme.hint) / scheme.hints
+        size = work / scheme.hint if work else 1.0
+        txn = Txn(ref, scheme, now, left, tenant, key if self.board.keyed else 0, size)
+        txn.kinds = (scheme.prompt, *self.customers[tenant:tenant + 1])
+        txn.gain *= txn.usual() if self.by_work else 1.0
         self.board.keys.met(txn.key)
-        self.mean_gain += (scheme.gain - self.mean_gain) / 100
+        self.mean_gain += (txn.gain - self.mean_gain) / 100
         self.came(now)
         scheme.most_left = max(scheme.most_left, left)
         if repeat and left < scheme.most_left - 2 * self.step:
@@ -635,25 +693,31 @@
         if txn is None or seq >= len(txn.postings) or txn.postings[seq].state != OUT:
             return
         posting = txn.postings[seq]
-        b, posting.state = posting.backend, NEVER if how in NEVER_RAN else MAYBE
+        b, posting.state, posting.how = posting.backend, NEVER if how in NEVER_RAN else MAYBE, how
         b.own = max(0, b.own - 1)
+        for kind in txn.kinds:
+            told = how in (ports.SETTLED, ports.LATE, ports.WITHDRAWN)
+            kind.ended(now, posting, how == ports.SETTLED and now <= posting.overdue if told else None)
         if report:
             self.board.report(b, now, report)
+        self.board.errs += ((how == ports.ERRED) - self.board.errs) / 32
         if how == ports.SETTLED:
-            b.fails, b.rest_until = 0, 0.0
+            b.fails, b.rest_until, b.errs = 0, 0.0, 0
             b.done.append(posting.sent)
             self.board.learn(txn, posting, took, now)
+            self.board.cure(txn, now)
         elif how in (ports.LATE, ports.WITHDRAWN):
             if took > posting.expected and not self.board.overtaken(posting):
                 self.board.learn(txn, posting, took * 1.5, now, how)
             if self.board.dated:         # given up here, it goes on there: no report says so in time
                 b.ghosts.append(now + took)
             late = self.board.dated and how == ports.LATE and took > 2 * posting.expected
-            if late or self.board.silent(b, now):
+            if (late or self.board.silent(b, now)) and not txn.drags():
                 self.board.bad(b, now)
+        elif how == ports.ERRED:
+            self.board.erred(txn, b, now)
         elif how not in BLAMELESS:
-            # A quick error must not make a backend look empty: its send stays counted for a while.
-            b.ghosts.append(now + 4 * txn.scheme.typical())
+            b.ghosts.append(now + 4 * txn.usual())
             self.board.bad(b, now)
             if how == ports.TURNED_AWAY:     # a full house, whatever its reports say
                 self.board.learn(txn, posting, max(posting.expected, txn.scheme.sla), now, how)
--- a/sloeferry/records.py
+++ b/sloeferry/records.py
@@ -18,24 +18,60 @@
         self.kind = term("idempotency")
         self.group, self.window = term("group"), term("dedup_window")
         self.took = Histogram(self.sla, 200, [self.sla / 4] * 4)    # of sends to a backend found idle
-        self.most_left = 0.0                                         # the longest patience seen
+        self.most_left, self.hint, self.hints = 0.0, 0.0, 0      # the longest patience seen; mean hint of cost, of how many
+        self.prompt = Prompt()
 
     def typical(self):
         return self.took.at(0.5)
 
 
+class Prompt:
+    """Of the postings of one kind of txn (a scheme, a customer): the part answered in time of late, in eights.
+
+    Those still out count as soon as they are overdue, so what never comes back shows as soon as what drags.
+    """
+
+    def __init__(self):
+        self.part, self.told, self.open, self.unjudged, self.dragging = 1.0, -INF, 0, {}, False
+
+    def sent(self, posting):
+        self.open += 1
+        self.unjudged[posting] = True
+
+    def ended(self, now, posting, prompt):
+        """Prompt is 1 or 0; None where it tells nothing of how quick they are."""
+        self.open -= 1
+        if self.unjudged.pop(posting, False) and prompt is not None:
+            self.part += (prompt - self.part) / 8
+            self.told = now
+
+    def look(self, now):
+        while self.unjudged and now > (first := next(iter(self.unjudged))).overdue:
+            del self.unjudged[first]
+            self.part -= self.part / 8
+
+
 class Posting:
     def __init__(self, backend, now, figure, expected):
         self.backend, self.sent, self.figure, self.expected, self.state = backend, now, figure, expected, OUT
+        self.how, self.overdue = None, 0.0
 
 
 class Txn:
     """A txn taken; `now` to `ends` is all the time there is, `due` is its SLA time."""
 
-    def __init__(self, ref, scheme, now, left, tenant=0, key=0):
+    def __init__(self, ref, scheme, now, left, tenant=0, key=0, size=1.0):
         self.ref, self.scheme, self.born, self.tenant, self.key = ref, scheme, now, tenant, key
         self.ends, self.due, self.gain = now + left, now + scheme.sla, scheme.gain
-        self.postings, self.answered = [], False
+        self.size = size             # its hint of cost, as a multiple of what its scheme's usually say
+        self.postings, self.answered, self.kinds = [], False, ()
+
+    def usual(self):
+        """How long it takes at an idle backend, in ms."""
+        return self.scheme.typical() * self.size
+
+    def drags(self):
+        return any(kind.dragging for kind in self.kinds)
 
     def out(self):
         return any(p.state == OUT for p in self.postings)
@@ -55,7 +91,7 @@
     def fresh_start(self):           # a process just started has no past
         self.others, self.heard = 0.0, -INF     # what other proxies hold here, and as of when
         self.own, self.ghosts = 0, []     # open sends; until when quick errors stay counted
-        self.fails, self.rest_until, self.waits_since, self.probes_out = 0, 0.0, None, []
+        self.fails, self.errs, self.rest_until, self.waits_since, self.probes_out = 0, 0, 0.0, None, []
         self.slow, self.pace, self.learned = Histogram(1.0, 12, [1.0, 1.0]), 1.0, 0.0
         self.sent = deque()          # (when, work) of late, for the cold budget
         self.done = deque(maxlen=3)  # when the last that settled were sent
--- /dev/null
+++ b/tests/test_blame.py
@@ -0,0 +1,124 @@
+"""Who is blamed: a kind of txn, a backend, or the way there.  Each test tempts to blame the wrong one."""
+import unittest
+
+from sloeferry import ports
+from tests.trace import Printer, compare
+
+TENANTS = {"tenants__count": 3}
+
+
+def show(host, text=""):
+    host.proxy.board.usable(host.now)
+    host.say(text + " ".join(f"{k.part:.2f}{'*' if k.dragging else ''}" for k in host.proxy.customers))
+
+
+def play(host, ref, tenant, took, how=ports.SETTLED, scheme=0):
+    """A txn of a customer that is answered after so long, if it is sent; the clock runs on by 10 ms."""
+    host.take(ref, scheme=scheme, tenant=tenant)
+    sent = ref in host.sent
+    host.until(host.now + 10.0)
+    if sent:
+        host.end(ref, 0, how, 0, took=took)
+
+
+class Blame(unittest.TestCase):
+
+    def test_one_customers_txns_wait_everywhere(self):
+        """Customer 1's are overdue at every backend: they are declined at once with word when to come back but for
+        one at a time, no backend is slow for it, and when they are quick again all go as before."""
+        host = Printer(**TENANTS, limits__retry_after=True)
+        host.list(("a",), ("b",), ("c",))
+        for ref in range(200, 220):
+            play(host, ref, ref % 2 * 2, 40.0)
+        for ref in range(14):
+            host.take(ref, tenant=1)             # none of these is answered
+            host.until(host.now + 40.0)
+            host.take(100 + ref, tenant=ref % 2 * 2)
+            host.end(100 + ref, 0, ports.SETTLED, 0, took=40.0)
+        host.lines[:-2] = []
+        host.until(host.now + 500.0)
+        show(host, "in time by customer: ")
+        for ref in range(14):
+            if ref in host.sent:
+                host.end(ref, 0, ports.SETTLED, 0, took=900.0)
+        host.say("paces " + " ".join(f"{b.pace:.1f}" for b in host.proxy.board.open))
+        for ref in (20, 21):
+            host.take(ref, tenant=1)
+        host.take(22, tenant=0)
+        host.end(22, 0, ports.SETTLED, 0, took=40.0)
+        host.end(20, 0, ports.SETTLED, 0, took=40.0)
+        for ref in range(23, 28):
+            host.until(host.now + 10.0)
+            host.take(ref, tenant=1)
+            host.end(ref, 0, ports.SETTLED, 0, took=40.0)
+        show(host, "in time by customer: ")
+        for ref in (30, 31):
+            host.take(ref, tenant=1)
+        compare(self, host, "blame_customer")
+
+    def test_all_late_blames_no_kind(self):
+        """Everything is slow at once: no customer drags, whoever was looked at first."""
+        host = Printer(**TENANTS)
+        host.list(("a",), ("b",))
+        for ref in range(30):
+            host.take(ref, tenant=ref % 3)
+            host.until(host.now + 5.0)
+        host.until(host.now + 900.0)
+        host.lines = []
+        show(host, "in time by customer: ")
+        compare(self, host, "blame_no_kind")
+
+    def test_txns_that_err_everywhere(self):
+        """Every second txn errs wherever it goes: after a while none is posted again for it but one in five, no
+        backend rests, and the others go as before.  Then backend a alone errs, and its errors are its own again."""
+        host = Printer(limits__most_postings=4)
+        host.list(("a",), ("b",), ("c",), ("d",))
+        posts = []
+        for ref in range(60):
+            host.until(host.now + 20.0)
+            host.take(ref)
+            seq = 0
+            while ref % 2 and host.sent.get(ref, -1) == seq:
+                host.end(ref, seq, ports.ERRED, 0, answered=False)
+                seq += 1
+            if not ref % 2 and ref in host.sent:
+                host.end(ref, 0, ports.SETTLED, 0)
+            posts.append(host.sent.get(ref, -1) + 1)
+        host.lines = []
+        board = host.proxy.board
+        host.say(f"postings of those that err: {posts[1::2]}")
+        host.say(f"fails {[b.fails for b in board.open]}, ghosts {[len(b.ghosts) for b in board.open]}")
+        for ref in range(100, 140):
+            host.until(host.now + 20.0)
+            host.take(ref)
+            for seq in range(4):
+                if host.sent.get(ref, -1) == seq:
+                    at_a = host.lines[-1].endswith("to a")
+                    host.end(ref, seq, ports.ERRED if at_a else ports.SETTLED, 0, answered=not at_a)
+        sent = [line.split()[-1] for line in host.lines if "post" in line and "to" in line]
+        host.lines = host.lines[:2]
+        host.say(f"then sent to a, by tens: {[sent[n:n + 10].count('a') for n in range(0, 40, 10)]}")
+        compare(self, host, "blame_errors")
+
+    def test_hint_of_cost(self):
+        """A txn five times as heavy as usual takes five times as long: no news of its backend; and where gain goes
+        by work it is worth five times as much, so that of two schemes the denser goes first whatever their size."""
+        host = Printer(gain_per="work", schemes__0__gain=2.0, schemes__2__gain=1.0)
+        host.list(("a",))
+        for ref in range(40):
+            heavy = ref % 4 == 3
+            host.proxy.take(host.now, ref, 0, 0, 0, 1000.0, 250.0 if heavy else 50.0, False)
+            host.end(ref, 0, ports.SETTLED, 0, took=250.0 if heavy else 50.0)
+            host.until(host.now + 20.0)
+        host.lines = []
+        board, scheme = host.proxy.board, host.proxy.schemes[0]
+        host.say(f"usual {scheme.typical():.0f}, mean hint {scheme.hint:.0f}, pace {board.all['a'].pace:.2f}")
+        host.report("a", 40)
+        for ref, scheme, work in ((50, 2, 20.0), (51, 0, 500.0), (52, 2, 20.0)):
+            host.proxy.take(host.now, ref, scheme, 0, 0, 1000.0, work, False)
+        host.say(f"held in this order: {[t.ref for t in host.proxy.gate.held]}")
+        compare(self, host, "blame_hint")
+
+
+if __name__ == "__main__":
+    unittest.main()
