A zone or cell that loses this proxy's postings counts for less; what drags is withdrawn

Throw-away lines showed the backends' paces at 5 to 10 from the lost postings, one scheme taken for dragging though both lost alike, and other proxies' probes of the same backends in order.

Change: the same count of what comes back in time is kept by zone, by cell and, apart, by zone for probes (they may pass where postings are lost). A way with under half of the best one's part counts for less: its odds by that part, its figure over it, believed ever less; what is lost on it teaches no pace. A kind that drags is trusted again by its own answers alone, must be at a quarter of the best other's part, and what is out of it is withdrawn and answered at once. Guards too against a pod or a place behind a failing switch; it does harm where one zone is late because it is overloaded and the crossing is cheap.

--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -8,6 +8,7 @@
 every decline goes through it.
 """
 from bisect import bisect
+from collections import defaultdict
 from math import inf as INF
 from random import Random
 
@@ -50,7 +51,7 @@
         span = self.fall * max(1.0, work / budget / share)   # a txn over the budget waits longer for its turn
         while b.sent and b.sent[0][0] <= now - span:
             b.sent.popleft()
-        # First sends take turns too, or all proxies together push over what has just started.
+        # First sends take turns too, or all proxies together push over the just started.
         wait = self.p.turn * self.fall * max(0.0, work / (self.multiple * self.cold_from * share) - 1)
         return now >= b.launched + wait and (not b.sent or sum(w for _, w in b.sent) + work <= budget * share)
 
@@ -81,11 +82,12 @@
         if not (self.in_use(b, now) and self.may_post(txn, now) and self.drops_repeats(txn, b)
                 and self.cold_room(b, now, work)):
             return None
-        posting = Posting(b, now, self.p.board.figure(b, now), expected)
+        posting = Posting(txn, b, now, self.p.board.figure(b, now), expected)
         txn.postings.append(posting)
         posting.overdue = now + min(txn.scheme.sla, self.p.board.OVERDUE * expected)
-        for kind in txn.kinds:
-            kind.sent(posting)
+        drags = txn.drags()
+        for kind in (*txn.kinds, *b.ways):       # what drags everywhere tells of no way
+            kind.sent(posting, kind.dragging or not drags)
         b.own, b.waits_since, self.p.board.known[b.ident] = b.own + 1, b.waits_since or now, b
         if self.warmth(b, now) < 1.0:
             b.sent.append((now, work))
@@ -139,11 +141,13 @@
     QUEUE = 0.1                      # of a mean gain: what each place in a queue costs those behind it
     OVERDUE = 3                      # times what was expected
     DRAG, AGAIN = 0.2, 0.4           # the part in time at which a kind drags, and no longer does
+    WAY = 0.5                        # of the part that the best way has in time: one with less is bad
     SLOW = 1.6                       # a pace from which reports don't track real work
 
     def __init__(self, proxy, now):
         self.p, self.home, self.all = proxy, proxy.zone, {}
         # Listed as ready, with news of late; whether probes go round; of three ends one teaches; last look.
+        self.zones, self.cells, self.probes = (defaultdict(Prompt) for _ in range(3))       # ways
         self.open, self.known, self.turning, self.third, self.looked = [], {}, False, 0, -INF
         fields = proxy.term("load_info.fields").split(",")
         self.field = fields.index("inflight") if "inflight" in fields else None
@@ -158,9 +162,8 @@
         self.fit, self.ready, self.mean, self.out, self.turnover = [], 0, [0.0, 0.0], [0.0, 0.0], 1.0
         self.spread = Histogram(1.0, 400, [0.5, 0.7, 1.0, 1.4, 2.0])
         self.smooth()
-        # Of txns that erred: the part that settled elsewhere; of postings: the part that errs.
-        self.cured, self.errs, self.sick = 1.0, 0.0, ()
-        self.keys, self.keyed = Keys(), proxy.term("family_info.warm_keys")
+        self.cured, self.errs = 1.0, 0.0     # of erring txns the part cured elsewhere; of postings, that err
+        self.sick, self.keys, self.keyed = (), Keys(), proxy.term("family_info.warm_keys")
         self.knew, self.new, self.part = Histogram(1.0, 200, [0.5] * 8), Histogram(1.0, 200, [1.0] * 8), 0.5
 
     def listed(self, now, scope, lines):
@@ -173,6 +176,7 @@
             elif launched != b.launched and launched:
                 b.fresh_start()
             b.zone, b.cell, b.standing, b.launched = zone, cell, standing, launched
+            b.ways = self.zones[zone], self.cells[cell]
         self.looked = -INF
         if scope != ports.CHANGES:       # who is missing from a whole list is gone
             named = {line[0] for line in lines}
@@ -250,7 +254,6 @@
         if now < self.looked + self.fresh_for:
             return self.fit
         passed, self.looked = now - self.looked, now
-        self.blame_kinds(now)
         listed = self.open if now <= self.p.discovery.deemed_old else []
         self.known = known = {ident: b for ident, b in self.known.items() if b.own or b.ghosts or b.probes_out
                               or b.fails or now - b.heard <= self.age_limit}
@@ -262,6 +265,7 @@
         some = self.p.rng.sample(listed, min(len(listed), 3 * self.p.ask.AT_ONCE))
         news = [b for b in known.values() if b.standing == ports.READY and b.ident not in sick and listed]
         self.fit = news + [b for b in some if b.ident not in known]
+        self.blame(now)
         self.near, self.away = ([b for b in self.fit if (b.zone == self.home) == at] for at in (True, False))
         self.turnover = min([s.typical() for s in self.p.schemes])
         self.fade = self.age_limit / 2 if self.dated else self.turnover
@@ -283,20 +287,31 @@
                 self.mean[here] = max(self.mean[here], self.out[here] * others)
         return self.fit
 
-    def blame_kinds(self, now):
-        """Txns of one scheme or customer that are overdue wherever they go, while others are not, hold places
-        that the others need: one at a time goes on, to tell when that has ended, and blames no backend."""
-        for kinds in self.p.kinds:
-            for kind in kinds:
-                kind.look(now)
-            for kind in kinds:
-                rest = [k.part for k in kinds if k is not kind and now - k.told < self.age_limit]
-                before, bar = kind.dragging, self.AGAIN if kind.dragging else self.DRAG
-                kind.dragging = kind.part < min(max(rest, default=0.0) / 2, bar)
-                if kind.dragging > before:       # what the others suffered from it is held against nobody
-                    for k in sum(self.p.kinds, []):
-                        k.part = k.part if k.dragging else 1.0
-                        k.unjudged.clear()
+    def blame(self, now):
+        """What comes back in time of each scheme and customer, from each zone and cell, against the best of
+        its sort.  A kind overdue wherever it goes holds places that others need: one at a time goes on, to
+        tell when that has ended.  A way bad for this proxy alone shows in no report: it counts for less."""
+        kinds, ways = sum(self.p.kinds, []), [w.values() for w in (self.zones, self.cells, self.probes)]
+        for sort in (*self.p.kinds, *ways):
+            for one in sort:
+                one.look(now)
+            best = max([one.part for one in sort if now - one.told < self.age_limit], default=1.0)
+            for one in sort:
+                one.factor = min(1.0, one.part / best)
+        for kind in kinds:
+            before = kind.dragging
+            # Once it jams all, others are no better: it is trusted again by what it does itself.
+            kind.dragging = kind.part < self.AGAIN if before else kind.part < self.DRAG and kind.factor < 0.25
+            if kind.dragging > before:       # what the others suffered from it is held against nobody
+                for one in sum(map(list, ways), kinds):
+                    one.part = one.part if one.dragging else max(one.part, 0.5)
+                    one.unjudged.clear()
+                for posting in kind.open if self.p.term("limits.cancel") else ():
+                    self.p.host.withdraw(posting.txn.ref, posting.txn.postings.index(posting))
+        for b in self.fit:               # a way is believed ever less, or it would never be tried again
+            part = min(1 - (1 - way.factor) * 0.5 ** ((now - way.told) / self.age_limit)
+                       for way in (*b.ways, self.probes[b.zone]))
+            b.way = max(0.05, part) if part < self.WAY else 1.0
 
     def smooth(self):
         """The stretch of each level; one not met yet grows from the level below as a full backend's would."""
@@ -377,7 +392,7 @@
                         continue
                 if b.launched > cold and not rules.cold_room(b, now, work):  # few are cold: a call costs time
                     continue
-                weight = self.weight(figure, pace, part)
+                weight = self.weight(figure, pace, part / b.way)
                 if weight < least:
                     least, ties = weight, [(b, takes, full)]
                 elif weight == least:
@@ -388,10 +403,10 @@
                 # Where nobody can be asked the queue spared counts for a crossing too: others wait in it.
                 spared = self.QUEUE * (lowest - least) if self.dated and lowest < INF else 0.0
                 price = (self.cross - spared) * self.p.mean_gain
-                if found[0] is None or (odds - found[1]) * txn.gain > price:
-                    found = (b, odds, takes)
+                if found[0] is None or (odds * b.way - found[1]) * txn.gain > price:
+                    found = (b, odds * b.way, takes)
                 lowest = min(lowest, least)
-        return found
+        return found[0], found[1] / found[0].way if found[0] else 0.0, found[2]
 
     def learn(self, txn, posting, took, now, how=ports.SETTLED):
         """What a settled (or given up) posting tells of its scheme, its backend and the fleet."""
@@ -434,8 +449,8 @@
 
     def end(self, txn, pause=None):
         """Given up: said at once, with when to come back where clients are told."""
-        pause = txn.usual() if pause is None else pause
-        self.p.rules.finish(txn, pause if self.p.term("limits.retry_after") else 0.0)
+        pause = pause or (txn.scheme.sla if txn.drags() else txn.usual())
+        self.p.rules.finish(txn, pause * self.p.term("limits.retry_after"))
         self.forget(txn)
 
     def forget(self, txn, served=False):
@@ -527,7 +542,7 @@
             if txn.answered:
                 continue
             if txn.drags() and any(kind.open for kind in txn.kinds if kind.dragging):
-                self.p.ledger.end(txn, txn.scheme.sla)
+                self.p.ledger.end(txn)
                 continue
             waited = now - txn.born > txn.scheme.sla / 4 * min(2.0, txn.gain / self.p.mean_gain)
             # Little time: after three in vain the next event looks further; one that is behind bounds all.
@@ -597,15 +612,13 @@
         """A posting ended without an answer: another one, or the end."""
         if txn.answered or txn.out():
             return
-        if now >= txn.ends - 2 * self.p.step:    # the ledger looked while this was out: nobody looks again
-            return self.p.ledger.end(txn)
+        erred = txn.postings[-1].how == ports.ERRED and self.p.board.cured < 0.5
+        if now >= txn.ends - 2 * self.p.step or txn.drags() or erred and self.p.rng.random() > 0.2:
+            return self.p.ledger.end(txn)        # no time, or no hope but to see whether that has ended
         b, odds, takes = self.p.board.choose(txn, now, [x.backend for x in txn.postings])
-        rules, erred = self.p.rules, txn.postings[-1].how == ports.ERRED
-        hopeless = erred and self.p.board.cured < 0.5 and self.p.rng.random() > 0.2     # a few, to see it end
-        if (odds > 0.1 and not hopeless and rules.may_post(txn, now)
-                and self.p.stages.may_repost(now, txn)):
+        if odds > 0.1 and self.p.rules.may_post(txn, now) and self.p.stages.may_repost(now, txn):
             self.post(txn, b, now, takes)
-        elif not (txn.maybe() or hopeless):
+        elif not txn.maybe():
             self.p.gate.take(txn, now)
         else:
             self.p.ledger.end(txn)
@@ -685,8 +698,7 @@
             txn.due = now + left - (scheme.expiry - scheme.sla)    # its first try began that much earlier
         self.ledger.take(txn, now)
 
-    def started(self, now, ref, seq):    # the stream is the client's now
-        self.left(now, ref)
+    def started(self, now, ref, seq): self.left(now, ref)     # the stream is the client's now
 
     def ended(self, now, ref, seq, how, answered, took, report):
         txn = self.ledger.txns.get(ref)
@@ -695,9 +707,11 @@
         posting = txn.postings[seq]
         b, posting.state, posting.how = posting.backend, NEVER if how in NEVER_RAN else MAYBE, how
         b.own = max(0, b.own - 1)
+        prompt = None if how in BLAMELESS else how == ports.SETTLED and now <= posting.overdue
         for kind in txn.kinds:
-            told = how in (ports.SETTLED, ports.LATE, ports.WITHDRAWN)
-            kind.ended(now, posting, how == ports.SETTLED and now <= posting.overdue if told else None)
+            kind.ended(now, posting, prompt if how in (ports.SETTLED, ports.LATE, ports.WITHDRAWN) else None)
+        for way in b.ways:
+            way.ended(now, posting, how == ports.ERRED or prompt if how != ports.TURNED_AWAY else None)
         if report:
             self.board.report(b, now, report)
         self.board.errs += ((how == ports.ERRED) - self.board.errs) / 32
@@ -707,7 +721,7 @@
             self.board.learn(txn, posting, took, now)
             self.board.cure(txn, now)
         elif how in (ports.LATE, ports.WITHDRAWN):
-            if took > posting.expected and not self.board.overtaken(posting):
+            if took > posting.expected and b.way == 1.0 and not self.board.overtaken(posting):
                 self.board.learn(txn, posting, took * 1.5, now, how)
             if self.board.dated:         # given up here, it goes on there: no report says so in time
                 b.ghosts.append(now + took)
@@ -733,6 +747,8 @@
         if (b := self.board.all.get(backend)) is None:
             return
         del b.probes_out[:1]
+        if self.board.by_probe and how not in BLAMELESS:     # apart: they may pass where postings are lost
+            self.board.probes[b.zone].judge(now, how == ports.SETTLED)
         if how == ports.SETTLED:
             self.board.report(b, now, report)
         elif how not in BLAMELESS:       # this proxy's own want, of a connection say, tells nothing of b
@@ -740,5 +756,5 @@
         self.ask.heard(now)
 
     def left(self, now, ref):
-        if ref in self.ledger.txns:
-            self.ledger.forget(self.ledger.txns[ref])
+        if txn := self.ledger.txns.get(ref):
+            self.ledger.forget(txn)
--- a/sloeferry/records.py
+++ b/sloeferry/records.py
@@ -26,33 +26,38 @@
 
 
 class Prompt:
-    """Of the postings of one kind of txn (a scheme, a customer): the part answered in time of late, in eights.
-
-    Those still out count as soon as they are overdue, so what never comes back shows as soon as what drags.
+    """Of the postings of one kind (a scheme, a customer) or on one way (to a zone, to a cell): the part answered in
+    time of late, in eights.  Those still out count as soon as they are overdue, so what never comes back shows as
+    soon as what drags.
     """
 
     def __init__(self):
-        self.part, self.told, self.open, self.unjudged, self.dragging = 1.0, -INF, 0, {}, False
+        self.part, self.told, self.open, self.unjudged = 1.0, -INF, {}, {}
+        self.dragging, self.factor = False, 1.0        # a kind to be kept back; a way's part against the best one's
+
+    def judge(self, now, prompt):
+        self.part, self.told = self.part + (prompt - self.part) / 8, now
 
-    def sent(self, posting):
-        self.open += 1
-        self.unjudged[posting] = True
+    def sent(self, posting, judged):
+        self.open[posting] = True
+        if judged:
+            self.unjudged[posting] = True
 
     def ended(self, now, posting, prompt):
         """Prompt is 1 or 0; None where it tells nothing of how quick they are."""
-        self.open -= 1
+        self.open.pop(posting, None)
         if self.unjudged.pop(posting, False) and prompt is not None:
-            self.part += (prompt - self.part) / 8
-            self.told = now
+            self.judge(now, prompt)
 
     def look(self, now):
         while self.unjudged and now > (first := next(iter(self.unjudged))).overdue:
             del self.unjudged[first]
-            self.part -= self.part / 8
+            self.judge(now, 0.0)
 
 
 class Posting:
-    def __init__(self, backend, now, figure, expected):
+    def __init__(self, txn, backend, now, figure, expected):
+        self.txn = txn
         self.backend, self.sent, self.figure, self.expected, self.state = backend, now, figure, expected, OUT
         self.how, self.overdue = None, 0.0
 
@@ -86,6 +91,7 @@
 
     def __init__(self, ident):
         self.ident, self.zone, self.cell, self.standing, self.launched = ident, 0, 0, ports.READY, 0.0
+        self.ways, self.way = (), 1.0          # to its zone and to its cell; the worse of them
         self.fresh_start()
 
     def fresh_start(self):           # a process just started has no past
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -119,6 +119,35 @@
         host.say(f"held in this order: {[t.ref for t in host.proxy.gate.held]}")
         compare(self, host, "blame_hint")
 
+    def test_way_that_loses_for_this_proxy_alone(self):
+        """The home zone serves the others and reports itself idle, but two in three of this proxy's txns are lost on
+        the way there: the other zone, busier and dearer, gets them, one now and then tries the way, and all are at
+        home again after its end."""
+        host = Printer(tariffs__cross_zone=0.03, load_info__via="probe", limits__probing=False)
+        host.list(("h1", 0), ("h2", 0), ("w1", 1), ("w2", 1))
+        sent, ref, open_ = [], 0, []
+        for at in range(0, 28000, 40):
+            host.until(float(at))
+            for name in ("h1", "h2", "w1", "w2"):
+                host.report(name, 0 if name[0] == "h" else 1)
+            while open_ and open_[0][0] <= at:
+                host.end(open_.pop(0)[1], 0, ports.LATE, answered=False, took=1000.0)
+            host.take(ref, scheme=2)
+            if ref in host.sent:
+                to = next(line for line in reversed(host.lines) if f"post {ref}/0" in line).split()[-1]
+                sent.append((at, to[0]))
+                lost = to[0] == "h" and 4000 <= at < 14000 and ref % 3 and ref % 3
+                if lost:
+                    open_.append((at + 1000, ref))
+                else:
+                    host.end(ref, 0, ports.SETTLED, took=150.0)
+            ref += 1
+        host.lines = [f"{start // 1000:2d} to {start // 1000 + 4} s: {sum(start <= at < start + 4000 for at, _ in sent)} "
+                      f"sent, {sum(start <= at < start + 4000 and to == 'w' for at, to in sent)} to the other zone"
+                      for start in range(0, 28000, 4000)]
+        host.say("backends that rest: " + str([b.ident for b in host.proxy.board.open if b.rest_until > host.now]))
+        compare(self, host, "blame_way")
+
 
 if __name__ == "__main__":
     unittest.main()
