A kind of machine speaks for those little known; a txn that is known to be heavy goes where it ends first

Checked: paces of the backends range from 0.3 to 2.6 and are learned from a txn in three seconds each, while the list says which of two kinds each machine is; the pick looks at the figure alone and sends a txn that needs most of its SLA time to the slow kind as often as to the quick one. Ruled out: queues (figures of 2, no stretch), the net.

Change: paces are kept by kind of machine too, against all machines; a backend's own is what it adds to that, and fades to it. Where a hint tells that a txn takes over 0.3 of its SLA time at the usual pace, the one that is expected to end it first is picked. A best part of nought among kinds no longer divides by it.

--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -15,16 +15,16 @@
 from sloeferry import ports
 from sloeferry.histogram import Histogram
 from sloeferry.keys import Keys
-from sloeferry.records import MAYBE, NEVER, OUT, Backend, Posting, Prompt, Scheme, Txn
+from sloeferry.records import BOUNDS, MAYBE, NEVER, OUT, Backend, Curve, Posting, Prompt, Scheme, Txn, compare
 from sloeferry.stages import Stages
 
 NEVER_RAN = (ports.TURNED_AWAY, ports.UNREACHED, ports.NEVER_SENT)
 BLAMELESS = (ports.NEVER_SENT, ports.UNKNOWN)    # tells nothing of a backend: any may have its answers spoilt
-LEVELS, BOUNDS = (0, 1, 2, 3, 5, 8, 13), (0.5, 1.5, 2.5, 3.4, 4.8, 6.7)      # figures, coarsely; their ends
 
 
 class Rules:
     """The four rules.  Nothing is posted or declined but through here."""
+    LOST = 0.3                       # what the best way has in time: one with less tells of itself alone
     def __init__(self, proxy):
         self.p = proxy
         self.cold, self.cold_from, self.fall, self.multiple = (
@@ -84,10 +84,9 @@
             return None
         posting = Posting(txn, b, now, self.p.board.figure(b, now), expected)
         txn.postings.append(posting)
-        posting.overdue = now + min(txn.scheme.sla, self.p.board.OVERDUE * expected)
-        drags = txn.drags()
-        for kind in (*txn.kinds, *b.ways):       # what drags everywhere tells of no way
-            kind.sent(posting, kind.dragging or not drags)
+        posting.overdue = now + min(txn.scheme.sla, self.p.board.overdue * expected)
+        for kind in (*txn.kinds, *b.ways):       # what drags everywhere tells of no way, a bad way of no kind
+            kind.sent(posting, kind.dragging or not txn.drags() and (b.way > self.LOST or kind in b.ways))
         b.own, b.waits_since, self.p.board.known[b.ident] = b.own + 1, b.waits_since or now, b
         if self.warmth(b, now) < 1.0:
             b.sent.append((now, work))
@@ -139,8 +138,9 @@
     CROWD = 0.55                     # of the SLA time: a queue that takes longer only overdrives its backend
     SPLIT = 1.5                      # a key fills this part of a backend's due at the most: 1 / 1.5
     QUEUE = 0.1                      # of a mean gain: what each place in a queue costs those behind it
-    OVERDUE = 3                      # times what was expected
+    OVERDUE = 0.9                    # of all are back by then
     DRAG, AGAIN = 0.2, 0.4           # the part in time at which a kind drags, and no longer does
+    HEAVY = 0.3                      # of its SLA time: a txn that takes longer goes where it ends first
     WAY = 0.5                        # of the part that the best way has in time: one with less is bad
     SLOW = 1.6                       # a pace from which reports don't track real work
 
@@ -157,17 +157,17 @@
         self.asked, self.dated = told and self.probing, told and not self.probing
         self.age_limit, self.probe_every, self.fresh_for = 2000.0, 1000.0, 4 * proxy.step
         self.tariff, self.cross = proxy.term("tariffs.probe"), proxy.term("tariffs.cross_zone")
-        self.curve = [Histogram(1.0, 60) for _ in LEVELS]      # how a posting stretches with the figure
-        self.stretch = [1.0 + f for f in LEVELS]
+        self.curve = Curve()
+        self.stretch = self.curve.stretch
         self.fit, self.ready, self.mean, self.out, self.turnover = [], 0, [0.0, 0.0], [0.0, 0.0], 1.0
+        self.makes = defaultdict(lambda: Histogram(1.0, 100, [1.0] * 4))     # by kind of machine; None: all
         self.spread = Histogram(1.0, 400, [0.5, 0.7, 1.0, 1.4, 2.0])
         self.smooth()
         self.cured, self.errs = 1.0, 0.0     # of erring txns the part cured elsewhere; of postings, that err
         self.sick, self.keys, self.keyed = (), Keys(), proxy.term("family_info.warm_keys")
-        self.knew, self.new, self.part = Histogram(1.0, 200, [0.5] * 8), Histogram(1.0, 200, [1.0] * 8), 0.5
 
     def listed(self, now, scope, lines):
-        for ident, zone, _, cell, standing, _, launched in lines:
+        for ident, zone, kind, cell, standing, _, launched in lines:
             if (b := self.all.get(ident)) is None:
                 b = self.all[ident] = Backend(ident)
                 if self.probing and not self.turning:
@@ -176,7 +176,7 @@
             elif launched != b.launched and launched:
                 b.fresh_start()
             b.zone, b.cell, b.standing, b.launched = zone, cell, standing, launched
-            b.ways = self.zones[zone], self.cells[cell]
+            b.ways, b.make = (self.zones[zone], self.cells[cell]), self.makes[kind]
         self.looked = -INF
         if scope != ports.CHANGES:       # who is missing from a whole list is gone
             named = {line[0] for line in lines}
@@ -293,11 +293,7 @@
         tell when that has ended.  A way bad for this proxy alone shows in no report: it counts for less."""
         kinds, ways = sum(self.p.kinds, []), [w.values() for w in (self.zones, self.cells, self.probes)]
         for sort in (*self.p.kinds, *ways):
-            for one in sort:
-                one.look(now)
-            best = max([one.part for one in sort if now - one.told < self.age_limit], default=1.0)
-            for one in sort:
-                one.factor = min(1.0, one.part / best)
+            compare(sort, now, self.age_limit)
         for kind in kinds:
             before = kind.dragging
             # Once it jams all, others are no better: it is trusted again by what it does itself.
@@ -316,12 +312,9 @@
     def smooth(self):
         """The stretch of each level; one not met yet grows from the level below as a full backend's would."""
         self.longest = max([s.typical() for s in self.p.schemes]) * self.spread.at(0.98)
+        self.overdue = max(3.0, self.spread.at(self.OVERDUE))
         # In a rush what a late start taught would keep all from being sent, and so from better news.
-        below, stretch, rush = 0.0, self.stretch, self.p.rushed() and self.p.ask.few
-        for at, seen in enumerate(self.curve):
-            guess = below * (LEVELS[at] + 1) / (LEVELS[at - 1] + 1) if at else 1.0
-            learned = max(seen.at(0.5), below) if seen.count >= 3 and (at or not self.dated) else guess
-            below = stretch[at] = guess if rush and at and guess < learned else learned
+        self.curve.smooth(not self.dated, self.p.rushed() and self.p.ask.few)
 
     def figure(self, b, now):
         """Latest report + own sends begun after it - own sends it counted that have ended since.
@@ -345,7 +338,9 @@
         if b.slow.count < 6 and (warmth := self.p.rules.warmth(b, now)) < 1.0:
             return max(b.pace, 1 / warmth)
         # What was slow is believed ever less, or it would never be tried again.
-        return 1 + (b.pace - 1) * 0.5 ** ((now - b.learned) / (4 * self.age_limit)) if b.pace != 1.0 else 1.0
+        make = b.make.at(0.5) / self.makes[None].at(0.5)
+        fade = 0.5 ** ((now - b.learned) / (4 * self.age_limit))
+        return make + (b.pace - make) * fade if b.pace != 1.0 else make
 
     def weight(self, figure, pace, part=1.0):
         """The figure; more for the slow or cold, whose reports mislead, less for who knows the txn's key."""
@@ -370,6 +365,7 @@
         rules, work, crowd, aside = self.p.rules, txn.usual(), self.CROWD * txn.scheme.sla, None
         free, stretch, cold, found = not txn.postings, self.stretch, now - rules.cold, (None, 0.0, 0.0)
         self.usable(now)
+        heavy = txn.scheme.hint and work * stretch[0] > self.HEAVY * txn.scheme.sla
         lowest, keepers = INF, self.keepers(txn)
         more = [b for b in keepers if b.ident not in self.sick and b not in self.fit] if self.fit else []
         for backends in (self.near, self.away):
@@ -383,7 +379,7 @@
                 if not free and (b in leave_out or not rules.drops_repeats(txn, b)):
                     continue
                 figure, pace = self.figure(b, now), self.pace(b, now)
-                part = self.part if b in keepers else 1.0
+                part = self.keys.known if b in keepers else 1.0
                 takes = work * pace * part * stretch[bisect(BOUNDS, figure)]
                 if full := takes > crowd and takes > 1.5 * work * pace * part * stretch[0]:
                     # Crowded: no odds; out of the race where others were just asked.
@@ -392,7 +388,7 @@
                         continue
                 if b.launched > cold and not rules.cold_room(b, now, work):  # few are cold: a call costs time
                     continue
-                weight = self.weight(figure, pace, part / b.way)
+                weight = takes / b.way if heavy else self.weight(figure, pace, part / b.way)
                 if weight < least:
                     least, ties = weight, [(b, takes, full)]
                 elif weight == least:
@@ -417,17 +413,18 @@
         ratio = took / posting.expected
         if txn.key:  # against what it would take without: where known, and elsewhere
             kept = b in self.keepers(txn)
-            (self.knew if kept else self.new).add(took / (typical * self.stretch[level]))
-            took /= self.part if kept else 1.0
-            self.part = min(1.0, self.knew.at(0.5) / self.new.at(0.5))
-        b.slow.add(took / (typical * self.stretch[level]))
+            self.keys.learn(kept, took / (typical * self.stretch[level]))
+            took /= self.keys.known if kept else 1.0
+        here, make = took / (typical * self.stretch[level]), b.make.at(0.5) / self.makes[None].at(0.5)
+        for seen, figure in ((b.make, here), (self.makes[None], here), (b.slow, here / make)):
+            seen.add(figure)
         # Not the median: where reports hide a queue, answers are either quick or never come.
-        b.pace, b.learned = b.slow.at(0.7) * self.spread.at(0.5) / self.spread.at(0.7), now
+        b.pace, b.learned = make * b.slow.at(0.7) * self.spread.at(0.5) / self.spread.at(0.7), now
         if self.p.rules.warmth(b, now) < 1.0:    # that a cold one takes long tells of no queue elsewhere
             return
         if how == ports.SETTLED if self.dated else level == 0:      # only the asked are known to be idle
             txn.scheme.took.add(took * self.stretch[0] / self.stretch[level] / txn.size)
-        self.curve[level].add(took / typical)
+        self.curve.seen[level].add(took / typical)
         self.spread.add(ratio)
         self.smooth()
 
--- a/sloeferry/keys.py
+++ b/sloeferry/keys.py
@@ -5,12 +5,21 @@
 from collections import Counter
 from hashlib import blake2b
 
+from sloeferry.histogram import Histogram
+
 OFTEN = 400                          # txns over which keys are counted, halved then
 
 
 class Keys:
     def __init__(self):
         self.counts, self.total, self.orders = Counter(), 0, {}
+        self.knew, self.new = Histogram(1.0, 200, [0.5] * 8), Histogram(1.0, 200, [1.0] * 8)
+        self.known = 0.5             # the part of its time that a txn takes where its key is likely known
+
+    def learn(self, kept, ratio):
+        """What it took against what was expected, at a backend that stands for its key or elsewhere."""
+        (self.knew if kept else self.new).add(ratio)
+        self.known = min(1.0, self.knew.at(0.5) / self.new.at(0.5))
 
     def met(self, key):
         if not key:                  # none: nothing to tell apart
--- a/sloeferry/records.py
+++ b/sloeferry/records.py
@@ -5,6 +5,7 @@
 from sloeferry import ports
 from sloeferry.histogram import Histogram
 
+LEVELS, BOUNDS = (0, 1, 2, 3, 5, 8, 13), (0.5, 1.5, 2.5, 3.4, 4.8, 6.7)      # figures, coarsely; their ends
 OUT, MAYBE, NEVER = range(3)         # a posting: no word yet, may have run, known not to have run
 
 
@@ -55,6 +56,32 @@
             self.judge(now, 0.0)
 
 
+def compare(sort, now, span):
+    """Each one's part against the best of its sort of whom anything was told of late; 1 where it was of none."""
+    for one in sort:
+        one.look(now)
+    best = max([one.part for one in sort if now - one.told < span], default=0.0)
+    for one in sort:
+        one.factor = min(1.0, one.part / max(best, 0.01))
+
+
+class Curve:
+    """How a posting stretches with the figure of its backend, by coarse levels of figures."""
+
+    def __init__(self):
+        self.seen = [Histogram(1.0, 60) for _ in LEVELS]
+        self.stretch = [1.0 + f for f in LEVELS]
+
+    def smooth(self, idle, bound):
+        """One not met yet grows from the level below as a full backend's would; `idle`: level 0 is known to be
+        idle; `bound`: no level grows by more."""
+        below, stretch = 0.0, self.stretch
+        for at, seen in enumerate(self.seen):
+            guess = below * (LEVELS[at] + 1) / (LEVELS[at - 1] + 1) if at else 1.0
+            learned = max(seen.at(0.5), below) if seen.count >= 3 and (at or idle) else guess
+            below = stretch[at] = guess if bound and at and guess < learned else learned
+
+
 class Posting:
     def __init__(self, txn, backend, now, figure, expected):
         self.txn = txn
@@ -92,6 +119,7 @@
     def __init__(self, ident):
         self.ident, self.zone, self.cell, self.standing, self.launched = ident, 0, 0, ports.READY, 0.0
         self.ways, self.way = (), 1.0          # to its zone and to its cell; the worse of them
+        self.make = Histogram(1.0, 1, [1.0])   # how quick its kind of machine is, shared by all of the kind
         self.fresh_start()
 
     def fresh_start(self):           # a process just started has no past
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -148,6 +148,29 @@
         host.say("backends that rest: " + str([b.ident for b in host.proxy.board.open if b.rest_until > host.now]))
         compare(self, host, "blame_way")
 
+    def test_kind_of_machine_and_heavy_txns(self):
+        """Two kinds of machine, one far quicker: what few answers taught of it is believed of all its kind; a
+        txn whose hint says that it takes most of its SLA time goes there though it holds more, a light one not."""
+        host = Printer(load_info__via="answers")
+        names = ("q1", "q2", "q3", "s1", "s2", "s3")
+        host.proxy.listed(0.0, ports.WHOLE, [(n, 0, n[0] == "s", 0, ports.READY, 1.0, 0.0) for n in names])
+        for ref in range(60):
+            host.proxy.take(host.now, ref, 0, 0, 0, 1000.0, 100.0, False)
+            to = host.lines[-1].split()[-1]
+            if to == "q3":           # never heard of: its kind alone speaks for it
+                host.end(ref, 0, ports.UNKNOWN, answered=True)
+            else:
+                host.end(ref, 0, ports.SETTLED, 0, took=50.0 if to[0] == "q" else 90.0)
+            host.until(host.now + 20.0)
+        board, host.lines = host.proxy.board, []
+        host.say("paces " + " ".join(f"{b.ident}={board.pace(b, host.now):.2f}" for b in board.open))
+        for name in names:
+            board.report(board.all[name], host.now, (2.0 if name[0] == "q" else 1.0,))
+        board.looked = -1.0
+        for ref, work in ((100, 100.0), (101, 230.0)):
+            host.proxy.take(host.now, ref, 0, 0, 0, 1000.0, work, False)
+        compare(self, host, "blame_make")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -75,7 +75,7 @@
         host.list(("a",), ("b",))
         board, host.proxy.gap = host.proxy.board, 2.0
         for _ in range(12):
-            board.curve[1].add(5.2)
+            board.curve.seen[1].add(5.2)
         board.smooth()
         host.say(" ".join(f"{s:.1f}" for s in board.stretch))
         for name in "ab":
