A scheme left unanswered by some backends rests there alone; gone without a drain no longer binds

The second look came after 98 in 100 answers of the longest scheme, 1.2 s, beyond that scheme's SLA time; and each loss made its backend rest for all schemes. Told from dead backends by the others' answers: no other scheme lost anything. It should help too where a backend lacks what one scheme needs; it does harm if one scheme's txns are given up for their own sake while others are not.

Where obligations.only_draining_binds, a backend that is listed as gone or left out without having drained is used until it fails once; then neither the list nor its answers speak for it. A drain binds as before, for good (test rule_3_gone).

--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -7,6 +7,7 @@
 What comes back runs through the chain the other way.  Rules holds the four rules: every posting and
 every decline goes through it.
 """
+import functools
 from bisect import bisect
 from collections import defaultdict
 from math import inf as INF
@@ -15,16 +16,13 @@
 from sloeferry import ports
 from sloeferry.histogram import Histogram
 from sloeferry.keys import Keys
-from sloeferry.records import BOUNDS, MAYBE, NEVER, OUT, Backend, Curve, Posting, Prompt, Scheme, Txn, compare
+from sloeferry.records import (BLAMELESS, BOUNDS, OUT, Backend, Curve, Make, Posting, Prompt, Scheme, Txn,
+                               compare)
 from sloeferry.stages import Stages
 
-NEVER_RAN = (ports.TURNED_AWAY, ports.UNREACHED, ports.NEVER_SENT)
-BLAMELESS = (ports.NEVER_SENT, ports.UNKNOWN)    # tells nothing of a backend: any may have its answers spoilt
-
 
 class Rules:
     """The four rules.  Nothing is posted or declined but through here."""
-    LOST = 0.3                       # what the best way has in time: one with less tells of itself alone
     def __init__(self, proxy):
         self.p = proxy
         self.cold, self.cold_from, self.fall, self.multiple = (
@@ -45,8 +43,7 @@
         recent = b.sent and b.sent[-1][0] > now - self.fall or board.dated or now - b.heard > board.fresh_for
         if not recent and (b.others + b.own + 1) * work <= budget * self.fall / 2:
             return True
-        # This proxy's part of one core, less some slack.  Not what it sends a warm backend, though machines
-        # have more cores: on an overloaded day that pushed cold ones over.
+        # Its part of one core, less some slack: what a warm one of more cores gets pushed cold ones over.
         share = 0.85 * self.fall / max(1.0, self.p.instances)
         span = self.fall * max(1.0, work / budget / share)   # a txn over the budget waits longer for its turn
         while b.sent and b.sent[0][0] <= now - span:
@@ -85,8 +82,7 @@
         posting = Posting(txn, b, now, self.p.board.figure(b, now), expected)
         txn.postings.append(posting)
         posting.overdue = now + min(txn.scheme.sla, self.p.board.overdue * expected)
-        for kind in (*txn.kinds, *b.ways):       # what drags everywhere tells of no way, a bad way of no kind
-            kind.sent(posting, kind.dragging or not txn.drags() and (b.way > self.LOST or kind in b.ways))
+        posting.judge()
         b.own, b.waits_since, self.p.board.known[b.ident] = b.own + 1, b.waits_since or now, b
         if self.warmth(b, now) < 1.0:
             b.sent.append((now, work))
@@ -140,6 +136,7 @@
     QUEUE = 0.1                      # of a mean gain: what each place in a queue costs those behind it
     OVERDUE = 0.9                    # of all are back by then
     DRAG, AGAIN = 0.2, 0.4           # the part in time at which a kind drags, and no longer does
+    FAR = 4                          # times as many lost as of any other scheme
     HEAVY = 0.3                      # of its SLA time: a txn that takes longer goes where it ends first
     WAY = 0.5                        # of the part that the best way has in time: one with less is bad
     SLOW = 1.6                       # a pace from which reports don't track real work
@@ -156,11 +153,12 @@
         told, self.by_probe = via == "answers", via == "probe"
         self.asked, self.dated = told and self.probing, told and not self.probing
         self.age_limit, self.probe_every, self.fresh_for = 2000.0, 1000.0, 4 * proxy.step
+        self.missing = proxy.term("obligations.only_draining_binds")
         self.tariff, self.cross = proxy.term("tariffs.probe"), proxy.term("tariffs.cross_zone")
         self.curve = Curve()
         self.stretch = self.curve.stretch
         self.fit, self.ready, self.mean, self.out, self.turnover = [], 0, [0.0, 0.0], [0.0, 0.0], 1.0
-        self.makes = defaultdict(lambda: Histogram(1.0, 100, [1.0] * 4))     # by kind of machine; None: all
+        self.makes = defaultdict(functools.partial(Make, Histogram(1.0, 100, [1.0] * 4)))    # of machines
         self.spread = Histogram(1.0, 400, [0.5, 0.7, 1.0, 1.4, 2.0])
         self.smooth()
         self.cured, self.errs = 1.0, 0.0     # of erring txns the part cured elsewhere; of postings, that err
@@ -175,13 +173,14 @@
                     self.p.later(now + self.p.rng.random() * self.probe_every, self.probe_in_turn, 0)
             elif launched != b.launched and launched:
                 b.fresh_start()
-            b.zone, b.cell, b.standing, b.launched = zone, cell, standing, launched
+            b.zone, b.cell, b.launched = zone, cell, launched
+            self.told(b, standing)
             b.ways, b.make = (self.zones[zone], self.cells[cell]), self.makes[kind]
         self.looked = -INF
         if scope != ports.CHANGES:       # who is missing from a whole list is gone
             named = {line[0] for line in lines}
             for b in self.all.values():
-                b.standing = b.standing if b.ident in named else ports.GONE
+                self.told(b, b.standing if b.ident in named else ports.GONE)
         # Ids are ever new: who is gone, with nothing out, is forgotten, or a long day fills the memory.
         for b in [b for b in self.all.values() if b.standing == ports.GONE and not (b.own or b.probes_out)]:
             del self.all[b.ident]
@@ -189,6 +188,11 @@
         self.open = [b for b in self.all.values() if b.standing == ports.READY]
         self.keys.orders.clear()
 
+    def told(self, b, standing):
+        """Where draining alone binds, one merely gone is used until it fails: the list may be wrong."""
+        b.missing = standing == ports.GONE and self.missing and b.standing == ports.READY
+        b.standing = standing if not b.missing else ports.READY
+
     def probe_in_turn(self, now, turn):
         """Each backend in use once a second; more often where half a point in a hundred pays for it."""
         every, due = self.probe_every, [b for b in self.known.values() if b.fails or b.probes_out]
@@ -214,6 +218,9 @@
     def bad(self, b, now):
         """A backend that errs, refuses connections or is silent rests, longer each time."""
         b.fails, self.known[b.ident] = b.fails + 1, b
+        if b.missing:                    # neither the list nor its own answers speak for it
+            b.standing, b.missing, self.looked = ports.GONE, False, -INF
+            self.open.remove(b)
         if b.fails >= 2 or self.dated:   # where nobody can be asked no second txn is spent to be sure
             rest = self.probe_every / 2 * 2 ** min(b.fails - 2 + 2 * self.dated, 4 + self.dated)
             b.rest_until = now + rest * (0.75 + self.p.rng.random() / 2)
@@ -237,6 +244,11 @@
                 self.cured += (1 - self.cured) / 8
                 self.bad(posting.backend, now)
 
+    def lossy(self, scheme, now):
+        """Far more of its postings are left unanswered than of the others': some backends fail it alone."""
+        others = [s for s in self.p.schemes if s is not scheme and now - s.prompt.told < self.age_limit]
+        return bool(others) and scheme.lost > max([0.1] + [self.FAR * s.lost for s in others])
+
     def overtaken(self, posting):
         """Three sent there later have settled: this one's connection is dead, its backend is not."""
         done = posting.backend.done
@@ -310,7 +322,7 @@
             b.way = max(0.05, part) if part < self.WAY else 1.0
 
     def smooth(self):
-        """The stretch of each level; one not met yet grows from the level below as a full backend's would."""
+        """What is usual and what is late by now, and the stretch of each level of figures."""
         self.longest = max([s.typical() for s in self.p.schemes]) * self.spread.at(0.98)
         self.overdue = max(3.0, self.spread.at(self.OVERDUE))
         # In a rush what a late start taught would keep all from being sent, and so from better news.
@@ -338,9 +350,7 @@
         if b.slow.count < 6 and (warmth := self.p.rules.warmth(b, now)) < 1.0:
             return max(b.pace, 1 / warmth)
         # What was slow is believed ever less, or it would never be tried again.
-        make = b.make.at(0.5) / self.makes[None].at(0.5)
-        fade = 0.5 ** ((now - b.learned) / (4 * self.age_limit))
-        return make + (b.pace - make) * fade if b.pace != 1.0 else make
+        return b.believed(0.5 ** ((now - b.learned) / (4 * self.age_limit)))
 
     def weight(self, figure, pace, part=1.0):
         """The figure; more for the slow or cold, whose reports mislead, less for who knows the txn's key."""
@@ -376,7 +386,8 @@
                 backends = backends + [b for b in more if (b.zone == self.home) == (backends is self.near)]
             least, ties = INF, []
             for b in backends:
-                if not free and (b in leave_out or not rules.drops_repeats(txn, b)):
+                if b.muted and b.mutes(txn.scheme, now) or not free and (
+                        b in leave_out or not rules.drops_repeats(txn, b)):
                     continue
                 figure, pace = self.figure(b, now), self.pace(b, now)
                 part = self.keys.known if b in keepers else 1.0
@@ -415,11 +426,7 @@
             kept = b in self.keepers(txn)
             self.keys.learn(kept, took / (typical * self.stretch[level]))
             took /= self.keys.known if kept else 1.0
-        here, make = took / (typical * self.stretch[level]), b.make.at(0.5) / self.makes[None].at(0.5)
-        for seen, figure in ((b.make, here), (self.makes[None], here), (b.slow, here / make)):
-            seen.add(figure)
-        # Not the median: where reports hide a queue, answers are either quick or never come.
-        b.pace, b.learned = make * b.slow.at(0.7) * self.spread.at(0.5) / self.spread.at(0.7), now
+        b.learn(took / (typical * self.stretch[level]), self.spread, now)
         if self.p.rules.warmth(b, now) < 1.0:    # that a cold one takes long tells of no queue elsewhere
             return
         if how == ports.SETTLED if self.dated else level == 0:      # only the asked are known to be idle
@@ -531,15 +538,12 @@
     def drain(self, now):
         """Post what has good odds, best gain first; decline what has waited in vain or has no room."""
         board, kept, misses, looks, asks = self.p.board, [], 0, 0, self.p.ask.few or self.p.board.by_probe
-        if not self.held:
-            return
         most = 9 if self.p.late > self.p.ask.patience / 2 else INF
         self.held.sort(key=lambda t: (-t.gain / t.usual(), t.due))
         for txn in self.held:
-            if txn.answered:
-                continue
-            if txn.drags() and any(kind.open for kind in txn.kinds if kind.dragging):
+            if any(kind.open for kind in txn.kinds if kind.dragging):
                 self.p.ledger.end(txn)
+            if txn.answered:
                 continue
             waited = now - txn.born > txn.scheme.sla / 4 * min(2.0, txn.gain / self.p.mean_gain)
             # Little time: after three in vain the next event looks further; one that is behind bounds all.
@@ -583,21 +587,26 @@
         if posting is None and not txn.out():
             self.p.ledger.end(txn)
         elif posting and txn.scheme.kind != "once-only":
-            first = min(self.p.board.longest, 3 * takes if self.p.rules.copies else INF)
-            self.p.later(now + first, self.review, txn, posting)
+            first = now + min(self.p.board.longest, 3 * takes if self.p.rules.copies else INF)
+            self.p.later(posting.overdue if self.doubted(txn, b, now) else first, self.review, txn, posting)
+
+    def doubted(self, txn, b, now):
+        """What is overdue there was probably lost."""
+        return b.way < 1.0 or self.p.board.lossy(txn.scheme, now)
 
     def review(self, now, txn, posting, asked=False):
         """A backend or a connection fell silent with this txn (it stalls, or died unseen): ask another."""
-        p, rules, lost = self.p, self.p.rules, self.p.board.overtaken(posting)
+        p, rules, b = self.p, self.p.rules, posting.backend
+        lost = p.board.overtaken(posting) or now >= posting.overdue and self.doubted(txn, b, now)
         if txn.answered or posting.state != OUT or now >= txn.due:
             return
         if not lost and rules.copies and now < posting.sent + p.board.longest:
             return p.later(posting.sent + p.board.longest, self.review, txn, posting)
         if not (lost or p.board.by_probe or asked):
-            p.board.probe(posting.backend, now)
+            p.board.probe(b, now)
             return p.later(now + p.ask.patience + p.step, self.review, txn, posting, True)
-        if ((lost or p.board.silent(posting.backend, now)) and rules.may_post(txn, now, posting)
-                and p.stages.may_repost(now, txn)):
+        lost = lost or p.board.silent(b, now)
+        if lost and rules.may_post(txn, now, posting) and p.stages.may_repost(now, txn):
             b, odds, takes = p.board.choose(txn, now, [x.backend for x in txn.postings])
             if odds > 0.3 and rules.copies:
                 return self.post(txn, b, now, takes)
@@ -680,11 +689,7 @@
 
     def take(self, now, ref, scheme, tenant, key, left, work, repeat):
         scheme = self.schemes[scheme]
-        if work:
-            scheme.hints = min(100, scheme.hints + 1)
-            scheme.hint += (work - scheme.hint) / scheme.hints
-        size = work / scheme.hint if work else 1.0
-        txn = Txn(ref, scheme, now, left, tenant, key if self.board.keyed else 0, size)
+        txn = Txn(ref, scheme, now, left, tenant, key if self.board.keyed else 0, scheme.size(work))
         txn.kinds = (scheme.prompt, *self.customers[tenant:tenant + 1])
         txn.gain *= txn.usual() if self.by_work else 1.0
         self.board.keys.met(txn.key)
@@ -701,29 +706,27 @@
         txn = self.ledger.txns.get(ref)
         if txn is None or seq >= len(txn.postings) or txn.postings[seq].state != OUT:
             return
-        posting = txn.postings[seq]
-        b, posting.state, posting.how = posting.backend, NEVER if how in NEVER_RAN else MAYBE, how
-        b.own = max(0, b.own - 1)
-        prompt = None if how in BLAMELESS else how == ports.SETTLED and now <= posting.overdue
-        for kind in txn.kinds:
-            kind.ended(now, posting, prompt if how in (ports.SETTLED, ports.LATE, ports.WITHDRAWN) else None)
-        for way in b.ways:
-            way.ended(now, posting, how == ports.ERRED or prompt if how != ports.TURNED_AWAY else None)
+        posting, b = txn.postings[seq], txn.postings[seq].backend
+        posting.ended(now, how)
         if report:
             self.board.report(b, now, report)
         self.board.errs += ((how == ports.ERRED) - self.board.errs) / 32
         if how == ports.SETTLED:
             b.fails, b.rest_until, b.errs = 0, 0.0, 0
+            b.muted.pop(txn.scheme, None)
             b.done.append(posting.sent)
             self.board.learn(txn, posting, took, now)
             self.board.cure(txn, now)
         elif how in (ports.LATE, ports.WITHDRAWN):
-            if took > posting.expected and b.way == 1.0 and not self.board.overtaken(posting):
+            slow, scheme = took > posting.expected and b.way == 1.0, txn.scheme
+            if slow and (scheme in b.muted or self.board.lossy(scheme, now)):
+                b.mute(scheme, now, self.board.age_limit)    # it serves the others: it need not rest
+            elif slow and not self.board.overtaken(posting):
                 self.board.learn(txn, posting, took * 1.5, now, how)
             if self.board.dated:         # given up here, it goes on there: no report says so in time
                 b.ghosts.append(now + took)
             late = self.board.dated and how == ports.LATE and took > 2 * posting.expected
-            if (late or self.board.silent(b, now)) and not txn.drags():
+            if (late or self.board.silent(b, now)) and not (txn.drags() or b.mutes(scheme, now)):
                 self.board.bad(b, now)
         elif how == ports.ERRED:
             self.board.erred(txn, b, now)
--- a/sloeferry/records.py
+++ b/sloeferry/records.py
@@ -6,6 +6,9 @@
 from sloeferry.histogram import Histogram
 
 LEVELS, BOUNDS = (0, 1, 2, 3, 5, 8, 13), (0.5, 1.5, 2.5, 3.4, 4.8, 6.7)      # figures, coarsely; their ends
+NEVER_RAN = (ports.TURNED_AWAY, ports.UNREACHED, ports.NEVER_SENT)
+BLAMELESS = (ports.NEVER_SENT, ports.UNKNOWN)    # tells nothing of a backend: any may have its answers spoilt
+NO_REST = 0, -INF
 OUT, MAYBE, NEVER = range(3)         # a posting: no word yet, may have run, known not to have run
 
 
@@ -20,11 +23,19 @@
         self.group, self.window = term("group"), term("dedup_window")
         self.took = Histogram(self.sla, 200, [self.sla / 4] * 4)    # of sends to a backend found idle
         self.most_left, self.hint, self.hints = 0.0, 0.0, 0      # the longest patience seen; mean hint of cost, of how many
-        self.prompt = Prompt()
+        self.prompt, self.lost = Prompt(), 0.0       # of its postings that no backend refused: left unanswered
 
     def typical(self):
         return self.took.at(0.5)
 
+    def size(self, hint):
+        """A hint of cost against the mean of the scheme's; 1 without one."""
+        if not hint:
+            return 1.0
+        self.hints = min(100, self.hints + 1)
+        self.hint += (hint - self.hint) / self.hints
+        return hint / self.hint
+
 
 class Prompt:
     """Of the postings of one kind (a scheme, a customer) or on one way (to a zone, to a cell): the part answered in
@@ -88,6 +99,25 @@
         self.backend, self.sent, self.figure, self.expected, self.state = backend, now, figure, expected, OUT
         self.how, self.overdue = None, 0.0
 
+    def judge(self):
+        """To be judged once it ends or is overdue: what drags everywhere tells of no way, a bad way of no kind."""
+        good_way = self.backend.way > 0.3
+        for kind in self.txn.kinds:
+            kind.sent(self, kind.dragging or good_way and not self.txn.drags())
+        for way in self.backend.ways:
+            way.sent(self, not self.txn.drags())
+
+    def ended(self, now, how):
+        self.state, self.how = NEVER if how in NEVER_RAN else MAYBE, how
+        self.backend.own = max(0, self.backend.own - 1)
+        prompt = None if how in BLAMELESS else how == ports.SETTLED and now <= self.overdue
+        if prompt is not None and how in (ports.SETTLED, ports.LATE, ports.WITHDRAWN) and not self.txn.drags():
+            self.txn.scheme.lost += ((how != ports.SETTLED) - self.txn.scheme.lost) / 16
+        for kind in self.txn.kinds:
+            kind.ended(now, self, prompt if how in (ports.SETTLED, ports.LATE, ports.WITHDRAWN) else None)
+        for way in self.backend.ways:
+            way.ended(now, self, how == ports.ERRED or prompt if how != ports.TURNED_AWAY else None)
+
 
 class Txn:
     """A txn taken; `now` to `ends` is all the time there is, `due` is its SLA time."""
@@ -113,13 +143,25 @@
         return [p for p in self.postings if p.state != NEVER]
 
 
+class Make:
+    """How quick the machines of one kind are, against all machines."""
+
+    def __init__(self, all_machines):
+        self.all, self.seen = all_machines, Histogram(1.0, 100, [1.0] * 4)
+
+    def pace(self):
+        return self.seen.at(0.5) / self.all.at(0.5)
+
+
 class Backend:
     """What this proxy knows of one backend."""
 
     def __init__(self, ident):
         self.ident, self.zone, self.cell, self.standing, self.launched = ident, 0, 0, ports.READY, 0.0
+        self.muted = {}                        # the schemes that it leaves unanswered: how often, until when they rest
+        self.missing = False                   # listed as gone, without a drain before it, and still used
         self.ways, self.way = (), 1.0          # to its zone and to its cell; the worse of them
-        self.make = Histogram(1.0, 1, [1.0])   # how quick its kind of machine is, shared by all of the kind
+        self.make = Make(Histogram(1.0, 1, [1.0]))      # shared by all of its kind
         self.fresh_start()
 
     def fresh_start(self):           # a process just started has no past
@@ -129,3 +171,25 @@
         self.slow, self.pace, self.learned = Histogram(1.0, 12, [1.0, 1.0]), 1.0, 0.0
         self.sent = deque()          # (when, work) of late, for the cold budget
         self.done = deque(maxlen=3)  # when the last that settled were sent
+
+    def mutes(self, scheme, now):
+        """Whether this scheme rests here."""
+        return self.muted.get(scheme, NO_REST)[1] > now
+
+    def mute(self, scheme, now, span):
+        often = self.muted.get(scheme, NO_REST)[0] + 1
+        self.muted[scheme] = often, now + span * 2 ** min(often, 4)
+
+    def learn(self, ratio, spread, now):
+        """Took so much times what its figure explains; `spread`: how all that was expected spreads."""
+        make = self.make.pace()
+        self.make.all.add(ratio)
+        self.make.seen.add(ratio)
+        self.slow.add(ratio / make)
+        # Not the median: where reports hide a queue, answers are either quick or never come.
+        self.pace, self.learned = make * self.slow.at(0.7) * spread.at(0.5) / spread.at(0.7), now
+
+    def believed(self, part):
+        """Its pace, of which that part is still believed against its kind's."""
+        make = self.make.pace()
+        return make + (self.pace - make) * part if self.pace != 1.0 else make
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -148,6 +148,40 @@
         host.say("backends that rest: " + str([b.ident for b in host.proxy.board.open if b.rest_until > host.now]))
         compare(self, host, "blame_way")
 
+    def test_one_scheme_left_unanswered_by_some(self):
+        """Backends a and b leave scheme 0 unanswered and serve scheme 1: they rest for scheme 0 alone, what is
+        overdue there is soon posted elsewhere, and neither the scheme nor the backends are blamed for the rest."""
+        host = Printer(schemes__0__expiry=1000.0)
+        host.list(("a",), ("b",), ("c",), ("d",))
+        open_, sent = [], {0: [], 1: []}
+        for at in range(0, 12000, 20):
+            host.until(float(at))
+            while open_ and open_[0][0] <= at:
+                host.end(*open_.pop(0)[1:], ports.LATE, answered=False, took=1000.0)
+            ref, seen = at // 20, len(host.lines)
+            host.take(ref, scheme=ref % 2)
+            while seen < len(host.lines):
+                line = host.lines[seen].split()
+                seen += 1
+                if line[1] == "withdraw":
+                    one = tuple(map(int, line[2].split("/")))
+                    if any(x[1:] == one for x in open_):
+                        open_ = [x for x in open_ if x[1:] != one]
+                        host.end(*one, ports.WITHDRAWN, answered=False, took=400.0)
+                elif line[1] == "post":
+                    one, to = tuple(map(int, line[2].split("/"))), line[-1]
+                    sent[one[0] % 2].append((at, to))
+                    if one[0] % 2 == 0 and to in "ab":
+                        open_.append((at + 1000, *one))
+                    else:
+                        host.end(*one, ports.SETTLED, 1 + (to in "cd"), took=100.0)
+        host.lines = [f"scheme {scheme}, {start // 1000} to {start // 1000 + 3} s: of "
+                      f"{sum(start <= at < start + 3000 for at, _ in posts)} postings "
+                      f"{sum(start <= at < start + 3000 and to in 'ab' for at, to in posts)} to a and b"
+                      for scheme, posts in sent.items() for start in range(0, 12000, 3000)]
+        host.say(f"dragging: {[s.prompt.dragging for s in host.proxy.schemes]}")
+        compare(self, host, "blame_scheme_at_some")
+
     def test_kind_of_machine_and_heavy_txns(self):
         """Two kinds of machine, one far quicker: what few answers taught of it is believed of all its kind; a
         txn whose hint says that it takes most of its SLA time goes there though it holds more, a light one not."""
@@ -166,8 +200,8 @@
         host.say("paces " + " ".join(f"{b.ident}={board.pace(b, host.now):.2f}" for b in board.open))
         for name in names:
             board.report(board.all[name], host.now, (2.0 if name[0] == "q" else 1.0,))
-        board.looked = -1.0
-        for ref, work in ((100, 100.0), (101, 230.0)):
+        board.looked, board.stretch[1:3] = -1.0, (1.1, 1.2)
+        for ref, work in ((100, 100.0), (101, 500.0)):
             host.proxy.take(host.now, ref, 0, 0, 0, 1000.0, work, False)
         compare(self, host, "blame_make")
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -55,6 +55,31 @@
         host.end(5, 0, ports.ERRED)
         compare(self, host, "rule_2")
 
+    def test_rule_3_gone_alone_does_not_bind(self):
+        """Where draining alone binds: one left out of the list serves on until it fails; one that drained first, or
+        drains while it is missing, gets nothing more, and neither does one that failed, until it is listed again."""
+        host = Printer(obligations__only_draining_binds=True)
+        def show(what):
+            host.until(host.now + 10.0)
+            host.take(ref := int(host.now))
+            host.say(f"{what}: uses {' '.join(sorted(b.ident for b in host.proxy.board.open))}")
+            return ref
+        host.list(("a",), ("b",), ("c",))
+        host.list(("b", 0, ports.DRAINING), scope=ports.CHANGES)
+        show("b drains")
+        host.list(("a", 0, ports.GONE), ("b", 0, ports.GONE), scope=ports.CHANGES)
+        show("a and b are gone")
+        host.list()
+        ref = show("none is listed")
+        to = host.lines[-2].split()[-1]
+        host.end(ref, 0, ports.UNREACHED)
+        show(f"{to} could not be reached")
+        host.list(("a", 0, ports.DRAINING), ("c", 0, ports.DRAINING), scope=ports.CHANGES)
+        show("all drain")
+        host.list(("a",), ("b",), scope=ports.WHOLE)
+        show("a and b are back")
+        compare(self, host, "rule_3_gone")
+
     def test_rule_3_drains(self):
         """The draining backend is the emptiest one, and the last one too."""
         host = Printer()
