--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -642,10 +642,8 @@
         self.schemes = [Scheme(terms, at) for at in range(int(terms["schemes.count"]))]
         self.customers = [Prompt() for _ in range(int(terms["tenants.count"]))]
         self.kinds = [s.prompt for s in self.schemes], self.customers
-        self.by_work = self.term("gain_per") == "work"
         self.quickest = min(s.sla for s in self.schemes)
-        gains = [s.gain * (s.typical() if self.by_work else 1.0) for s in self.schemes]
-        self.mean_gain = sum(gains) / len(gains)
+        self.mean_gain = sum(s.worth() for s in self.schemes) / len(self.schemes)
         self.rules, self.discovery, self.board = Rules(self), Discovery(self, now), Board(self, now)
         self.reposting = Reposting(self)
         self.gate = Gate(self, self.reposting)
@@ -691,7 +689,6 @@
         scheme = self.schemes[scheme]
         txn = Txn(ref, scheme, now, left, tenant, key if self.board.keyed else 0, scheme.size(work))
         txn.kinds = (scheme.prompt, *self.customers[tenant:tenant + 1])
-        txn.gain *= txn.usual() if self.by_work else 1.0
         self.board.keys.met(txn.key)
         self.mean_gain += (txn.gain - self.mean_gain) / 100
         self.came(now)
--- a/sloeferry/records.py
+++ b/sloeferry/records.py
@@ -19,7 +19,7 @@
         def term(name):
             return terms[f"schemes.{at}.{name}"]
         self.expiry, self.sla, self.gain = term("expiry"), term("sla_time"), term("gain")
-        self.kind = term("idempotency")
+        self.kind, self.by_work = term("idempotency"), terms["gain_per"] == "work"
         self.group, self.window = term("group"), term("dedup_window")
         self.took = Histogram(self.sla, 200, [self.sla / 4] * 4)    # of sends to a backend found idle
         self.most_left, self.hint, self.hints = 0.0, 0.0, 0      # the longest patience seen; mean hint of cost, of how many
@@ -28,6 +28,10 @@
     def typical(self):
         return self.took.at(0.5)
 
+    def worth(self, size=1.0):
+        """The gain of a txn of that size: of each, or of each unit of work."""
+        return self.gain * (self.typical() * size if self.by_work else 1.0)
+
     def size(self, hint):
         """A hint of cost against the mean of the scheme's; 1 without one."""
         if not hint:
@@ -124,7 +128,7 @@
 
     def __init__(self, ref, scheme, now, left, tenant=0, key=0, size=1.0):
         self.ref, self.scheme, self.born, self.tenant, self.key = ref, scheme, now, tenant, key
-        self.ends, self.due, self.gain = now + left, now + scheme.sla, scheme.gain
+        self.ends, self.due, self.gain = now + left, now + scheme.sla, scheme.worth(size)
         self.size = size             # its hint of cost, as a multiple of what its scheme's usually say
         self.postings, self.answered, self.kinds = [], False, ()
 
--- a/sloeferry/terms.py
+++ b/sloeferry/terms.py
@@ -13,15 +13,14 @@
 DEFAULTS = {
     "discovery": "automatic", "gain_per": "request", "instances": 1, "kinds": "", "ordinal": 0, "step": 1.0,
     "tenants.count": 0, "zone": 0, "zones": "",
-    "beyond_share_gain": 1.0, "blend.log_loss_part": 0.0, "blend.nines_wanted": 3.0,
+    "blend.log_loss_part": 0.0, "blend.nines_wanted": 3.0,
     "family_info.warm_keys": False, "limits.cancel": False, "limits.conn_idle": 10000.0, "limits.dial_timeout": 250.0,
     "limits.most_postings": 1, "limits.probing": False, "limits.retry_after": False,
     "limits.second_copies": False, "load_info.fields": "", "load_info.via": "none",
     "obligations.cold": 0.0, "obligations.cold_from": 1.0, "obligations.fall": 1000.0,
     "obligations.fall_multiple": 1.0, "obligations.must_ask_in": 10000.0,
-    "obligations.only_draining_binds": False, "tariffs.cross_zone": 0.0, "tariffs.handshake": 0.0, "tariffs.probe": 0.0}
-SCHEME = {"dedup_window": 0.0, "expiry": 1000.0, "gain": 1.0, "group": "all", "idempotency": "", "overdue_gain": 0.0}
-TENANT = {"quota_per_s": 0.0}                                   # nought: no bound
+    "obligations.only_draining_binds": False, "tariffs.cross_zone": 0.0, "tariffs.probe": 0.0}
+SCHEME = {"dedup_window": 0.0, "expiry": 1000.0, "gain": 1.0, "group": "all", "idempotency": ""}
 KINDS = {"retryable": "repeatable", "dedup": "referenced"}      # any other word is once-only
 LEVELS = ("TRACE", "DEBUG", "INFO", "SUCCESS", "WARNING", "ERROR", "CRITICAL")
 ABOVE_NOUGHT = {"expiry", "sla_time", "conn_idle", "dial_timeout", "must_ask_in", "fall", "step", "instances",
@@ -109,8 +108,6 @@
         defaults.update({f"schemes.{at}.{name}": default for name, default in SCHEME.items()})
         expiry = f"schemes.{at}.expiry"
         defaults[f"schemes.{at}.sla_time"] = checked(expiry, told.get(expiry, SCHEME["expiry"]), 0.0)
-    for at in range(int(checked("tenants.count", told.get("tenants.count", 0), 0))):
-        defaults.update({f"tenants.{at}.{name}": default for name, default in TENANT.items()})
     terms = told | {key: checked(key, told.get(key, default), default) for key, default in defaults.items()}
     for at in range(int(count)):
         key = f"schemes.{at}.idempotency"
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -30,9 +30,7 @@
                            ("settings.obligations", {"must_ask_in": True}),
                            ("settings.obligations", {"only_draining_binds": 1}),
                            ("settings.blend", {"log_loss_part": -0.2}), ("settings.blend", {"log_loss_part": "much"}),
-                           ("settings.blend", {"nines_wanted": 0}), ("settings.blend", {"nines_wanted": "three"}),
-                           ("settings.beyond_share_gain", "little"), ("settings.schemes.0.overdue_gain", -1),
-                           ("settings.tenants.0.quota_per_s", "all"), ("settings.tariffs", {"handshake": True})):
+                           ("settings.blend", {"nines_wanted": 0}), ("settings.blend", {"nines_wanted": "three"})):
             told = node = json.loads(json.dumps(GOOD))
             *way, last = path.split(".")
             for step in way:
