Open connections go first where dials are refused; rehearsals of the troubles met here

Each txn went to the lowest of 60 servers on a connection of its own; each refusal rested its server. Change: a backend's open connections are counted from how postings end; where over a tenth of the dials are refused, one that a new connection must be opened to counts for less by that part, and a refusal at a backend that serves this proxy otherwise rests it no more. Guards too against a table of connections that is full for any other cause; it keeps load on few backends while that lasts.

The rehearsal kit plays untrue reports, nodes that lose what some proxies send, a slow and lossy way, txns that err everywhere and one customer's txns that wait, each a shipped scenario; its judge counts erring txns as worth nothing.

--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -135,8 +135,9 @@
     SPLIT = 1.5                      # a key fills this part of a backend's due at the most: 1 / 1.5
     QUEUE = 0.1                      # of a mean gain: what each place in a queue costs those behind it
     OVERDUE = 0.9                    # of all are back by then
-    DRAG, AGAIN = 0.2, 0.4           # the part in time at which a kind drags, and no longer does
+    DRAG, AGAIN = 0.2, 0.4          # the part in time at which a kind drags, and no longer does
     FAR = 4                          # times as many lost as of any other scheme
+    SQUEEZED = 0.1                   # of dials refused: from there on open connections go first
     HEAVY = 0.3                      # of its SLA time: a txn that takes longer goes where it ends first
     WAY = 0.5                        # of the part that the best way has in time: one with less is bad
     SLOW = 1.6                       # a pace from which reports don't track real work
@@ -161,7 +162,7 @@
         self.makes = defaultdict(functools.partial(Make, Histogram(1.0, 100, [1.0] * 4)))    # of machines
         self.spread = Histogram(1.0, 400, [0.5, 0.7, 1.0, 1.4, 2.0])
         self.smooth()
-        self.cured, self.errs = 1.0, 0.0     # of erring txns the part cured elsewhere; of postings, that err
+        self.cured, self.errs, self.refused = 1.0, 0.0, 0.0     # part of erring txns, of postings, of dials
         self.sick, self.keys, self.keyed = (), Keys(), proxy.term("family_info.warm_keys")
 
     def listed(self, now, scope, lines):
@@ -244,10 +245,10 @@
                 self.cured += (1 - self.cured) / 8
                 self.bad(posting.backend, now)
 
-    def lossy(self, scheme, now):
-        """Far more of its postings are left unanswered than of the others': some backends fail it alone."""
+    def lossy(self, scheme, b, now):
+        """Overdue there means lost: the way is bad, or far more of the scheme is than of the others."""
         others = [s for s in self.p.schemes if s is not scheme and now - s.prompt.told < self.age_limit]
-        return bool(others) and scheme.lost > max([0.1] + [self.FAR * s.lost for s in others])
+        return b.way < 1.0 or others and scheme.lost > max([0.1] + [self.FAR * s.lost for s in others])
 
     def overtaken(self, posting):
         """Three sent there later have settled: this one's connection is dead, its backend is not."""
@@ -316,10 +317,11 @@
                     one.unjudged.clear()
                 for posting in kind.open if self.p.term("limits.cancel") else ():
                     self.p.host.withdraw(posting.txn.ref, posting.txn.postings.index(posting))
-        for b in self.fit:               # a way is believed ever less, or it would never be tried again
-            part = min(1 - (1 - way.factor) * 0.5 ** ((now - way.told) / self.age_limit)
-                       for way in (*b.ways, self.probes[b.zone]))
-            b.way = max(0.05, part) if part < self.WAY else 1.0
+        for way in sum(map(list, ways), []):     # believed ever less, or it would never be tried again
+            part = 1 - (1 - way.factor) * 0.5 ** ((now - way.told) / self.age_limit)
+            way.factor = max(0.05, part) if part < self.WAY else 1.0
+        for b in self.fit:
+            b.way = min(b.ways[0].factor, b.ways[1].factor, self.probes[b.zone].factor)
 
     def smooth(self):
         """What is usual and what is late by now, and the stretch of each level of figures."""
@@ -377,6 +379,7 @@
         self.usable(now)
         heavy = txn.scheme.hint and work * stretch[0] > self.HEAVY * txn.scheme.sla
         lowest, keepers = INF, self.keepers(txn)
+        seat = max(0.05, 1 - self.refused) if self.refused > self.SQUEEZED else 1.0      # odds of a new one
         more = [b for b in keepers if b.ident not in self.sick and b not in self.fit] if self.fit else []
         for backends in (self.near, self.away):
             # Where not even certainty there would pay for the crossing, the others need no look.
@@ -399,7 +402,8 @@
                         continue
                 if b.launched > cold and not rules.cold_room(b, now, work):  # few are cold: a call costs time
                     continue
-                weight = takes / b.way if heavy else self.weight(figure, pace, part / b.way)
+                good = b.way * (seat if b.own >= b.links else 1.0)
+                weight = takes / good if heavy else self.weight(figure, pace, part / good)
                 if weight < least:
                     least, ties = weight, [(b, takes, full)]
                 elif weight == least:
@@ -420,8 +424,7 @@
         self.third = (self.third + 1) % 3        # in a rush a third teaches as much
         if self.third and self.p.rushed() or self.p.stages.behind() or txn.drags():
             return                               # behind: times are its own
-        typical, level, b = txn.usual(), bisect(BOUNDS, posting.figure), posting.backend
-        ratio = took / posting.expected
+        typical, level, b, whole = txn.usual(), bisect(BOUNDS, posting.figure), posting.backend, took
         if txn.key:  # against what it would take without: where known, and elsewhere
             kept = b in self.keepers(txn)
             self.keys.learn(kept, took / (typical * self.stretch[level]))
@@ -432,7 +435,7 @@
         if how == ports.SETTLED if self.dated else level == 0:      # only the asked are known to be idle
             txn.scheme.took.add(took * self.stretch[0] / self.stretch[level] / txn.size)
         self.curve.seen[level].add(took / typical)
-        self.spread.add(ratio)
+        self.spread.add(whole / posting.expected)
         self.smooth()
 
 
@@ -541,7 +544,7 @@
         most = 9 if self.p.late > self.p.ask.patience / 2 else INF
         self.held.sort(key=lambda t: (-t.gain / t.usual(), t.due))
         for txn in self.held:
-            if any(kind.open for kind in txn.kinds if kind.dragging):
+            if any(kind.waits(now, 4 * txn.scheme.sla) for kind in txn.kinds):
                 self.p.ledger.end(txn)
             if txn.answered:
                 continue
@@ -588,16 +591,13 @@
             self.p.ledger.end(txn)
         elif posting and txn.scheme.kind != "once-only":
             first = now + min(self.p.board.longest, 3 * takes if self.p.rules.copies else INF)
-            self.p.later(posting.overdue if self.doubted(txn, b, now) else first, self.review, txn, posting)
-
-    def doubted(self, txn, b, now):
-        """What is overdue there was probably lost."""
-        return b.way < 1.0 or self.p.board.lossy(txn.scheme, now)
+            first = posting.overdue if self.p.board.lossy(txn.scheme, b, now) else first
+            self.p.later(first, self.review, txn, posting)
 
     def review(self, now, txn, posting, asked=False):
         """A backend or a connection fell silent with this txn (it stalls, or died unseen): ask another."""
         p, rules, b = self.p, self.p.rules, posting.backend
-        lost = p.board.overtaken(posting) or now >= posting.overdue and self.doubted(txn, b, now)
+        lost = p.board.overtaken(posting) or now >= posting.overdue and p.board.lossy(txn.scheme, b, now)
         if txn.answered or posting.state != OUT or now >= txn.due:
             return
         if not lost and rules.copies and now < posting.sent + p.board.longest:
@@ -708,6 +708,8 @@
         if report:
             self.board.report(b, now, report)
         self.board.errs += ((how == ports.ERRED) - self.board.errs) / 32
+        if posting.dials:
+            self.board.refused += ((how == ports.UNREACHED) - self.board.refused) / 32
         if how == ports.SETTLED:
             b.fails, b.rest_until, b.errs = 0, 0.0, 0
             b.muted.pop(txn.scheme, None)
@@ -716,7 +718,7 @@
             self.board.cure(txn, now)
         elif how in (ports.LATE, ports.WITHDRAWN):
             slow, scheme = took > posting.expected and b.way == 1.0, txn.scheme
-            if slow and (scheme in b.muted or self.board.lossy(scheme, now)):
+            if slow and (scheme in b.muted or self.board.lossy(scheme, b, now)):
                 b.mute(scheme, now, self.board.age_limit)    # it serves the others: it need not rest
             elif slow and not self.board.overtaken(posting):
                 self.board.learn(txn, posting, took * 1.5, now, how)
@@ -729,7 +731,8 @@
             self.board.erred(txn, b, now)
         elif how not in BLAMELESS:
             b.ghosts.append(now + 4 * txn.usual())
-            self.board.bad(b, now)
+            if how != ports.UNREACHED or b.links <= 0:     # else it has no seat for one more, but serves
+                self.board.bad(b, now)
             if how == ports.TURNED_AWAY:     # a full house, whatever its reports say
                 self.board.learn(txn, posting, max(posting.expected, txn.scheme.sla), now, how)
         if how != ports.LATE and not b.own:
--- a/sloeferry/records.py
+++ b/sloeferry/records.py
@@ -49,10 +49,14 @@
 
     def __init__(self):
         self.part, self.told, self.open, self.unjudged = 1.0, -INF, {}, {}
-        self.dragging, self.factor = False, 1.0        # a kind to be kept back; a way's part against the best one's
+        self.dragging, self.late, self.factor = False, False, 1.0      # to be kept back; last one; against the best
 
     def judge(self, now, prompt):
-        self.part, self.told = self.part + (prompt - self.part) / 8, now
+        self.part, self.told, self.late = self.part + (prompt - self.part) / 8, now, not prompt
+
+    def waits(self, now, span):
+        """Of a kind that drags one at a time goes on, after one that was late a while later."""
+        return self.dragging and bool(self.open or self.late and now - self.told < span)
 
     def sent(self, posting, judged):
         self.open[posting] = True
@@ -102,6 +106,7 @@
         self.txn = txn
         self.backend, self.sent, self.figure, self.expected, self.state = backend, now, figure, expected, OUT
         self.how, self.overdue = None, 0.0
+        self.dials = backend.own >= backend.links        # no connection there is free
 
     def judge(self):
         """To be judged once it ends or is overdue: what drags everywhere tells of no way, a bad way of no kind."""
@@ -113,7 +118,12 @@
 
     def ended(self, now, how):
         self.state, self.how = NEVER if how in NEVER_RAN else MAYBE, how
-        self.backend.own = max(0, self.backend.own - 1)
+        b = self.backend
+        if how in (ports.SETTLED, ports.ERRED, ports.TURNED_AWAY):
+            b.links = max(b.links, b.own)
+        elif how in (ports.UNREACHED, ports.CUT):
+            b.links = min(b.links, b.own - 1)
+        b.own = max(0, b.own - 1)
         prompt = None if how in BLAMELESS else how == ports.SETTLED and now <= self.overdue
         if prompt is not None and how in (ports.SETTLED, ports.LATE, ports.WITHDRAWN) and not self.txn.drags():
             self.txn.scheme.lost += ((how != ports.SETTLED) - self.txn.scheme.lost) / 16
@@ -171,6 +181,7 @@
     def fresh_start(self):           # a process just started has no past
         self.others, self.heard = 0.0, -INF     # what other proxies hold here, and as of when
         self.own, self.ghosts = 0, []     # open sends; until when quick errors stay counted
+        self.links = 0                    # connections there that are likely open
         self.fails, self.errs, self.rest_until, self.waits_since, self.probes_out = 0, 0, 0.0, None, []
         self.slow, self.pace, self.learned = Histogram(1.0, 12, [1.0, 1.0]), 1.0, 0.0
         self.sent = deque()          # (when, work) of late, for the cold budget
--- a/sloeferry/rehearsal/judge.py
+++ b/sloeferry/rehearsal/judge.py
@@ -7,7 +7,7 @@
 from math import log, sqrt
 from random import Random
 
-from sloeferry.rehearsal.scenario import Heavy
+from sloeferry.rehearsal.scenario import BadTxns, Heavy, Waits
 
 WINDOW = 5.0                             # seconds
 RULES = ("1", "2", "3", "4", "protocol", "crash")
@@ -27,6 +27,7 @@
     leaves: bool
     drips: bool
     honours: bool
+    bad: bool = False                    # errs at any node, worth nothing
     first: float = 0.0
     how: str = ""                        # how it ended
     ended: float = 0.0
@@ -49,7 +50,7 @@
 def arrivals(scenario, rng: Random):
     """All that is asked in a play, the same for the same seed whatever is answered."""
     schemes, customers = scenario.scheme, scenario.customer
-    heavy = [t for t in scenario.trouble if isinstance(t, Heavy)]
+    drawn = [t for t in scenario.trouble if isinstance(t, Heavy | BadTxns | Waits)]
     low, high = scenario.callers.patience
     begun, found, pieces = 0.0, [], list(scenario.callers.curve)
     if sum(length for length, _ in pieces) < scenario.seconds:
@@ -63,15 +64,20 @@
             customer = rng.choices(range(len(customers)), [c.share for c in customers])[0] if customers else 0
             told = schemes[scheme]
             work = told.work_ms * (rng.lognormvariate(*shape(told.spread)) if told.spread else 1.0)
-            for trouble in heavy:
-                if (trouble.scheme == told.name and trouble.at <= at < trouble.at + trouble.lasts
+            bad = False
+            for trouble in drawn:
+                of = {Heavy: getattr(trouble, "scheme", None) == told.name, BadTxns: True,
+                      Waits: bool(customers) and getattr(trouble, "customer", None) == customers[customer].name}
+                if (of[type(trouble)] and trouble.at <= at < trouble.at + trouble.lasts
                         and rng.random() < trouble.part):
-                    work *= trouble.times
+                    work = work * trouble.times if isinstance(trouble, Heavy) else work
+                    work = work + trouble.ms if isinstance(trouble, Waits) else work
+                    bad = bad or isinstance(trouble, BadTxns)
             found.append(Ask(len(found), at, scheme, customer,
                              rng.choices(range(scenario.callers.clients), weights)[0], work, rng.uniform(low, high),
                              rng.random() < scenario.callers.impatient,
                              bool(scenario.callers.drip_ms) and rng.random() < 0.125,
-                             rng.random() < scenario.callers.honour))
+                             rng.random() < scenario.callers.honour, bad))
         begun += length
         if begun >= scenario.seconds:
             break
@@ -116,6 +122,13 @@
     def work(self, ident):
         return self.tries[ident].ask.work
 
+    def bad(self, ident):
+        return self.tries[ident].ask.bad
+
+    def proxy(self, ident):
+        """The proxy that has this try."""
+        return self.tries[ident].proxy
+
     def answer_size(self, ident):
         return self.scheme(ident).answer
 
@@ -256,7 +269,7 @@
         return ask.how == "settled" and ask.ended - ask.first <= self.scenario.scheme[ask.scheme].sla_ms / 1000
 
     def gain(self, asks):
-        return sum(self.scenario.scheme[a.scheme].gain for a in asks)
+        return sum(self.scenario.scheme[a.scheme].gain for a in asks if not a.bad)
 
     def share(self, asks):
         asked = self.gain(asks)
--- a/sloeferry/rehearsal/nodes.py
+++ b/sloeferry/rehearsal/nodes.py
@@ -47,6 +47,7 @@
         self.born, self.at, self.shown = 0.0, 0.0, (0.0, b"")
         self.stalled, self.late = 0.0, []              # until when, and what came meanwhile
         self.neighbour, self.slow, self.odds_err, self.odds_cut = 0.0, 1.0, 0.0, 0.0
+        self.ways, self.lie = {}, ""     # proxy -> (odds of a loss, seconds more each way); what it shows instead
         self.now_rate = 0.0              # since the last look
         self.sent, self.budget, self.beating = deque(), 0.0, None
         self.crowded = self.rested = None
@@ -175,6 +176,19 @@
         self.serve(job.peer, job.ident)
 
     def serve(self, peer, ident):
+        odds, late = self.way(ident)
+        if odds and self.rng.random() < odds / 2:
+            return                       # done, and nobody hears of it
+        if late:
+            self.loop.call_later(late, self.say, peer, ident)
+        else:
+            self.say(peer, ident)
+
+    def way(self, ident):
+        """Of the way to the proxy that has this txn: the odds of a loss, and the seconds more that it takes."""
+        return self.ways.get(self.judge.proxy(ident), (0.0, 0.0)) if self.ways else (0.0, 0.0)
+
+    def say(self, peer, ident):
         if self.odds_err and self.rng.random() < self.odds_err / 2:
             return peer.answer(answer(500, b"", self.report()))
         if self.odds_cut and self.rng.random() < self.odds_cut:
@@ -188,7 +202,9 @@
     def report(self):
         """Its load as it was lately."""
         now = self.loop.time()
-        if not self.shown[1] or now - self.shown[0] >= self.told.report_ms / 1000:
+        if self.lie == "idle":
+            return b'X-Load-Report: {"inflight":0,"queue":0,"util":0.0}\r\n'
+        if not self.shown[1] or self.lie != "stuck" and now - self.shown[0] >= self.told.report_ms / 1000:
             text = json.dumps({"inflight": self.crowd(), "queue": len(self.queue),
                                "util": round(len(self.running) / self.told.cores, 2)}, separators=(",", ":"))
             self.shown = now, text.encode()
@@ -201,6 +217,18 @@
         now, peer.busy, ident = self.loop.time(), True, fields.get(b"x-call-id")
         if ident is not None and self.judge.scheme(ident):
             self.judge.posted(self.ident, self.zone, ident, since)
+            odds, late = self.way(ident)
+            if odds and self.rng.random() < odds / 2:
+                return                   # lost on the way
+            if late:
+                self.loop.call_later(late, self.reached, peer, line, fields)
+                return
+        self.reached(peer, line, fields)
+
+    def reached(self, peer, line, fields):
+        now = self.loop.time()
+        if not self.up:
+            return
         if now < self.stalled - 1e-9:
             self.late.append((peer, line, fields, now))
         else:
@@ -218,6 +246,8 @@
         if scheme is None:
             self.judge.breach("protocol", now, f"{self.ident} was sent an id that nobody asked: {ident!r}")
             return peer.answer(answer(400))
+        if self.judge.bad(ident):
+            return peer.answer(answer(500, b"", self.report()))
         # An error says nothing of what ran: half come at once, half when all has been done.
         if self.odds_err and self.rng.random() < self.odds_err / 2:
             return peer.answer(answer(500, b"", self.report()))
--- a/sloeferry/rehearsal/scenario.py
+++ b/sloeferry/rehearsal/scenario.py
@@ -236,8 +236,38 @@
     more_s: Above = 5.0
 
 
+class FalseReports(Lasting, tag="false-reports"):
+    """Nodes are so many times slower, and report that they are idle, or still what they held when it began."""
+    times: Annotated[float, Meta(ge=1)] = 2.0
+    shows: Literal["idle", "stuck"] = "idle"
+
+
+class OneSided(Lasting, tag="one-sided"):
+    """Nodes lose so much of what some proxies send them, half of it unseen and half when the work is done; they serve
+    the other proxies, and all probes."""
+    proxies: Part = 0.5
+    odds: Part = 0.6
+
+
+class LossyWay(Lasting, tag="lossy-way"):
+    """Between `zone` and the others: so much of the txns is lost, either way, and the rest takes longer each way."""
+    odds: Part = 0.2
+    delay_ms: From0 = 80.0
+
+
+class BadTxns(Lasting, tag="bad-txns"):
+    """So much of what is asked errs at once at any node, harms none and is worth nothing."""
+
+
+class Waits(Lasting, tag="waits"):
+    """So much of one customer's txns keeps its place so much longer, at any node."""
+    customer: str = ""
+    ms: Above = 500.0
+
+
 TROUBLES = (Stall | Neighbour | Slow | Errs | Cuts | Refuses | Heavy | Crash | Silent | Deploy | ProxiesDie
-            | ProxiesRoll | ProxiesStop | ProxiesStarve | DiscoveryOut | DiscoveryMove | DiscoveryLag)
+            | ProxiesRoll | ProxiesStop | ProxiesStarve | DiscoveryOut | DiscoveryMove | DiscoveryLag
+            | FalseReports | OneSided | LossyWay | BadTxns | Waits)
 
 
 class Scenario(Table, kw_only=True):
@@ -322,6 +352,10 @@
             no(f"trouble[{at}].at", "comes after the end")
         if isinstance(trouble, Heavy) and trouble.scheme not in schemes:
             no(f"trouble[{at}].scheme", f"{trouble.scheme!r} is no scheme")
+        if isinstance(trouble, Waits) and trouble.customer not in [c.name for c in told.customer]:
+            no(f"trouble[{at}].customer", f"{trouble.customer!r} is no customer")
+        if isinstance(trouble, LossyWay) and not trouble.zone:
+            no(f"trouble[{at}].zone", "missing: the way to which zone?")
     if told.clock:
         moment(told.clock, lambda why: no("clock", why))
     if not any((told.goal.whole, told.goal.worst_10s, told.goal.worst_scheme, told.goal.worst_customer)):
--- a/sloeferry/rehearsal/troubles.py
+++ b/sloeferry/rehearsal/troubles.py
@@ -68,6 +68,31 @@
     def heavy(self, trouble, rng):
         pass                             # drawn with the arrivals
 
+    badtxns = waits = heavy
+
+    def falsereports(self, trouble, rng):
+        for node in self.struck(trouble, rng):
+            node.report()                # what it goes on showing
+            node.change(slow=trouble.times, lie=trouble.shows)
+            self.loop.call_later(trouble.lasts, lambda node=node: node.change(slow=1.0, lie=""))
+
+    def ways(self, nodes, proxies, way, lasts):
+        """Between those nodes and those proxies, for so long."""
+        for node in nodes:
+            node.ways.update({name: way for name in proxies})
+            self.loop.call_later(lasts, node.ways.clear)
+
+    def onesided(self, trouble, rng):
+        names = self.bank.pick(trouble.proxies, "", rng, self.bank.proxies)
+        self.ways(self.struck(trouble, rng), [proxy.name for proxy in names], (trouble.odds, 0.0), trouble.lasts)
+
+    def lossyway(self, trouble, rng):
+        way = trouble.odds, trouble.delay_ms / 1000
+        for here in (True, False):       # both directions: its nodes for the others' proxies, theirs for its own
+            self.ways([node for node in self.standing() if (node.zone == trouble.zone) == here],
+                      [proxy.name for proxy in self.bank.proxies if (proxy.zone == trouble.zone) != here], way,
+                      trouble.lasts)
+
     def crash(self, trouble, rng):
         for node in self.struck(trouble, rng):
             node.die()
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -182,6 +182,36 @@
         host.say(f"dragging: {[s.prompt.dragging for s in host.proxy.schemes]}")
         compare(self, host, "blame_scheme_at_some")
 
+    def test_no_seat_for_new_connections(self):
+        """Backend a takes one connection and no second, b to d none at all: the open one is used though its backend
+        holds more than the others report, and a does not rest for the seat it has not got."""
+        host = Printer(tariffs__probe=0.0)
+        host.list(("a",), ("b",), ("c",), ("d",))
+        to, waits = [], []
+        for ref in range(60):
+            host.take(ref, scheme=2)
+            while host.sent.get(ref, -1) >= 0:
+                at = host.lines[-1].split()[-1]
+                to.append(at)
+                seq = host.sent[ref]
+                if at == "a":
+                    host.end(ref, seq, ports.SETTLED, 2, took=40.0)
+                    break
+                host.end(ref, seq, ports.UNREACHED, answered=False)
+                if host.sent[ref] == seq:
+                    break
+            host.until(host.now + 50.0)
+        host.take(100)
+        first = host.lines[-1].split()[-1]
+        host.take(101)
+        second = host.lines[-1].split()[-1]
+        host.lines = [f"of each ten postings to a: {[to[n:n + 10].count('a') for n in range(0, len(to) - 9, 10)]}"]
+        host.say(f"then to {first}, and while that is out to {'a' if second == 'a' else 'another or none'}")
+        if second == "a":
+            host.end(101, 0, ports.UNREACHED, answered=False)
+        host.say(f"a rests: {host.proxy.board.all['a'].rest_until > host.now}")
+        compare(self, host, "blame_seat")
+
     def test_kind_of_machine_and_heavy_txns(self):
         """Two kinds of machine, one far quicker: what few answers taught of it is believed of all its kind; a
         txn whose hint says that it takes most of its SLA time goes there though it holds more, a light one not."""
