Who is blamed is looked at sixteen times in the shortest SLA time, no oftener

Where backends are asked before a pick every answer has the usable ones worked out anew, and with them all kinds and ways (Board.usable, Board.blame).

--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -146,7 +146,8 @@
         self.p, self.home, self.all = proxy, proxy.zone, {}
         # Listed as ready, with news of late; whether probes go round; of three ends one teaches; last look.
         self.zones, self.cells, self.probes = (defaultdict(Prompt) for _ in range(3))       # ways
-        self.open, self.known, self.turning, self.third, self.looked = [], {}, False, 0, -INF
+        self.open, self.known, self.turning, self.third = [], {}, False, 0
+        self.looked, self.blamed, self.missing = -INF, -INF, proxy.term("obligations.only_draining_binds")
         fields = proxy.term("load_info.fields").split(",")
         self.field = fields.index("inflight") if "inflight" in fields else None
         via, self.probing = proxy.term("load_info.via"), proxy.term("limits.probing")
@@ -154,7 +155,6 @@
         told, self.by_probe = via == "answers", via == "probe"
         self.asked, self.dated = told and self.probing, told and not self.probing
         self.age_limit, self.probe_every, self.fresh_for = 2000.0, 1000.0, 4 * proxy.step
-        self.missing = proxy.term("obligations.only_draining_binds")
         self.tariff, self.cross = proxy.term("tariffs.probe"), proxy.term("tariffs.cross_zone")
         self.curve = Curve()
         self.stretch = self.curve.stretch
@@ -247,8 +247,8 @@
 
     def lossy(self, scheme, b, now):
         """Overdue there means lost: the way is bad, or far more of the scheme is than of the others."""
-        others = [s for s in self.p.schemes if s is not scheme and now - s.prompt.told < self.age_limit]
-        return b.way < 1.0 or others and scheme.lost > max([0.1] + [self.FAR * s.lost for s in others])
+        others = [s.lost for s in self.p.schemes if s is not scheme and now - s.prompt.told < self.age_limit]
+        return b.way < 1.0 or scheme.lost > 0.1 and others and scheme.lost > self.FAR * max(others)
 
     def overtaken(self, posting):
         """Three sent there later have settled: this one's connection is dead, its backend is not."""
@@ -272,8 +272,8 @@
                               or b.fails or now - b.heard <= self.age_limit}
         sick = {b.ident for b in known.values() if b.standing == ports.READY
                 and (b.rest_until > now or self.silent(b, now))}
-        self.sick = sick = sick if 2 * len(sick) < len(listed) else ()
-        self.ready = len(listed)
+        sick = sick if 2 * len(sick) < len(listed) else ()
+        self.sick, self.ready = sick, len(listed)
         # Those without news are all alike: a few at random stand for them, or a pick costs a whole fleet.
         some = self.p.rng.sample(listed, min(len(listed), 3 * self.p.ask.AT_ONCE))
         news = [b for b in known.values() if b.standing == ports.READY and b.ident not in sick and listed]
@@ -304,7 +304,10 @@
         """What comes back in time of each scheme and customer, from each zone and cell, against the best of
         its sort.  A kind overdue wherever it goes holds places that others need: one at a time goes on, to
         tell when that has ended.  A way bad for this proxy alone shows in no report: it counts for less."""
+        if now < self.blamed + self.p.quickest / 16:     # a look at all of them costs time
+            return
         kinds, ways = sum(self.p.kinds, []), [w.values() for w in (self.zones, self.cells, self.probes)]
+        self.blamed = now
         for sort in (*self.p.kinds, *ways):
             compare(sort, now, self.age_limit)
         for kind in kinds:
@@ -332,7 +335,6 @@
 
     def figure(self, b, now):
         """Latest report + own sends begun after it - own sends it counted that have ended since.
-
         A report's word on others fades, by half in the time a posting takes, into the mean of fresh ones,
         and is void past the age limit.  Else all proxies flock to whichever backend looked empty last.
         """
@@ -708,8 +710,7 @@
         if report:
             self.board.report(b, now, report)
         self.board.errs += ((how == ports.ERRED) - self.board.errs) / 32
-        if posting.dials:
-            self.board.refused += ((how == ports.UNREACHED) - self.board.refused) / 32
+        self.board.refused += posting.dials * ((how == ports.UNREACHED) - self.board.refused) / 32
         if how == ports.SETTLED:
             b.fails, b.rest_until, b.errs = 0, 0.0, 0
             b.muted.pop(txn.scheme, None)
