--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -642,8 +642,7 @@
         self.step, self.stages = terms["step"], Stages()     # of other subsystems, as the host installs them
         self.zone, self.turn = self.term("zone"), self.ordinal * 0.618034 % 1    # spread over the bank
         self.schemes = [Scheme(terms, at) for at in range(int(terms["schemes.count"]))]
-        self.customers = [Prompt() for _ in range(int(terms["tenants.count"]))]
-        self.kinds = [s.prompt for s in self.schemes], self.customers
+        self.kinds = [s.prompt for s in self.schemes], [Prompt() for _ in range(int(terms["tenants.count"]))]
         self.quickest = min(s.sla for s in self.schemes)
         self.mean_gain = sum(s.worth() for s in self.schemes) / len(self.schemes)
         self.rules, self.discovery, self.board = Rules(self), Discovery(self, now), Board(self, now)
@@ -690,7 +689,7 @@
     def take(self, now, ref, scheme, tenant, key, left, work, repeat):
         scheme = self.schemes[scheme]
         txn = Txn(ref, scheme, now, left, tenant, key if self.board.keyed else 0, scheme.size(work))
-        txn.kinds = (scheme.prompt, *self.customers[tenant:tenant + 1])
+        txn.kinds = (scheme.prompt, *self.kinds[1][tenant:tenant + 1])
         self.board.keys.met(txn.key)
         self.mean_gain += (txn.gain - self.mean_gain) / 100
         self.came(now)
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -9,7 +9,7 @@
 
 def show(host, text=""):
     host.proxy.board.usable(host.now)
-    host.say(text + " ".join(f"{k.part:.2f}{'*' if k.dragging else ''}" for k in host.proxy.customers))
+    host.say(text + " ".join(f"{k.part:.2f}{'*' if k.dragging else ''}" for k in host.proxy.kinds[1]))
 
 
 def play(host, ref, tenant, took, how=ports.SETTLED, scheme=0):
