What other schemes lost is looked up only where this one loses; drawn troubles say whom they strike

Board.lossy listed the other schemes at every posting and every late end; now only past a tenth of its own lost. Posting.judge takes the time from which it is overdue and asks once whether its txn drags, not once a way. The judge's arrivals built a table of all kinds of trouble for each txn; one small function says whom a drawn trouble strikes.

--- a/sloeferry/decide.py
+++ b/sloeferry/decide.py
@@ -81,8 +81,7 @@
             return None
         posting = Posting(txn, b, now, self.p.board.figure(b, now), expected)
         txn.postings.append(posting)
-        posting.overdue = now + min(txn.scheme.sla, self.p.board.overdue * expected)
-        posting.judge()
+        posting.judge(now + min(txn.scheme.sla, self.p.board.overdue * expected))
         b.own, b.waits_since, self.p.board.known[b.ident] = b.own + 1, b.waits_since or now, b
         if self.warmth(b, now) < 1.0:
             b.sent.append((now, work))
@@ -247,8 +246,9 @@
 
     def lossy(self, scheme, b, now):
         """Overdue there means lost: the way is bad, or far more of the scheme is than of the others."""
-        others = [s.lost for s in self.p.schemes if s is not scheme and now - s.prompt.told < self.age_limit]
-        return b.way < 1.0 or scheme.lost > 0.1 and others and scheme.lost > self.FAR * max(others)
+        others = scheme.lost > 0.1 and [s.lost for s in self.p.schemes
+                                        if s is not scheme and now - s.prompt.told < self.age_limit]
+        return b.way < 1.0 or others and scheme.lost > self.FAR * max(others)
 
     def overtaken(self, posting):
         """Three sent there later have settled: this one's connection is dead, its backend is not."""
@@ -272,8 +272,8 @@
                               or b.fails or now - b.heard <= self.age_limit}
         sick = {b.ident for b in known.values() if b.standing == ports.READY
                 and (b.rest_until > now or self.silent(b, now))}
-        sick = sick if 2 * len(sick) < len(listed) else ()
-        self.sick, self.ready = sick, len(listed)
+        self.sick = sick = sick if 2 * len(sick) < len(listed) else ()
+        self.ready = len(listed)
         # Those without news are all alike: a few at random stand for them, or a pick costs a whole fleet.
         some = self.p.rng.sample(listed, min(len(listed), 3 * self.p.ask.AT_ONCE))
         news = [b for b in known.values() if b.standing == ports.READY and b.ident not in sick and listed]
--- a/sloeferry/records.py
+++ b/sloeferry/records.py
@@ -108,13 +108,13 @@
         self.how, self.overdue = None, 0.0
         self.dials = backend.own >= backend.links        # no connection there is free
 
-    def judge(self):
+    def judge(self, overdue):
         """To be judged once it ends or is overdue: what drags everywhere tells of no way, a bad way of no kind."""
-        good_way = self.backend.way > 0.3
+        self.overdue, good_way, drags = overdue, self.backend.way > 0.3, self.txn.drags()
         for kind in self.txn.kinds:
-            kind.sent(self, kind.dragging or good_way and not self.txn.drags())
+            kind.sent(self, kind.dragging or good_way and not drags)
         for way in self.backend.ways:
-            way.sent(self, not self.txn.drags())
+            way.sent(self, not drags)
 
     def ended(self, now, how):
         self.state, self.how = NEVER if how in NEVER_RAN else MAYBE, how
--- a/sloeferry/rehearsal/judge.py
+++ b/sloeferry/rehearsal/judge.py
@@ -66,13 +66,14 @@
             work = told.work_ms * (rng.lognormvariate(*shape(told.spread)) if told.spread else 1.0)
             bad = False
             for trouble in drawn:
-                of = {Heavy: getattr(trouble, "scheme", None) == told.name, BadTxns: True,
-                      Waits: bool(customers) and getattr(trouble, "customer", None) == customers[customer].name}
-                if (of[type(trouble)] and trouble.at <= at < trouble.at + trouble.lasts
-                        and rng.random() < trouble.part):
-                    work = work * trouble.times if isinstance(trouble, Heavy) else work
-                    work = work + trouble.ms if isinstance(trouble, Waits) else work
-                    bad = bad or isinstance(trouble, BadTxns)
+                if (strikes(trouble, told, customers[customer:customer + 1])
+                        and trouble.at <= at < trouble.at + trouble.lasts and rng.random() < trouble.part):
+                    if isinstance(trouble, Heavy):
+                        work *= trouble.times
+                    elif isinstance(trouble, Waits):
+                        work += trouble.ms
+                    else:
+                        bad = True
             found.append(Ask(len(found), at, scheme, customer,
                              rng.choices(range(scenario.callers.clients), weights)[0], work, rng.uniform(low, high),
                              rng.random() < scenario.callers.impatient,
@@ -84,6 +85,13 @@
     return found
 
 
+def strikes(trouble, scheme, customer):
+    """Whether a trouble that is drawn with the arrivals is one of this scheme's, or of this customer's (if any)."""
+    if isinstance(trouble, Heavy):
+        return trouble.scheme == scheme.name
+    return isinstance(trouble, BadTxns) or any(c.name == trouble.customer for c in customer)
+
+
 def shape(cv):
     """Of a lognormal with mean 1 and that coefficient of variation."""
     variance = log(1 + cv * cv)
