--- a/sloeferry/__main__.py
+++ b/sloeferry/__main__.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from sloeferry import terms
-from sloeferry.facade import Facade, clock
+from sloeferry.core.facade import Facade, clock
 from sloeferry.net.backends import Backends
 from sloeferry.net.buffers import Buffers, Seats
 from sloeferry.net.clients import Clients
--- a/sloeferry/decide.py
+++ b/sloeferry/core/decide.py
@@ -13,13 +13,13 @@
 from math import inf as INF
 from random import Random
 
-from sloeferry import ports
-from sloeferry.histogram import Histogram
-from sloeferry.keys import Keys
-from sloeferry.records import (BLAMELESS, BOUNDS, OUT, Backend, Curve, Make, Posting, Prompt, Scheme, Txn,
+from sloeferry.core import ports
+from sloeferry.core.histogram import Histogram
+from sloeferry.core.keys import Keys
+from sloeferry.core.records import (BLAMELESS, BOUNDS, OUT, Backend, Curve, Make, Posting, Prompt, Scheme, Txn,
                                compare)
-from sloeferry.stages import Stages
-from sloeferry.timers import Timers
+from sloeferry.core.stages import Stages
+from sloeferry.core.timers import Timers
 
 
 class Rules:
--- a/sloeferry/facade.py
+++ b/sloeferry/core/facade.py
@@ -11,8 +11,9 @@
 
 from loguru import logger
 
-from sloeferry import decide, machine, ports
-from sloeferry.overload import Door
+from sloeferry import machine
+from sloeferry.core import decide, ports
+from sloeferry.core.overload import Door
 
 # Orders: (POST, seq, backend), (WITHDRAW, seq), (SETTLE, answer), (DECLINE, pause), (REVERSE,), (LEAVE,),
 # and for the standing errands (PROBE, backend) and (WATCH,).
--- a/sloeferry/keys.py
+++ b/sloeferry/core/keys.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from hashlib import blake2b
 
-from sloeferry.histogram import Histogram
+from sloeferry.core.histogram import Histogram
 
 SPLIT = 1.5                          # a key fills this part of a backend's due at the most: 1 / 1.5
 OFTEN = 400                          # txns over which keys are counted, halved then
--- a/sloeferry/records.py
+++ b/sloeferry/core/records.py
@@ -2,8 +2,8 @@
 from collections import deque
 from math import inf as INF
 
-from sloeferry import ports
-from sloeferry.histogram import Histogram
+from sloeferry.core import ports
+from sloeferry.core.histogram import Histogram
 
 LEVELS, BOUNDS = (0, 1, 2, 3, 5, 8, 13), (0.5, 1.5, 2.5, 3.4, 4.8, 6.7)      # figures, coarsely; their ends
 NEVER_RAN = (ports.TURNED_AWAY, ports.UNREACHED, ports.NEVER_SENT)
--- a/sloeferry/timers.py
+++ b/sloeferry/core/timers.py
@@ -1,5 +1,5 @@
 """The timers of one instance: what is called when, and by how much the host runs late.  No decisions."""
-from sloeferry.records import Txn
+from sloeferry.core.records import Txn
 
 
 class Timers:
--- a/sloeferry/handover/memory.py
+++ b/sloeferry/handover/memory.py
@@ -3,7 +3,7 @@
 Learned things go by name and id, never by place: the next process may have other settings.  Times are those of this
 machine's monotonic clock, in float ms, which all its processes share.
 """
-from sloeferry.histogram import Histogram
+from sloeferry.core.histogram import Histogram
 
 SAME = 500.0                             # ms: starts so near are one start, read off two processes' clocks
 BACKEND = ("others", "heard", "fails", "rest_until", "pace", "learned")
--- a/sloeferry/net/backends.py
+++ b/sloeferry/net/backends.py
@@ -6,7 +6,8 @@
 
 from loguru import logger
 
-from sloeferry import facade as f, machine
+from sloeferry import machine
+from sloeferry.core import facade as f
 from sloeferry.net import http1
 from sloeferry.net.alarms import Alarms
 from sloeferry.net.flow import STALLED, Broken, Download, Upload
--- a/sloeferry/net/clients.py
+++ b/sloeferry/net/clients.py
@@ -7,7 +7,8 @@
 
 from loguru import logger
 
-from sloeferry import facade as f, machine
+from sloeferry import machine
+from sloeferry.core import facade as f
 from sloeferry.net import http1
 from sloeferry.net.flow import Broken, Download, Upload
 from sloeferry.net.lobby import Lobby
--- a/sloeferry/net/desk.py
+++ b/sloeferry/net/desk.py
@@ -6,7 +6,8 @@
 import json
 import socket
 
-from sloeferry import facade as f, machine
+from sloeferry import machine
+from sloeferry.core import facade as f
 from sloeferry.net import http1
 from sloeferry.net.log import warn
 
--- a/sloeferry/net/flow.py
+++ b/sloeferry/net/flow.py
@@ -1,6 +1,7 @@
 """Bodies that are longer than what is held of them: they go on as they come, and nobody takes faster than the other
 side gives or wants.  Nothing is read that can't be written yet, so a body of any length costs a buffer."""
-from sloeferry import facade as f, machine
+from sloeferry import machine
+from sloeferry.core import facade as f
 from sloeferry.net import http1
 
 SLICE = 16384                            # bytes written at a time, each within the time that a write may take
--- a/sloeferry/net/handover.py
+++ b/sloeferry/net/handover.py
@@ -8,7 +8,8 @@
 
 from loguru import logger
 
-from sloeferry import facade as f, machine
+from sloeferry import machine
+from sloeferry.core import facade as f
 from sloeferry.handover import memory
 from sloeferry.handover.folder import Folder
 from sloeferry.net.log import warn
--- a/sloeferry/simhost/__main__.py
+++ b/sloeferry/simhost/__main__.py
@@ -6,7 +6,8 @@
 import struct
 import sys
 
-from sloeferry import decide, ports, terms
+from sloeferry import terms
+from sloeferry.core import decide, ports
 
 OUTCOMES = {0: ports.SETTLED, 13: ports.ERRED, 8: ports.TURNED_AWAY, 4: ports.LATE, 14: ports.UNREACHED,
             10: ports.CUT, 1: ports.WITHDRAWN, 9: ports.NEVER_SENT}
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -1,7 +1,7 @@
 """Who is blamed: a kind of txn, a backend, or the way there.  Each test tempts to blame the wrong one."""
 import unittest
 
-from sloeferry import ports
+from sloeferry.core import ports
 from tests.trace import Printer, compare
 
 TENANTS = {"tenants__count": 3}
--- a/tests/test_duty.py
+++ b/tests/test_duty.py
@@ -16,7 +16,8 @@
 from hypothesis import given, settings, strategies as st
 from loguru import logger
 
-from sloeferry import ports, terms
+from sloeferry import terms
+from sloeferry.core import ports
 from sloeferry.handover import memory
 from sloeferry.handover.folder import Folder
 from sloeferry.ops.duty import CROSSING, Duty
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -3,7 +3,7 @@
 
 from hypothesis import given, settings, strategies
 
-from sloeferry import ports
+from sloeferry.core import ports
 from tests.trace import NAMES, Lines, Printer, compare
 
 
--- a/tests/test_migration.py
+++ b/tests/test_migration.py
@@ -11,7 +11,8 @@
 import uvloop
 from loguru import logger
 
-from sloeferry import decide, ports, terms
+from sloeferry import terms
+from sloeferry.core import decide, ports
 from tests.trace import Harbour, Lines, answer, compare
 
 OLD = {"limits.probing": True, "tariffs.probe": 0.002}
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -10,11 +10,11 @@
 from hypothesis import given, settings, strategies as st
 from loguru import logger
 
-from sloeferry import overload
+from sloeferry.core import overload
 from sloeferry.net.alarms import Alarms
 from sloeferry.net.buffers import Buffers
 from sloeferry.net.lobby import Lobby
-from sloeferry.records import Txn
+from sloeferry.core.records import Txn
 from tests.trace import Harbour, Lines, Printer, answer, compare
 
 TWO = {"tenants.count": 2, "tenants.0.share": 3.0, "tenants.1.share": 1.0, "limits.retry_after": True,
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -13,7 +13,7 @@
 from click.testing import CliRunner
 from hypothesis import given, settings, strategies as st
 
-from sloeferry import decide
+from sloeferry.core import decide
 from sloeferry.net import clients, discovery, http1
 from sloeferry.ops import duty
 from sloeferry.rehearsal import bank, live, play, scenario as s, troubles
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,7 +1,7 @@
 """The four rules and the estimate, each where the wrong action would be tempting."""
 import unittest
 
-from sloeferry import ports
+from sloeferry.core import ports
 from tests.trace import Printer, compare
 
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -10,7 +10,8 @@
 
 from loguru import logger
 
-from sloeferry import decide, facade, terms
+from sloeferry import terms
+from sloeferry.core import decide, facade
 from sloeferry.net.backends import Backends
 from sloeferry.net.buffers import Buffers, Seats
 from sloeferry.net.discovery import Discovery
--- a/tests/trace.py
+++ b/tests/trace.py
@@ -11,7 +11,8 @@
 
 import uvloop
 
-from sloeferry import __main__ as start, decide, ports, terms
+from sloeferry import __main__ as start, terms
+from sloeferry.core import decide, ports
 
 SCHEMES = [("retryable", "all"), ("dedup", "zone"), ("fragile", "all")]
 
