--- /dev/null
+++ b/sloeferry/standins/roster.py
@@ -0,0 +1,137 @@
+"""Stand-in discovery: the list of nodes, asked for or watched, which comes late, and at times not at all.
+
+Each proxy is told an address of its own, so that it is known whom a list was written to, also where all proxies
+call from one address.
+"""
+import asyncio
+import json
+
+from sloeferry.standins.frames import Frames, answer
+
+ALIVE = 2.0                              # seconds between empty lines of a watch
+
+
+class Roster:
+    def __init__(self, loop, told, addresses, judge, rng, unix):
+        self.loop, self.told, self.addresses, self.judge, self.rng, self.unix = loop, told, addresses, judge, rng, unix
+        self.members, self.changes, self.revision = {}, [], 0      # changes: (revision, ident)
+        self.servers, self.watches, self.free, self.more = [], {}, 0.0, 0.0
+        self.lists = {}                  # proxy -> the list as it was last told
+
+    async def start(self):
+        for proxy, address in self.addresses.items():
+            self.servers.append(await self.loop.create_server(lambda proxy=proxy: Call(self, proxy), *address, backlog=256))
+
+    def out(self):
+        """Down: watches end, nobody is let in."""
+        for server in self.servers:
+            server.close()
+        self.servers = []
+        for watch in list(self.watches):
+            watch.transport.abort()
+
+    async def back(self, further=0):
+        """There again, so many ports further on."""
+        self.addresses = {proxy: (host, port + further) for proxy, (host, port) in self.addresses.items()}
+        if not self.servers:
+            await self.start()
+
+    def happened(self, node, phase, late, launched=None):
+        """A node has started, drains or is gone; listed after that time."""
+        self.loop.call_later(late + self.more, self.publish, node, phase, launched)
+
+    def publish(self, node, phase, launched=None):
+        self.revision += 1
+        entry = {"id": node.ident, "host_port": "{}:{}".format(*node.address), "locality": node.zone,
+                 "flavor": node.told.kind, "cell": 0, "phase": phase, "size": 1.0,
+                 "up_since_ms": self.members.get(node.ident, {}).get("up_since_ms", 0) if launched is None
+                 else round(launched * 1000)}
+        self.members[node.ident] = entry
+        self.changes.append((self.revision, node.ident))
+        self.judge.published(node.ident, phase, self.loop.time())
+        for watch in list(self.watches):
+            self.loop.call_later(self.rng.random() * self.told.spread_ms / 1000, watch.tell)
+
+    def document(self, since=None):
+        """All, or what changed after that revision, with the latest word for each."""
+        if since is None:
+            entries = [entry for entry in self.members.values() if entry["phase"] != "left"]
+        else:
+            idents = dict.fromkeys(ident for revision, ident in self.changes if revision > since)
+            entries = [self.members[ident] for ident in idents]
+        return {"revision": self.revision, "complete": since is None, "members": entries}
+
+    def told_to(self, proxy, document):
+        """The wire's own record of who has been told what."""
+        now, known = self.loop.time(), self.lists.setdefault(proxy, {})
+        if document["complete"]:
+            named = {member["id"] for member in document["members"]}
+            for ident in [ident for ident in known if ident not in named]:
+                del known[ident]
+                self.judge.told(proxy, ident, "left", now)
+        for entry in document["members"]:
+            self.judge.told(proxy, entry["id"], entry["phase"], now, entry["up_since_ms"])
+            known[entry["id"]] = entry
+            if entry["phase"] == "left":
+                del known[entry["id"]]
+
+    def known_to(self, proxy):
+        """What a proxy that starts again is given: the list as it last had it."""
+        if proxy not in self.lists:
+            return {}
+        return {"revision": self.revision, "complete": True, "members": list(self.lists[proxy].values())}
+
+
+class Call(asyncio.Protocol):
+    def __init__(self, roster, proxy):
+        self.roster, self.proxy, self.frames, self.since, self.transport = roster, proxy, Frames(), None, None
+        self.beat = None
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def connection_lost(self, fault):
+        self.roster.watches.pop(self, None)
+        if self.beat:
+            self.beat.cancel()
+
+    def data_received(self, data):
+        for line, _, _ in self.frames.feed(data):
+            path, _, query = line.split(b" ")[1].partition(b"?")
+            if path != b"/v1/endpoints":
+                self.transport.write(answer(404))
+                continue
+            # One service for all: calls are worked through in turn.
+            roster, now = self.roster, self.roster.loop.time()
+            roster.free = max(roster.free, now) + roster.told.call_ms / 1000
+            roster.loop.call_later(roster.free - now, self.serve, dict(
+                part.partition(b"=")[::2] for part in query.split(b"&") if part))
+
+    def serve(self, query):
+        if self.transport.is_closing():
+            return
+        index = query.get(b"index", b"")
+        since = int(index) if index.isdigit() and int(index) <= self.roster.revision else None
+        document = self.roster.document(since)
+        if query.get(b"stream") != b"1":
+            self.roster.told_to(self.proxy, document)
+            return self.transport.write(answer(200, json.dumps(document).encode()))
+        self.transport.write(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self.roster.watches[self] = None
+        self.line(document)
+        self.beat = self.roster.loop.call_later(ALIVE, self.alive)
+
+    def line(self, document):
+        text = json.dumps(document).encode() + b"\n"
+        self.since = document["revision"]
+        self.roster.told_to(self.proxy, document)
+        self.transport.write(b"%x\r\n%b\r\n" % (len(text), text))
+
+    def tell(self):
+        if not self.transport.is_closing() and self.since < self.roster.revision:
+            self.line(self.roster.document(self.since))
+
+    def alive(self):
+        if not self.transport.is_closing():
+            self.transport.write(b"1\r\n\n\r\n")
+            self.beat = self.roster.loop.call_later(ALIVE, self.alive)
