--- a/sloeferry/load/day.py
+++ b/sloeferry/load/day.py
@@ -11,13 +11,13 @@
 import re
 import socket
 import statistics
-import subprocess
-import sys
 import tempfile
 from time import monotonic
 
 from sloeferry.load.daemons import settings
 from sloeferry.load.plan import Fault, Plan
+from sloeferry.standins import platform, processes
+from sloeferry.standins.processes import memory
 
 REPORT = b'{"inflight":1,"queue":0,"util":0.1}'
 LONG = 32 << 20                          # bytes of a long answer
@@ -83,14 +83,11 @@
             ops = free.getsockname()[1]
         path = f"{self.folder}/config{self.made}.json"
         with open(path, "w") as file:
-            json.dump({"name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{self.roster}",
-                       "ops": f"127.0.0.1:{ops}", "seed": f"{self.made:x}",
-                       "limits": {"sockets": self.sockets, "memory_mb": self.memory},
-                       "settings": settings(Plan(((1.0, 1.0),)), 0, 1)}, file)
-        environ = {k: v for k, v in os.environ.items() if not k.startswith(("BALANCER_", "PYTHON", "SLOEFERRY"))}
-        environ |= {"BALANCER_CONFIG": path, "TMPDIR": self.folder, "BALANCER_LISTEN_FD": str(self.sock.fileno())}
-        process = subprocess.Popen([sys.executable, "-m", "sloeferry"], pass_fds=[self.sock.fileno()], env=environ,
-                                   stderr=subprocess.DEVNULL)
+            json.dump(platform.berth("n0", ("127.0.0.1", self.port), ("127.0.0.1", self.roster),
+                                     settings(Plan(((1.0, 1.0),)), 0, 1), seed=self.made, sockets=self.sockets,
+                                     memory_mb=self.memory, ops=("127.0.0.1", ops)), file)
+        process = processes.start(path, fds=[self.sock.fileno()], TMPDIR=self.folder,
+                                  BALANCER_LISTEN_FD=str(self.sock.fileno()))
         self.processes.append((process, ops))
         until = monotonic() + READY
         while monotonic() < until:
@@ -110,12 +107,6 @@
             return b""
 
 
-def memory(process, what="VmRSS"):
-    """MB of a process."""
-    with open(f"/proc/{process.pid}/status") as status:
-        return next(int(line.split()[1]) / 1024 for line in status if line.startswith(what))
-
-
 class Clients:
     """Closed-loop clients that keep connections; what became of each request."""
 
@@ -215,7 +206,7 @@
             await asyncio.sleep(2.0)
             before, begun = load.figures(monotonic() - 1.5), monotonic()
             got = await asyncio.gather(*(slowly(yard, at, seconds) for at in range(count)))
-            beside, peak = load.figures(begun), memory(process, "VmHWM")
+            beside, peak = load.figures(begun), memory(process.pid, "VmHWM")
     return {"answers": count, "least_bytes": min(got), "most_bytes": max(got), "peak_mb": peak, "p99_before_ms": before[2],
             "p99_beside_ms": beside[2], "ends_beside": beside[0]}
 
@@ -240,12 +231,12 @@
             await asyncio.sleep(1.0)
         said = {}
         for name, text in (("silent", b""), ("half", b"GET /small HTTP/1.1\r\nHost: x\r\nX-Call-Id: ")):
-            before, held = (memory(process), len(os.listdir(f"/proc/{process.pid}/fd"))), []
+            before, held = (memory(process.pid), len(os.listdir(f"/proc/{process.pid}/fd"))), []
             for _ in range(count):
                 held.append(await asyncio.open_connection("127.0.0.1", yard.port))
                 held[-1][1].write(text)
             await asyncio.sleep(0.5)
-            said[name] = {"bytes": (memory(process) - before[0]) * (1 << 20) / count,
+            said[name] = {"bytes": (memory(process.pid) - before[0]) * (1 << 20) / count,
                           "descriptors": (len(os.listdir(f"/proc/{process.pid}/fd")) - before[1]) / count}
             for _, writer in held:
                 writer.transport.abort()
--- a/sloeferry/load/play.py
+++ b/sloeferry/load/play.py
@@ -8,9 +8,10 @@
 from dataclasses import dataclass
 from time import monotonic, sleep
 
-from sloeferry.load.daemons import Daemon, free_ports, workshop
+from sloeferry.load.daemons import Daemon, workshop
 from sloeferry.load.plan import Fault, Plan
 from sloeferry.load.tally import Tally
+from sloeferry.standins.processes import free_ports
 
 LEAD = 1.0                               # seconds for the workers to start before the first arrival
 HOST = "127.0.0.1"
--- a/sloeferry/rehearsal/bank.py
+++ b/sloeferry/rehearsal/bank.py
@@ -7,14 +7,13 @@
 import pathlib
 from typing import Protocol
 
-from sloeferry import terms
-from sloeferry.rehearsal.callers import OPS, Callers, Front
 from sloeferry.rehearsal.judge import Judge, arrivals
-from sloeferry.rehearsal.nodes import Memory, Node
-from sloeferry.rehearsal.roster import Roster
 from sloeferry.rehearsal.troubles import Troubles
+from sloeferry.standins import platform
+from sloeferry.standins.callers import OPS, Callers, Front
+from sloeferry.standins.nodes import Memory, Node
+from sloeferry.standins.roster import Roster
 
-KINDS = {ours: wire for wire, ours in terms.KINDS.items()} | {"once-only": "fragile"}   # on the platform's wire
 READY = 30.0                             # seconds until a play begins whoever is ready
 LONGEST = 3.7                            # seconds from SIGTERM to SIGKILL
 
@@ -93,32 +92,22 @@
         """What the platform tells the proxy of that number, times in microseconds."""
         told = self.scenario
         cold_s, cold_from = told.cold()
-        return {
-            "instances": told.bank.proxies, "ordinal": at, "zone": at % len(told.network.zones),
-            "zones": list(told.network.zones), "kinds": sorted({nodes.kind for nodes in told.nodes}),
-            "step": 1000, "discovery": told.discovery.mode,
-            "schemes": [{"name": s.name, "idempotency": KINDS[s.kind], "group": s.group, "sla_time": s.sla_ms * 1000,
-                         "expiry": s.expiry_ms * 1000, "gain": s.gain, "dedup_window": s.window_ms * 1000}
-                        for s in told.scheme],
-            "tenants": [{"name": c.name, "share": c.share} for c in told.customer],
-            "limits": {"most_postings": 4, "second_copies": True, "cancel": True, "probing": True, "retry_after": True,
-                       "conn_idle": min((n.idle_s for n in told.nodes), default=30.0) * 1e6, "dial_timeout": 200_000},
-            "obligations": {"drain_grace": told.obligations.drain_grace_ms * 1000, "cold": cold_s * 1e6,
-                            "cold_from": cold_from, "fall": told.obligations.fall_ms * 1000,
-                            "fall_multiple": told.obligations.fall_multiple,
-                            "must_ask_in": told.discovery.patience_s * 1e6},
-            "tariffs": {"cross_zone": told.prices.cross, "probe": told.prices.probe},
-            "load_info": {"fields": ["inflight", "queue", "util"], "via": "answers"}}
+        schemes = [platform.scheme(s.name, s.kind, s.sla_ms, s.expiry_ms, s.gain, s.group, s.window_ms) for s in told.scheme]
+        return platform.settings(
+            schemes, [(c.name, c.share) for c in told.customer], instances=told.bank.proxies, ordinal=at,
+            zones=told.network.zones, kinds={nodes.kind for nodes in told.nodes}, discovery=told.discovery.mode,
+            idle_s=min((n.idle_s for n in told.nodes), default=30.0), cold_s=cold_s, cold_from=cold_from,
+            drain_grace_ms=told.obligations.drain_grace_ms, fall_ms=told.obligations.fall_ms,
+            fall_multiple=told.obligations.fall_multiple, must_ask_in_s=told.discovery.patience_s,
+            cross_zone=told.prices.cross, probe=told.prices.probe)
 
     def berth(self, at, seed):
         """The configuration of the proxy of that number, as the platform writes it."""
         name, address, _ = self.places[at]
-        return {"name": name, "listen": "{}:{}".format(*address), "discovery": "{}:{}".format(*self.roster.addresses[name]),
-                "ops": f"{address[0]}:{address[1] + OPS}",
-                "seed": f"{seed:x}",
-                "limits": {"cores": self.scenario.bank.share, "sockets": self.scenario.bank.sockets,
-                           "memory_mb": self.scenario.bank.memory_mb},
-                "known": self.roster.known_to(name), "settings": self.settings(at)}
+        bank = self.scenario.bank
+        return platform.berth(name, address, self.roster.addresses[name], self.settings(at), seed=seed,
+                              sockets=bank.sockets, memory_mb=bank.memory_mb, cores=bank.share,
+                              ops=(address[0], address[1] + OPS), known=self.roster.known_to(name))
 
     async def open(self):
         """Nodes, warm ones, and discovery."""
--- a/sloeferry/rehearsal/judge.py
+++ b/sloeferry/rehearsal/judge.py
@@ -7,7 +7,7 @@
 from math import log, sqrt
 from random import Random
 
-from sloeferry.rehearsal.frames import content
+from sloeferry.standins.frames import content
 from sloeferry.rehearsal.scenario import BadTxns, Heavy, Waits
 
 WINDOW = 5.0                             # seconds
@@ -263,8 +263,12 @@
 
     # What discovery and the play tell
 
+    def listed(self, proxy, revision, now):
+        pass
+
     def told(self, proxy, node, phase, now, launched=0):
-        self.heard[proxy, node] = launched
+        if self.heard.get((proxy, node), (0, 0.0))[0] != launched:
+            self.heard[proxy, node] = launched, now
         if phase == "active":
             self.gone.pop((proxy, node), None)
         else:
@@ -282,16 +286,17 @@
         self.deemed.pop(node, None)
         self.launched[node] = now, launched
 
-    def knows_start(self, node, ident, now):
-        """Whether the proxy of a try was told that this node has started anew, or counts as told."""
-        began, launched = self.launched.get(node, (now, 0))
-        heard = self.heard.get((self.tries[ident].proxy, node), 0)
-        return heard >= launched or now >= began + self.scenario.discovery.deemed_s
+    def knew_start(self, node, ident, then):
+        """Whether the proxy of a try had been told that this node has started anew, or counted as told."""
+        began, launched = self.launched.get(node, (then, 0))
+        heard, when = self.heard.get((self.tries[ident].proxy, node), (0, 0.0))
+        return heard >= launched and when <= then or then >= began + self.scenario.discovery.deemed_s
 
-    def fell(self, node, now, warmth, told, asked):
-        """Rule 4 holds against those who could know: two thirds of the work (ms) came from who was told."""
+    def fell(self, node, now, warmth, sent):
+        """Rule 4 holds against those who could know: two thirds of the work came from who was told."""
         self.fallen += 1
-        if told >= asked * 2 / 3:
+        if sum(work for then, work, ident in sent if self.knew_start(node, ident, then)) >= sum(
+                work for _, work, _ in sent) * 2 / 3:
             self.breach("4", now, f"{node} fell over at {warmth:.2f} of its capacity")
 
     def was_killed(self, proxy, now):
--- a/sloeferry/rehearsal/live.py
+++ b/sloeferry/rehearsal/live.py
@@ -7,16 +7,16 @@
 import os
 import pathlib
 import signal
-import sys
 import tempfile
 import time
 from random import Random
 
 import uvloop
 
-from sloeferry.load.daemons import Throttle, free_ports
 from sloeferry.rehearsal.bank import LONGEST, READY, Bank, Berth
 from sloeferry.rehearsal.scenario import Fault
+from sloeferry.standins import processes
+from sloeferry.standins.processes import Throttle, free_ports
 
 MOST, SECONDS = 16, 600                  # proxies, and length of a play, that a machine is asked to carry
 
@@ -41,6 +41,13 @@
     def proxy(self, bank, at):
         return Daemon(self, bank, at)
 
+    def command(self, daemon):
+        """How a daemon is started: words, environment, the folder whose code it runs (None: this one's)."""
+        return (*processes.command(), None)
+
+    def placed(self, process):
+        """It has been started."""
+
 
 class Daemon(Berth):
     """One proxy: a real process, and its lives (as play.Proxy)."""
@@ -58,11 +65,12 @@
             return
         self.write()
         self.leaving = self.killed = False
-        environ = {**os.environ, "BALANCER_CONFIG": str(self.path)}
+        words, environ, folder = self.house.command(self)
         with open(self.path.with_suffix(".log"), "ab") as log:
             process = self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "sloeferry", env=environ, stderr=log, stdin=asyncio.subprocess.DEVNULL,
-                start_new_session=True)
+                *words, env={**environ, "BALANCER_CONFIG": str(self.path)}, stderr=log, cwd=folder,
+                stdin=asyncio.subprocess.DEVNULL, start_new_session=True)
+        self.house.placed(process)
         self.starve(self.share)
         self.bank.front.started(self.name)
         code = await process.wait()
@@ -80,11 +88,8 @@
 
     def end(self, number=signal.SIGKILL):
         if self.process:
-            try:
-                os.killpg(self.process.pid, signal.SIGCONT)
-                os.killpg(self.process.pid, number)
-            except ProcessLookupError:
-                pass                     # it has just ended
+            processes.tell(self.process, signal.SIGCONT)
+            processes.tell(self.process, number)
 
     def kill(self):
         if self.process and not self.killed:
--- a/sloeferry/rehearsal/scenario.py
+++ b/sloeferry/rehearsal/scenario.py
@@ -313,17 +313,22 @@
 def read(said):
     """A scenario, checked."""
     path = find(said)
+    return checked(text(path, shipped()), path.name)
+
+
+def text(path, names):
+    """What stands in a file; `names` are those that are shipped."""
     try:
-        text = path.read_text(encoding="utf-8")
+        return path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as fault:
         why = getattr(fault, "strerror", None) or "is no UTF-8 text"
-        raise Fault(f"{path}: can't be read: {why}; shipped are {', '.join(shipped())}") from None
-    return checked(text, path.name)
+        raise Fault(f"{path}: can't be read: {why}; shipped are {', '.join(names)}") from None
 
 
-def checked(text, name="scenario"):
+def checked(text, name="scenario", kind=None):
+    """A scenario out of TOML, or what is more than one: `kind` says what else may stand there."""
     try:
-        told = msgspec.toml.decode(text, type=Scenario)
+        told = msgspec.toml.decode(text, type=kind or Scenario)
     except msgspec.ValidationError as fault:
         what, _, where = str(fault).partition(" - at ")
         raise Fault(f"{name}: {where.strip('`').removeprefix('$.') or 'top'}: {what}") from None
--- a/sloeferry/standins/callers.py
+++ b/sloeferry/standins/callers.py
@@ -20,7 +20,7 @@
     def __init__(self, loop, told, places):
         self.loop, self.told, self.turns = loop, told, {}
         self.places, self.alive = places, dict.fromkeys((place[0] for place in places), False)
-        self.lives = dict.fromkeys(self.alive, 0)
+        self.lives, self.poll = dict.fromkeys(self.alive, 0), POLL
 
     def pick(self, zone):
         """Name and address of the next proxy for a connection from there; None if all are down."""
@@ -59,7 +59,7 @@
                     return
             except (OSError, TimeoutError):
                 pass
-            await asyncio.sleep(POLL)
+            await asyncio.sleep(self.poll)
 
 
 class Line(asyncio.Protocol):
--- a/sloeferry/standins/roster.py
+++ b/sloeferry/standins/roster.py
@@ -17,6 +17,8 @@
         self.members, self.changes, self.revision = {}, [], 0      # changes: (revision, ident)
         self.servers, self.watches, self.free, self.more = [], {}, 0.0, 0.0
         self.lists = {}                  # proxy -> the list as it was last told
+        self.log, self.views = [], {}    # all that was ever published; proxy -> what it is shown instead of the newest
+        self.ways = {}                   # proxy, node -> host:port of the way between them, where it is not the node's own
 
     async def start(self):
         for proxy, address in self.addresses.items():
@@ -48,22 +50,67 @@
                  else round(launched * 1000)}
         self.members[node.ident] = entry
         self.changes.append((self.revision, node.ident))
+        self.log.append((self.revision, self.loop.time(), entry))
         self.judge.published(node.ident, phase, self.loop.time())
         for watch in list(self.watches):
-            self.loop.call_later(self.rng.random() * self.told.spread_ms / 1000, watch.tell)
+            late = self.views.get(watch.proxy, (0.0, None))[0]
+            self.loop.call_later(late + self.rng.random() * self.told.spread_ms / 1000, watch.tell)
 
-    def document(self, since=None):
-        """All, or what changed after that revision, with the latest word for each."""
+    # Replicas that lag, counts that start anew
+
+    def show(self, proxy, late=0.0, until=None):
+        """From now on that proxy is shown the list as it was `late` seconds ago, and nothing after `until`; with neither,
+        the newest."""
+        if late or until is not None:
+            self.views[proxy] = late, until
+        else:
+            self.views.pop(proxy, None)
+            for watch in list(self.watches):
+                if watch.proxy == proxy:
+                    watch.tell()
+
+    def hang_up(self, proxies):
+        """Ends their watches, so that they call again."""
+        for watch in list(self.watches):
+            if watch.proxy in proxies:
+                watch.transport.abort()
+
+    def anew(self):
+        """It has lost its count: what stands in the list is its revision 1."""
+        self.revision, self.changes, now = 1, [], self.loop.time()
+        self.members = {ident: entry for ident, entry in self.members.items() if entry["phase"] != "left"}
+        self.log = [(1, now, entry) for entry in self.members.values()]
+        self.hang_up(set(self.addresses))
+
+    def newest(self, proxy):
+        """The revision that this proxy is shown."""
+        if proxy not in self.views:
+            return self.revision
+        late, until = self.views[proxy]
+        until = min(self.loop.time() - late, until if until is not None else float("inf"))
+        return max((revision for revision, when, _ in self.log if when <= until), default=0)
+
+    def document(self, since=None, upto=None):
+        """All, or what changed after that revision, with the latest word for each; `upto`: as of an older one."""
+        members, changes, revision = self.members, self.changes, self.revision
+        if upto is not None and upto != revision:
+            members, revision = {entry["id"]: entry for at, _, entry in self.log if at <= upto}, upto
+            changes = [change for change in changes if change[0] <= upto]
         if since is None:
-            entries = [entry for entry in self.members.values() if entry["phase"] != "left"]
+            entries = [entry for entry in members.values() if entry["phase"] != "left"]
         else:
-            idents = dict.fromkeys(ident for revision, ident in self.changes if revision > since)
-            entries = [self.members[ident] for ident in idents]
-        return {"revision": self.revision, "complete": since is None, "members": entries}
+            idents = dict.fromkeys(ident for at, ident in changes if at > since)
+            entries = [members[ident] for ident in idents]
+        return {"revision": revision, "complete": since is None, "members": entries}
 
     def told_to(self, proxy, document):
-        """The wire's own record of who has been told what."""
+        """What is written to that proxy; the wire's own record of who has been told what."""
         now, known = self.loop.time(), self.lists.setdefault(proxy, {})
+        if self.ways:
+            document = document | {"members": [
+                entry | {"host_port": self.ways.get((proxy, entry["id"]), entry["host_port"])}
+                for entry in document["members"]]}
+        self.judge.listed(proxy, document["revision"], now)
         if document["complete"]:
             named = {member["id"] for member in document["members"]}
             for ident in [ident for ident in known if ident not in named]:
@@ -74,6 +121,7 @@
             known[entry["id"]] = entry
             if entry["phase"] == "left":
                 del known[entry["id"]]
+        return document
 
     def known_to(self, proxy):
         """What a proxy that starts again is given: the list as it last had it."""
@@ -110,11 +158,11 @@
     def serve(self, query):
         if self.transport.is_closing():
             return
-        index = query.get(b"index", b"")
-        since = int(index) if index.isdigit() and int(index) <= self.roster.revision else None
-        document = self.roster.document(since)
+        index, newest = query.get(b"index", b""), self.roster.newest(self.proxy)
+        since = int(index) if index.isdigit() and int(index) <= newest else None
+        document = self.roster.document(since, newest)
         if query.get(b"stream") != b"1":
-            self.roster.told_to(self.proxy, document)
+            document = self.roster.told_to(self.proxy, document)
             return self.transport.write(answer(200, json.dumps(document).encode()))
         self.transport.write(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n")
         self.roster.watches[self] = None
@@ -122,14 +170,14 @@
         self.beat = self.roster.loop.call_later(ALIVE, self.alive)
 
     def line(self, document):
-        text = json.dumps(document).encode() + b"\n"
+        text = json.dumps(self.roster.told_to(self.proxy, document)).encode() + b"\n"
         self.since = document["revision"]
-        self.roster.told_to(self.proxy, document)
         self.transport.write(b"%x\r\n%b\r\n" % (len(text), text))
 
     def tell(self):
-        if not self.transport.is_closing() and self.since < self.roster.revision:
-            self.line(self.roster.document(self.since))
+        newest = self.roster.newest(self.proxy)
+        if not self.transport.is_closing() and self.since < newest:
+            self.line(self.roster.document(self.since, newest))
 
     def alive(self):
         if not self.transport.is_closing():
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -6,7 +6,7 @@
 import unittest
 
 from sloeferry import terms
-from sloeferry.load.daemons import free_ports
+from sloeferry.standins.processes import free_ports
 from tests.trace import Lines, compare
 
 GOOD = {"name": "n0", "listen": "127.0.0.1:8000", "discovery": "127.0.0.1:8500", "seed": "8c1f",
