The rig, begun: real proxies as processes, faults between them, verdicts from records

`sloeferry rig run PLAN`: daemons started as `run` starts them, nodes, callers and relays in processes and on cores of their own, each writing down what it saw; a judge joins the records and applies the four rules. Plans are rehearsal scenarios with faults beside (kill, stop, term, hup, clock; hold, delay, cut, half-open, break; lists out, late, older, counted anew), drawn from a seed. A play whose measurers ran too late is void.

--- /dev/null
+++ b/sloeferry/rig/crew.py
@@ -0,0 +1,405 @@
+"""The course of a play: processes started, faults carried out, everything ended again, by id.
+
+The driver is also discovery, and the only one that starts, stops and signals proxies.  It holds for the rest what a
+bank holds in a rehearsal (rehearsal/bank.py), so that scenarios' troubles strike here as they do there.
+"""
+import asyncio
+import gc
+import json
+import os
+import pathlib
+import signal
+import sys
+from asyncio.subprocess import DEVNULL, PIPE
+
+import uvloop
+
+from sloeferry.rehearsal import live
+from sloeferry.rehearsal.bank import READY, Bank, expand, spot
+from sloeferry.rehearsal.troubles import Troubles
+from sloeferry.rig import plan as p
+from sloeferry.rig.hands import BEAT
+from sloeferry.rig.scribe import Scribe
+from sloeferry.standins import processes
+from sloeferry.standins.callers import Front
+from sloeferry.standins.roster import Roster
+
+ROOT = str(pathlib.Path(__file__).resolve().parents[2])
+
+
+class Hand:
+    """A process of stand-ins, as the driver sees it; `heard` is called with all it says."""
+
+    def __init__(self, crew, role, number=0):
+        self.crew, self.role, self.number, self.process = crew, role, number, None
+        self.record = pathlib.Path(crew.house.folder) / f"{role}-{number}.jsonl"
+        self.ready, self.open = asyncio.Event(), None
+
+    async def start(self, **more):
+        crew = self.crew
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "sloeferry.rig.hands", cwd=ROOT, stdin=PIPE, stdout=PIPE, start_new_session=True)
+        crew.house.placed(self.process, crew.house.ours)
+        crew.loop.create_task(self.listen())
+        self.say({"role": self.role, "plan": crew.text, "proxies": crew.proxies_wanted, "nodes": crew.nodes_wanted,
+                  "seed": crew.house.seed, "record": str(self.record), "number": self.number, **more})
+        await asyncio.wait_for(self.ready.wait(), READY)
+
+    def say(self, what):
+        self.process.stdin.write(json.dumps(what).encode() + b"\n")
+
+    def do(self, name, *what):
+        self.say([name, *what])
+
+    async def listen(self):
+        async for line in self.process.stdout:
+            said = json.loads(line)
+            if "ready" in said:
+                self.ready.set()
+            elif "open" in said:
+                self.open = said["open"]
+            elif "fault" in said:
+                self.crew.faults.append(f"{self.role}: {said['fault']}")
+            else:
+                self.crew.heard(said)
+
+    async def end(self):
+        """Its record is whole once it has ended by itself."""
+        if self.process is None or self.process.returncode is not None:
+            return
+        self.do("end")
+        try:
+            await asyncio.wait_for(self.process.wait(), 10)
+        except asyncio.TimeoutError:
+            self.process.kill()
+            await self.process.wait()
+
+
+class Node:
+    """A node, as troubles see it: what they do to it is done by the process that has it."""
+
+    def __init__(self, crew, at, told, kind, zone):
+        self.crew, self.at, self.told, self.zone = crew, at, told, zone
+        self.ident, self.address = f"s-{at:04x}", (spot(20, at), crew.port)
+        self.hand, self.up, self.draining, self.works, self.came = crew.hands_of_nodes[at % crew.plan.rig.nodes], False, False, True, None
+        self.hand.do("make", at, self.ident, self.address, zone, kind)
+
+    def do(self, name, *what):
+        self.hand.do(name, self.at, *what)
+
+    async def start(self, warm=False):
+        self.up, self.draining, self.works = True, False, True
+        self.came = self.crew.loop.create_future()
+        self.do("start", warm)
+        await self.came
+
+    def die(self):
+        self.up = False
+        self.do("die")
+
+    def crowd(self):
+        """Whether it still has something to do; asked once it drains."""
+        if self.works is True:
+            self.works = None
+            self.do("leave")
+        return self.works is None
+
+    def change(self, **what): self.do("change", what)
+    def refuse(self, so): self.do("refuse", so)
+    def stall(self, seconds): self.do("stall", seconds)
+    def report(self): self.do("report")
+
+    mute = property(None, lambda self, so: self.change(mute=so))
+
+
+class Gate(Front):
+    """The front, for all callers at once: the driver asks who is ready, the callers' processes are told."""
+
+    def __init__(self, loop, told, places, tell):
+        super().__init__(loop, told, places)
+        self.alive, self.poll = Alive(self.alive, tell), max(0.05, len(places) / 400)
+
+
+class Alive(dict):
+    def __init__(self, before, tell):
+        super().__init__(before)
+        self.tell = tell
+
+    def __setitem__(self, name, so):
+        super().__setitem__(name, so)
+        self.tell(name, so)
+
+
+class Yard(live.Street):
+    """Where processes stand: measuring ones on cores of their own, proxies on the rest."""
+
+    def __init__(self, loop, seed, folder, tree):
+        super().__init__(loop, seed, folder)
+        self.tree, self.offsets = tree, {}
+        cores = sorted(os.sched_getaffinity(0))
+        many = max(1, len(cores) * 3 // 8)
+        self.ours, self.theirs = (set(cores[:many]), set(cores[many:])) if len(cores) > 2 else (set(cores), set(cores))
+        os.sched_setaffinity(0, self.ours)
+
+    def placed(self, process, cores=None):
+        try:
+            os.sched_setaffinity(process.pid, cores or self.theirs)
+        except ProcessLookupError:
+            pass                         # it has ended already: whoever waits for it will say so
+
+    def command(self, daemon):
+        """As `run` starts it; where its wall clock is to be off, through the seam of machine.py."""
+        off = self.offsets.get(daemon.at)
+        words, environ = processes.command("sloeferry" if off is None else "sloeferry.rig.berth")
+        if off is not None:
+            environ |= {"SLOEFERRY_RIG_CLOCK": repr(off)}
+        return words, environ, self.tree or ROOT
+
+    def proxy(self, bank, at):
+        return live.Daemon(self, bank, at)
+
+
+class Crew(Bank):
+    """Everybody, and the course of the play (bank.Bank for scenarios' troubles)."""
+
+    def __init__(self, text, plan, house, port, proxies, nodes):
+        self.text, self.plan, self.scenario, self.house, self.loop, self.port = text, plan, plan, house, house.loop, port
+        self.proxies_wanted, self.nodes_wanted = proxies, nodes
+        zones, folder = plan.network.zones, pathlib.Path(house.folder)
+        self.faults, self.made, self.sla, self.unread = [], 0, {}, {}
+        self.judge = Scribe(plan, house.seed, folder / "driver.jsonl", self.loop.time)
+        self.places = [(f"p{at}", (spot(10, at), port), zones[at % len(zones)]) for at in range(plan.bank.proxies)]
+        self.struck, self.links = {}, {}         # fault -> what it strikes; link -> where it listens, where it leads
+        self.draw()
+        lists = {name: (spot(30, 0), port + 500 + at) for at, (name, _, _) in enumerate(self.places)}
+        self.roster = Roster(self.loop, plan.discovery, lists, self.judge, house.rng("roster"), house.unix)
+        self.hands_of_nodes = [Hand(self, "nodes", at) for at in range(plan.rig.nodes)]
+        self.hands_of_callers = [Hand(self, "callers", at) for at in range(plan.rig.callers)]
+        self.relay = Hand(self, "relay") if self.links else None
+        self.hands = [*self.hands_of_nodes, *self.hands_of_callers, *([self.relay] if self.relay else [])]
+        self.front = Gate(self.loop, plan.front, self.places, self.alive)
+        self.nodes, self.proxies = [], [house.proxy(self, at) for at in range(plan.bank.proxies)]
+
+    def draw(self):
+        """Whom each fault strikes, and the links that takes, all from the seed."""
+        plan, count, listens = self.plan, sum(nodes.count for nodes in self.plan.nodes), 0
+        for at, fault in enumerate(plan.fault):
+            rng = self.house.rng(f"fault-{at}")
+            some = fault.proxies or sorted(rng.sample(range(plan.bank.proxies), max(1, round(fault.part * plan.bank.proxies))))
+            names = []
+            if isinstance(fault, p.BETWEEN):
+                ends = sorted(rng.sample(range(count), max(1, round(fault.nodes * count)))) if fault.between == "nodes" else [None]
+                for proxy in some:
+                    for node in ends:
+                        name = f"{fault.between}/{proxy}" + (f"/{node}" if node is not None else "")
+                        if name not in self.links:
+                            self.links[name] = fault.between, proxy, node, (spot(50 + listens // 60000, 0), 0)
+                            listens += 1
+                        names.append(name)
+            self.struck[at] = some, names
+        # One address a proxy for its links, a port each.
+        turns = {}
+        for name, (between, proxy, node, _) in self.links.items():
+            turn = turns[proxy] = turns.get(proxy, -1) + 1
+            self.links[name] = between, proxy, node, (spot(50, proxy), self.port + turn)
+
+    def node(self, told, zone):
+        at, self.made = self.made, self.made + 1
+        node = Node(self, at, told, self.plan.nodes.index(told), zone)
+        self.unread[at] = node
+        return node
+
+    def heard(self, said):
+        if "up" in said:
+            self.unread[said["up"]].came.set_result(None)
+        elif "idle" in said:
+            self.unread[said["idle"]].works = False
+        elif "laid" in said:
+            self.laid.set()
+
+    def alive(self, name, so):
+        for hand in self.hands_of_callers:
+            hand.do("alive", name, so)
+
+    def settings(self, at):
+        told = super().settings(at)
+        for scheme in told["schemes"]:
+            scheme["sla_time"] = min(scheme["expiry"], round(scheme["sla_time"] * self.sla.get(at, 1.0)))
+        return told
+
+    def berth(self, at, seed):
+        told = super().berth(at, seed)
+        if f"discovery/{at}" in self.links:
+            told["discovery"] = "{}:{}".format(*self.links[f"discovery/{at}"][3])
+        return told
+
+    # The course
+
+    async def open(self):
+        self.laid = asyncio.Event()
+        seen = [(name, self.links.get(f"callers/{at}", (0, 0, 0, address))[3], zone)
+                for at, (name, address, zone) in enumerate(self.places)]
+        await asyncio.gather(*(hand.start(places=seen, of=self.plan.rig.callers) for hand in self.hands))
+        for told, zone in expand(self.plan):
+            self.nodes.append(self.node(told, zone))
+        for name, (between, proxy, node, listen) in self.links.items():
+            target = (self.nodes[node].address if between == "nodes" else self.places[proxy][1] if between == "callers"
+                      else self.roster.addresses[f"p{proxy}"])
+            self.relay.do("link", name, listen, target, between == "nodes")
+            if between == "nodes":
+                self.roster.ways[f"p{proxy}", self.nodes[node].ident] = "{}:{}".format(*listen)
+        if self.relay:
+            self.relay.do("laid")
+            await self.laid.wait()
+        await asyncio.gather(*(node.start(warm=True) for node in self.nodes))
+        for node in self.nodes:
+            self.roster.publish(node, "active", 0.0)
+        await self.roster.start()
+
+    def begin(self, now):
+        self.judge.begin = now
+        self.judge.note(now, "begin")
+        for hand in self.hands_of_callers:
+            hand.do("begin", now)
+        Troubles(self).begin(now)
+        for at, fault in enumerate(self.plan.fault):
+            self.loop.call_at(now + fault.at, self.strike, at, fault)
+
+    def busy(self):
+        return any(hand.open != 0 for hand in self.hands_of_callers)
+
+    def strike(self, at, fault):
+        some, links = self.struck[at]
+        self.judge.note(self.loop.time(), "fault", at, p.word(fault), some, len(links))
+        if links:
+            told = {name: getattr(fault, name) for name in ("way", "ms", "bytes") if hasattr(fault, name)}
+            self.relay.do("do", links, p.word(fault), told)
+            self.loop.call_later(fault.lasts, self.relay.do, "do", links, "", {})
+            if fault.between == "callers":       # nobody can answer through it
+                for number in some:
+                    self.judge.stopped(f"p{number}", self.loop.time(), self.loop.time() + fault.lasts)
+                    self.judge.note(self.loop.time(), "apart", f"p{number}", self.loop.time() + fault.lasts + 0.1)
+            return
+        getattr(self, type(fault).__name__.lower())(fault, some)
+        self.loop.call_later(fault.lasts, self.judge.note, self.loop.time() + fault.lasts, "over", at)
+
+    # Faults of processes
+
+    def kill(self, fault, some):
+        for at in some:
+            self.proxies[at].kill()
+            self.loop.call_later(fault.lasts, self.proxies[at].start)
+
+    def stop(self, fault, some):
+        for at in some:
+            self.proxies[at].stop(fault.lasts)
+
+    def term(self, fault, some):
+        for turn, at in enumerate(some):
+            self.loop.call_later(fault.lasts * turn / len(some), self.proxies[at].leave)
+
+    def hup(self, fault, some):
+        rng = self.house.rng(f"hup-{fault.at}")
+        deaf = set(rng.sample(some, round(fault.lost * len(some))))
+        for at in some:
+            self.sla[at], proxy = fault.sla, self.proxies[at]
+            if fault.file == "stale":
+                del self.sla[at]
+            proxy.write()
+            text = proxy.path.read_text()
+            if fault.file == "cut":
+                proxy.path.write_text(text[:len(text) // 2])
+            elif fault.file == "missing":
+                proxy.path.unlink()
+            elif fault.file == "swapped":        # another file in its place, while it is read
+                other = proxy.path.with_suffix(".new")
+                other.write_text(text)
+                self.loop.call_soon(os.replace, other, proxy.path)
+            if at not in deaf:
+                proxy.end(signal.SIGHUP)
+
+    def clock(self, fault, some):
+        """It takes a new process: nothing sets a clock that others have too."""
+        for at in some:
+            self.house.offsets[at] = fault.by_s
+            self.proxies[at].kill()
+            self.loop.call_later(fault.lasts, self.proxies[at].start)
+
+    # Faults of discovery
+
+    def listout(self, fault, some):
+        self.roster.out()
+        self.loop.call_later(fault.lasts, lambda: self.loop.create_task(self.roster.back()))
+
+    def listlag(self, fault, some):
+        for at in some:
+            self.roster.show(f"p{at}", until=self.loop.time())
+            self.loop.call_later(fault.lasts, self.roster.show, f"p{at}")
+
+    def listolder(self, fault, some):
+        for at in some:
+            self.roster.show(f"p{at}", late=fault.by_s)
+            self.loop.call_later(fault.lasts, self.roster.show, f"p{at}")
+        self.roster.hang_up({f"p{at}" for at in some})
+
+    def listanew(self, fault, some):
+        self.roster.anew()
+
+    async def end(self):
+        for proxy in self.proxies:
+            proxy.over = True
+            proxy.end()
+        await asyncio.gather(*(hand.end() for hand in self.hands))
+        self.roster.out()
+        until = self.loop.time() + 5
+        while any(proxy.process for proxy in self.proxies) and self.loop.time() < until:
+            await asyncio.sleep(0.05)
+        self.judge.close()
+
+
+async def course(text, plan, seed, folder, proxies, nodes, tree, progress):
+    loop = asyncio.get_running_loop()
+    house = Yard(loop, seed, folder, tree)
+    crew = Crew(text, plan, house, processes.free_ports("127.10.0.1", 1)[0] // 2 + 16000, proxies, nodes)
+    figures = {}
+    try:
+        await crew.open()
+        began = loop.time()
+        for proxy in crew.proxies:
+            proxy.start()
+        while not all(crew.front.alive.values()) and loop.time() < began + READY:
+            await asyncio.sleep(0.05)
+        figures["ready_s"] = round(loop.time() - began, 2)
+        figures["ready"] = sum(crew.front.alive.values())
+        gc.freeze()
+        gc.set_threshold(50000, 20, 50)
+        began = loop.time() + 0.2
+        crew.begin(began)
+
+        def beat(due):
+            if (late := loop.time() - due) > BEAT:
+                crew.judge.note(loop.time(), "late", "driver", late * 1000)
+            loop.call_later(BEAT, beat, loop.time() + BEAT)
+        beat(loop.time())
+        last, used = began + plan.seconds, {}
+        while loop.time() < last or crew.busy() and loop.time() < last + crew.longest():
+            await asyncio.sleep(0.25)
+            if not used and loop.time() > began + plan.seconds / 2:
+                used = {"memory_mb": [processes.memory(one.process.pid) for one in crew.proxies if one.process]}
+            if progress:
+                progress(loop.time() - began)
+        used["cpu_s"] = [processes.cpu_seconds(one.process.pid) for one in crew.proxies if one.process]
+        figures |= {name: [round(min(each), 2), round(sum(each) / len(each), 2), round(max(each), 2)]
+                    for name, each in used.items() if each}
+        figures["began"] = began
+    finally:
+        await crew.end()
+    return crew, figures
+
+
+def play(text, plan, seed, folder, proxies=None, nodes=None, tree=None, progress=None):
+    """Plays a plan with real processes; the records' paths, what each fault struck, figures, and the rig's own faults."""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        crew, figures = runner.run(course(text, plan, seed, folder, proxies, nodes, tree, progress))
+    records = [crew.judge.file.name, *(str(hand.record) for hand in crew.hands)]
+    return records, crew.struck, figures, crew.faults
--- /dev/null
+++ b/sloeferry/rig/plan.py
@@ -0,0 +1,190 @@
+"""Plan files: a rehearsal's scenario, and beside its troubles the faults that strike between processes.
+
+Read, checked and given defaults in one place; a fault names its key.  Times are as their names say.
+"""
+import pathlib
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+
+from sloeferry.rehearsal import scenario as s
+from sloeferry.rehearsal.scenario import Above, Fault, From0, Part, Table
+
+SHIPPED = pathlib.Path(__file__).parent / "plans"
+MOST = 400                               # proxies on one machine
+
+
+class Rig(Table):
+    """The processes beside the proxies.  `late_ms`: whoever measures and ran later than that voids the play."""
+    nodes: Annotated[int, Meta(ge=1, le=8)] = 1
+    callers: Annotated[int, Meta(ge=1, le=8)] = 1
+    late_ms: Above = 200.0
+
+
+class Expect(Table):
+    """What the plan holds its proxies to, beside the four rules."""
+    service: Part = 0.0                  # the least part of the gain that is settled in time
+    lost: Annotated[int, Meta(ge=0)] = 0             # txns with no answer, whoever is to blame, at the most
+    current_s: Above | None = None       # after the last fault every proxy posts on the newest list within this
+
+
+class Struck(Table):
+    """Which proxies: that part of them, drawn; or by number."""
+    at: From0
+    lasts: Above = 2.0
+    part: Part = 0.3
+    proxies: list[Annotated[int, Meta(ge=0)]] = []
+
+
+class Kill(Struck, tag_field="what", tag="kill"):
+    """SIGKILL; started again when it is over."""
+
+
+class Stop(Struck, tag_field="what", tag="stop"):
+    """SIGSTOP, and SIGCONT when it is over."""
+
+
+class Term(Struck, tag_field="what", tag="term"):
+    """SIGTERM, one after the other, and a new process for each."""
+
+
+class Hup(Struck, tag_field="what", tag="hup"):
+    """New settings and SIGHUP.  `file`: what of them stands there as it is read; `sla`: times the SLA time as it was."""
+    lost: Part = 0.0                     # of those struck, who never get the signal
+    file: Literal["whole", "cut", "stale", "swapped", "missing"] = "whole"
+    sla: Above = 1.0
+
+
+class Clock(Struck, tag_field="what", tag="clock"):
+    """The wall clock of those processes is off by so much."""
+    by_s: float = 3600.0
+
+
+class Link(Struck):
+    """Between those proxies and `between`; `nodes`: the part of the nodes, drawn."""
+    between: Literal["nodes", "discovery", "callers"] = "nodes"
+    nodes: Part = 1.0
+
+
+class Hold(Link, tag_field="what", tag="hold"):
+    """What is said waits until it is over, `way` or both ways; a machine that says nothing looks so."""
+    way: Literal["there", "back", "both"] = "both"
+
+
+class Delay(Link, tag_field="what", tag="delay"):
+    ms: Above = 50.0
+
+
+class Cut(Link, tag_field="what", tag="cut"):
+    """Reset at once, and refused while it lasts."""
+
+
+class HalfOpen(Link, tag_field="what", tag="half-open"):
+    """The far end has gone and the near end never hears of it, until it is over: then it is reset."""
+
+
+class Break(Link, tag_field="what", tag="break"):
+    """Each connection is reset once so many bytes have gone that way on it: inside a message."""
+    bytes: Annotated[int, Meta(ge=0)] = 40
+    way: Literal["there", "back"] = "back"
+
+
+class ListOut(Struck, tag_field="what", tag="list-out"):
+    """Discovery is down, for all."""
+
+
+class ListLag(Struck, tag_field="what", tag="list-lag"):
+    """Those are told of nothing new."""
+
+
+class ListOlder(Struck, tag_field="what", tag="list-older"):
+    """Those are answered by a replica that stands where the list stood `by_s` before."""
+    by_s: Above = 5.0
+
+
+class ListAnew(Struck, tag_field="what", tag="list-anew"):
+    """Discovery starts anew, with its count at 1."""
+
+
+PROCESS = Kill | Stop | Term | Hup | Clock
+BETWEEN = Hold | Delay | Cut | HalfOpen | Break
+LIST = ListOut | ListLag | ListOlder | ListAnew
+# What the rehearsal kit has too, and as what.
+TWIN = {Kill: s.ProxiesDie, Stop: s.ProxiesStop, Term: s.ProxiesRoll, ListOut: s.DiscoveryOut}
+# Troubles of scenarios that a rig of processes has not: they live in the nodes' ways and the virtual network.
+VIRTUAL_ONLY = (s.OneSided, s.LossyWay, s.DiscoveryMove, s.ProxiesStarve, s.ProxiesQuiesce, s.DiscoveryOut)
+
+
+class Plan(s.Scenario, kw_only=True):
+    rig: Rig = Rig()
+    fault: list[PROCESS | BETWEEN | LIST] = []
+    expect: Expect = Expect()
+
+
+def shipped():
+    return sorted(path.stem for path in SHIPPED.glob("*.toml"))
+
+
+def read(said):
+    """A plan, checked: a shipped name, or a path."""
+    path = SHIPPED / f"{said}.toml" if str(said) in shipped() else pathlib.Path(said)
+    return checked(s.text(path, shipped()), path.name)
+
+
+def checked(text, name="plan"):
+    told = s.checked(text, name, Plan)
+
+    def no(key, why):
+        raise Fault(f"{name}: {key}: {why}")
+    if told.bank.proxies > MOST:
+        no("bank.proxies", f"{told.bank.proxies} are too many for one machine, {MOST} at most")
+    if told.clock:
+        no("clock", "a machine's own clock is never set; use a fault")
+    for at, trouble in enumerate(told.trouble):
+        if isinstance(trouble, VIRTUAL_ONLY):
+            no(f"trouble[{at}].what", "exists in virtual time alone; see the faults")
+    for at, fault in enumerate(told.fault):
+        if fault.at + fault.lasts > told.seconds:
+            no(f"fault[{at}].lasts", "goes on past the end")
+        for number in fault.proxies:
+            if number >= told.bank.proxies:
+                no(f"fault[{at}].proxies", f"there is no proxy {number}")
+    return told
+
+
+def altered(told, proxies=None, nodes=None):
+    """The same plan with so many proxies, and so many nodes in all; load goes with the nodes."""
+    if proxies:
+        told = msgspec.structs.replace(told, bank=msgspec.structs.replace(told.bank, proxies=proxies))
+    if nodes:
+        have = sum(n.count for n in told.nodes)
+        counts = [max(1, round(n.count * nodes / have)) for n in told.nodes]
+        curve = [(length, rate * sum(counts) / have) for length, rate in told.callers.curve]
+        told = msgspec.structs.replace(
+            told, nodes=[msgspec.structs.replace(n, count=count) for n, count in zip(told.nodes, counts)],
+            callers=msgspec.structs.replace(told.callers, curve=curve))
+    return told
+
+
+def twin(told):
+    """The scenario that plays in virtual time, and what of the plan has no part there."""
+    troubles, without = list(told.trouble), []
+    for fault in told.fault:
+        kind = TWIN.get(type(fault))
+        if kind is None:
+            without.append(word(fault))
+        elif kind is s.ProxiesStop:
+            troubles.append(kind(at=fault.at, part=share(told, fault), ms=fault.lasts * 1000))
+        else:
+            troubles.append(kind(at=fault.at, part=share(told, fault), lasts=fault.lasts))
+    fields = {name: getattr(told, name) for name in s.Scenario.__struct_fields__}
+    return s.Scenario(**{**fields, "trouble": troubles}), without
+
+
+def share(told, fault):
+    return len(fault.proxies) / told.bank.proxies if fault.proxies else fault.part
+
+
+def word(fault):
+    return type(fault).__struct_config__.tag
--- /dev/null
+++ b/sloeferry/rig/scribe.py
@@ -0,0 +1,137 @@
+"""What a process of the rig saw, written down: one JSON line an event, with the machine's monotonic time.
+
+A scribe stands where a rehearsal's judge stands: stand-ins ask it what a request costs, which every process knows by
+itself (what is asked in a play depends on plan and seed alone), and tell it what happened.  The verdict comes later,
+from all records together.
+"""
+from random import Random
+from time import monotonic
+
+import msgspec
+
+from sloeferry.rehearsal.judge import arrivals
+from sloeferry.standins.frames import content
+from sloeferry.standins.ledger import Ledger
+
+encode = msgspec.json.encode
+
+
+class Scribe(Ledger):
+    def __init__(self, plan, seed, path, clock):
+        self.plan, self.clock, self.file = plan, clock, open(path, "wb", 1 << 18)
+        self.asks = arrivals(plan, Random(f"{seed}/arrivals"))
+        self.begin, self.slack = 0.0, plan.obligations.slack_ms / 1000
+
+    def note(self, at, what, *more):
+        # A loop's own time is that of its pass, in whole ms: what comes first is told by the machine's clock.
+        self.file.write(encode((monotonic(), at, what, *more)) + b"\n")
+
+    def close(self):
+        self.file.close()
+
+    # What stand-ins ask
+
+    def ask(self, ident):
+        try:
+            number = int(ident[:12], 16) if len(ident) == 16 else -1
+        except ValueError:
+            return None
+        return self.asks[number] if 0 <= number < len(self.asks) else None
+
+    def scheme(self, ident):
+        found = self.ask(ident)
+        return found and self.plan.scheme[found.scheme]
+
+    def work(self, ident):
+        return self.ask(ident).work
+
+    def bad(self, ident):
+        return self.ask(ident).bad
+
+    def body_size(self, ident):
+        scheme = self.scheme(ident)
+        return scheme.body if scheme.kind != "repeatable" else 0
+
+    # What callers tell
+
+    def asked(self, ident, ask, proxy, now, ends):
+        self.note(now, "asked", ident.decode(), proxy, ends)
+
+    def sent(self, ident, now, ends):
+        self.note(now, "sent", ident.decode(), ends)
+
+    def answered(self, ident, now, status, body):
+        own = status != 200 or body == ident.ljust(self.answer_size(ident))
+        self.note(now, "answered", ident.decode(), status, own)
+        return "settled" if status == 200 else "declined" if status in (429, 503) else "reversed"
+
+    def unheard(self, ident):
+        """Whether it crossed the end of its connection is known only once all records are there: not asked again."""
+        self.note(self.clock(), "crossed", ident.decode())
+        return False
+
+    def lost(self, ident, now, why):
+        self.note(now, "lost", ident.decode(), why)
+        return "lost"
+
+    def ended(self, ask, how, now):
+        ask.how, ask.ended = how, now
+        self.note(now, "ended", ask.number, how, ask.first, ask.tries)
+
+    # What nodes tell
+
+    def got(self, node, ident, body, now):
+        if ident is not None and self.scheme(ident) and body != content(ident, self.body_size(ident)):
+            self.note(now, "breach", "protocol", f"{node} got a body of {len(body)} bytes that is not {ident.decode()}'s own")
+
+    def posted(self, node, zone, ident, since):
+        self.note(self.clock(), "posted", node, zone, ident.decode(), since)
+
+    def ran(self, node, ident, now):
+        self.note(now, "ran", node, ident.decode())
+
+    def choked(self, node):
+        self.note(self.clock(), "choked", node)
+
+    def fell(self, node, now, warmth, sent):
+        self.note(now, "fell", node, warmth, [(then, work, ident.decode()) for then, work, ident in sent])
+
+    def breach(self, rule, now, text):
+        self.note(now, "breach", rule, text)
+
+    # What discovery and the play tell
+
+    def told(self, proxy, node, phase, now, launched=0):
+        self.note(now, "told", proxy, node, phase, launched)
+
+    def listed(self, proxy, revision, now):
+        self.note(now, "listed", proxy, revision)
+
+    def published(self, node, phase, now):
+        self.note(now, "published", node, phase)
+
+    def started(self, node, now, launched):
+        self.note(now, "started", node, launched)
+
+    def was_killed(self, proxy, now):
+        self.note(now, "killed", proxy)
+
+    def crashed(self, proxy, now, how):
+        self.note(now, "crashed", proxy, how)
+
+    def stopped(self, proxy, now, until):
+        self.note(now, "stopped", proxy, until)
+
+
+def read(paths):
+    """All events of those records, (at, what, ...), in the order in which they were written."""
+    events = []
+    for path in paths:
+        with open(path, "rb") as file:
+            for line in file:
+                try:
+                    events.append(msgspec.json.decode(line))
+                except msgspec.DecodeError:
+                    break                # its writer was killed in the middle of a line
+    events.sort(key=lambda event: event[0])
+    return [event[1:] for event in events]
--- /dev/null
+++ b/sloeferry/rig/verdict.py
@@ -0,0 +1,156 @@
+"""All records of a play joined, and judged: the four rules by the rehearsal's own judge, and the plan's own properties.
+
+What a process of the rig saw counts at the time when it saw it; one machine, one monotonic clock.  Nothing here is
+decided by how long anything took but where a rule itself sets a limit.
+"""
+from collections import defaultdict
+from random import Random
+
+from sloeferry.rehearsal.judge import Judge, arrivals
+from sloeferry.rig.scribe import read
+
+SHOWN = 14                               # events of one txn that are printed beside a broken rule
+
+
+class Bench(Judge):
+    """A judge that hears all at once, in order, what a rehearsal's is told as it happens."""
+
+    def __post_init__(self):
+        super().__post_init__()
+        self.entered, self.apart, self.hows, self.crossed = {}, defaultdict(list), {}, set()
+        self.late, self.by_ident, self.about, self.lists = defaultdict(float), defaultdict(list), [], {}
+
+    def breach(self, rule, now, text):
+        super().breach(rule, now, text)
+        self.about.append((rule, now, text))
+
+    def lost(self, ident, now, why):
+        found = self.tries[ident]
+        # Its link was cut or held by a fault: nobody could have answered there.
+        if any(since <= now and until >= found.at for since, until in self.apart[found.proxy]):
+            return "apart"
+        if ident in self.crossed and not found.posted and not self.died(found):
+            return "untaken"             # it crossed the proxy's closing of an idle connection
+        return super().lost(ident, now, why)
+
+    def hear(self, event):
+        at, what, *more = event
+        if (call := getattr(self, "on_" + what, None)) is not None:
+            call(at, *more)
+
+    def on_begin(self, at):
+        self.begin = at
+
+    def on_asked(self, at, ident, proxy, ends):
+        ident = ident.encode()
+        self.asked(ident, self.asks[int(ident[:12], 16)], proxy, at, ends)
+
+    def on_sent(self, at, ident, ends):
+        self.sent(ident.encode(), at, ends)
+
+    def on_answered(self, at, ident, status, own):
+        ident = ident.encode()
+        body = ident.ljust(self.scheme(ident).answer) if own else b""
+        self.answered(ident, at, status, body)
+
+    def on_crossed(self, at, ident):
+        self.crossed.add(ident.encode())
+
+    def on_lost(self, at, ident, why):
+        self.hows[int(ident[:12], 16)] = self.lost(ident.encode(), at, why)
+
+    def on_ended(self, at, number, how, first, tries):
+        ask = self.asks[number]
+        ask.first, ask.tries = first, tries
+        self.ended(ask, self.hows.get(number, how) if how == "lost" else how, at)
+
+    def on_entered(self, at, link, ident, since):
+        self.entered[ident] = since
+
+    def on_posted(self, at, node, zone, ident, since):
+        # On its way through a link it may have waited: it was sent when its first byte went in.
+        self.posted(node, zone, ident.encode(), self.entered.pop(ident, since))
+
+    def on_ran(self, at, node, ident):
+        self.ran(node, ident.encode(), at)
+
+    def on_fell(self, at, node, warmth, sent):
+        self.fell(node, at, warmth, [(then, work, ident.encode()) for then, work, ident in sent])
+
+    def on_choked(self, at, node):
+        self.choked(node)
+
+    def on_breach(self, at, rule, text):
+        self.breach(rule, at, text)
+
+    def on_told(self, at, proxy, node, phase, launched):
+        self.told(proxy, node, phase, at, launched)
+
+    def on_listed(self, at, proxy, revision):
+        self.lists[proxy] = revision, at
+
+    def on_published(self, at, node, phase):
+        self.published(node, phase, at)
+
+    def on_started(self, at, node, launched):
+        self.started(node, at, launched)
+
+    def on_killed(self, at, proxy):
+        self.was_killed(proxy, at)
+
+    def on_crashed(self, at, proxy, how):
+        self.crashed(proxy, at, how)
+
+    def on_stopped(self, at, proxy, until):
+        self.stopped(proxy, at, until)
+
+    def on_apart(self, at, proxy, until):
+        self.apart[proxy].append((at, until))
+
+    def on_late(self, at, role, ms):
+        # What runs late while all is being started measures nothing yet.
+        if self.begin and at > self.begin:
+            self.late[role] = max(self.late[role], ms)
+
+
+def judge(plan, seed, records, struck, figures, faults=()):
+    """The record of a play; `verdict` is kept, broken or void."""
+    bench = Bench(plan, arrivals(plan, Random(f"{seed}/arrivals")))
+    bench.proxies = {f"p{at}": plan.network.zones[at % len(plan.network.zones)] for at in range(plan.bank.proxies)}
+    events = read(records)
+    last = max((event[0] for event in events), default=0.0)
+    for event in events:
+        for word in event[2:]:
+            if type(word) is str and len(word) == 16:
+                bench.by_ident[word].append(event)
+        bench.hear(event)
+    for ask in bench.asks:
+        if not ask.how:
+            bench.breach("1", last, f"txn {ask.number} had no end")
+    said = bench.record()
+    expect, failed = plan.expect, []
+    if (service := said["service"]["whole"]) is not None and service < expect.service:
+        failed.append(f"service {service:.3f}, at least {expect.service:g} was to be")
+    if (lost := said["txns"]["lost"]) > expect.lost:
+        failed.append(f"{lost} txns lost, {expect.lost} at the most were to be")
+    failed += [f"the rig itself: {fault}" for fault in faults]
+    if figures.get("ready", plan.bank.proxies) < plan.bank.proxies:
+        failed.append(f"{plan.bank.proxies - figures['ready']} proxies were never ready")
+    late = {role: round(ms, 1) for role, ms in sorted(bench.late.items())}
+    void = [f"{role} ran {ms:g} ms late, {plan.rig.late_ms:g} at the most" for role, ms in late.items() if ms > plan.rig.late_ms]
+    broken = bool(failed) or any(said["rules"].values())
+    said |= {"plan": plan.name, "seed": seed, "late_ms": late, "failed": failed, "void": void, "figures": figures,
+             "struck": {str(at): some for at, (some, _) in struck.items()},
+             "evidence": [evidence(bench, *one) for one in bench.about[:5]],
+             "verdict": "void" if void else "broken" if broken else "kept"}
+    return said
+
+
+def evidence(bench, rule, now, text):
+    """A broken rule, and what all processes wrote down of its txn."""
+    for word in text.replace(",", " ").split():
+        if word in bench.by_ident:
+            events = bench.by_ident[word]
+            return {"rule": rule, "text": text, "events": [
+                [round(at - bench.begin, 4), what, *more] for at, what, *more in events[:SHOWN]]}
+    return {"rule": rule, "text": text, "events": []}
