Versions: what a proxy acts on, and a ledger of what it did under each, told to operators

`GET /admin/versions` and `GET /admin/acted?since=` at the operators' address: the program's digest, the settings' generation and digest (of what was accepted, so a roll-back is a new generation), the list's incarnation, revision and digest; when each was heard, by whose word, how long ago it was last confirmed, the txns taken and the postings chosen under it, what was refused and why. A revision that goes back is counted as another incarnation, and two of them are never compared: from here a lost count and a replica that lags look alike. Ages, not times: wall clocks may be off.

Off in `run`: on where the operators' own file, named in SLOEFERRY_OPERATOR, says `[versions] tell = true`; off, nothing of it is imported and no txn passes through it. Bounded to 64 entries each, 60 KB as told.

--- a/sloeferry/__main__.py
+++ b/sloeferry/__main__.py
@@ -50,11 +50,14 @@
 
     def __init__(self, berth, environ, parts, discovery):
         self.berth, self.environ, self.parts, self.discovery = berth, environ, parts, discovery
+        self.witness = None              # where versions are kept account of
 
     def __call__(self):
         try:
             berth = terms.read(self.environ, self.berth)
         except Exception as fault:
+            if self.witness:
+                self.witness.refused("settings", fault)
             return logger.error("SIGHUP, all stays as it was: {}", fault)
         for name in ("name", "listen", "ops", "sockets", "memory"):
             if getattr(berth, name) != getattr(self.berth, name):
@@ -62,6 +65,8 @@
         self.berth = berth._replace(known={})
         for part in self.parts:
             part.retune(berth)
+        if self.witness:
+            self.witness.settled(berth, "SIGHUP")
         self.discovery.move(berth.discovery)
         logger.info("SIGHUP: new settings, schemes {}", ", ".join(berth.named("schemes")))
 
@@ -76,6 +81,14 @@
         await asyncio.sleep(HANDOVER / 40)
 
 
+def operators_of(environ):
+    """The operators' own file, where there is one: what it does not turn on is not imported."""
+    if not (path := environ.get("SLOEFERRY_OPERATOR")):
+        return {}
+    from sloeferry import operators
+    return operators.read(path)
+
+
 async def serve(berth, environ=os.environ, settled=lambda facade: None):
     """One proxy, until it has left; `settled` is called once all is built and nothing has come yet."""
     loop = asyncio.get_running_loop()
@@ -95,6 +108,7 @@
     backends = Backends(loop, facade, berth.terms, inside, buffers)
     discovery = Discovery(loop, facade, berth, inside, buffers, backends, duty, handover and handover.folder.mates()[1])
     facade.catch_up = discovery.catch_up
+    told = operators_of(environ)
     clients = Clients(loop, facade, berth, seats, buffers, backends, duty)
     desk = Desk(loop, duty, buffers, clients.figures)
     try:
@@ -104,9 +118,15 @@
         leave = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, leave.set)
         loop.add_signal_handler(signal.SIGINT, leave.set)
-        loop.add_signal_handler(signal.SIGHUP, Renewal(berth, environ, (facade, clients, backends), discovery))
+        renewal = Renewal(berth, environ, (facade, clients, backends), discovery)
+        loop.add_signal_handler(signal.SIGHUP, renewal)
         tasks = [loop.create_task(work) for work in (
             backends.probes(), backends.sweep(), discovery.run(), clients.sweep(), clients.backstop())]
+        if told.get("versions", {}).get("tell"):
+            from sloeferry.versions.witness import Witness
+            renewal.witness = discovery.witness = Witness(facade, berth, desk)
+            if discovery.known:
+                discovery.witness.listed(discovery.revision, discovery.known, "known")
         if handover:
             handover.join(facade, duty, discovery, clients)
             tasks.append(loop.create_task(handover.run()))
--- a/sloeferry/net/desk.py
+++ b/sloeferry/net/desk.py
@@ -27,13 +27,13 @@
 
     # The calls: status, and what is told
 
-    def health(self):
+    def health(self, query=b""):
         return self.told(self.duty.serves())
 
-    def quiesce(self):
+    def quiesce(self, query=b""):
         return self.told(self.duty.quiesce(f.clock()))
 
-    def resume(self):
+    def resume(self, query=b""):
         return self.told(self.duty.resume(), no=409)
 
     def told(self, yes, no=503):
@@ -41,14 +41,14 @@
         return 200 if yes else no, {"state": self.duty.state(figures["connections"]), **figures}
 
     def answer(self, message):
-        target = message.url.partition(b"?")[0]
+        target, _, query = message.url.partition(b"?")
         path = target[target.find(b"/", 8):] if target.startswith(b"http://") else target
         method, call = self.calls.get(path, (None, None))
         if call is None:
             return http1.answer(404, b'{"error":"no such call"}\n', JSON, False)
         if message.method != method:
             return http1.answer(405, b'{"error":"%b only"}\n' % method, [*JSON, (b"Allow", method)], False)
-        status, said = call()
+        status, said = call(query)
         return http1.answer(status, json.dumps(said).encode() + b"\n", JSON, False)
 
     # The callers
--- a/sloeferry/net/discovery.py
+++ b/sloeferry/net/discovery.py
@@ -27,6 +27,7 @@
         self.known, self.revision, self.standing = {}, None, False
         self.watching = self.former = None       # the watch, and after a move the one before until this stands
         self.sock = None                 # of the newest watch
+        self.witness = None              # where versions are kept account of
         if berth.known:
             self.take(berth.known, cached=True)
             # A bank that restarts as one asks a discovery that has no time for all: who knows whom to send to
@@ -159,6 +160,8 @@
                     due = self.loop.time() + SILENCE
                 if lines:
                     due = self.loop.time() + SILENCE
+                    if self.witness:
+                        self.witness.confirmed()
                 while lines:
                     self.line(lines.pop(0))
         except TimeoutError:
@@ -204,6 +207,8 @@
                 self.former.cancel()
             self.former, self.standing = None, True
             self.duty.list_came()
+        if self.witness:
+            self.witness.listed(revision, self.known, "known" if cached else "discovery at {}:{}".format(*self.address))
         self.facade.report_list(whole, list(lines.values()), cached, news)
 
     def member(self, said):
--- /dev/null
+++ b/sloeferry/versions/witness.py
@@ -0,0 +1,62 @@
+"""Joins the ledger to a proxy: it hears of settings and lists, is told of txns and postings, and answers operators."""
+import pathlib
+from urllib.parse import parse_qs
+
+from sloeferry.core.facade import clock
+from sloeferry.versions.ledger import Ledger
+from sloeferry.versions.order import digest, of_files
+
+EVER = 1e15                              # ms
+
+
+def program():
+    """The digest of this build: all of the package's files."""
+    root = pathlib.Path(__file__).resolve().parents[1]
+    return of_files((str(path.relative_to(root)), path.read_bytes()) for path in root.rglob("*.py"))
+
+
+class Witness:
+    """`berth` is what the process started with."""
+
+    def __init__(self, facade, berth, desk):
+        self.name, self.ledger = berth.name, Ledger(clock(), program())
+        self.settled(berth, "start")
+        facade.proxy.stages.all.append(self.ledger)
+        post = facade.post
+
+        def posted(*order):
+            self.ledger.posted(clock())
+            post(*order)
+        facade.post = posted             # this instance's alone: where nobody asks for it, no txn passes here
+        desk.calls[b"/admin/versions"] = b"GET", self.versions
+        desk.calls[b"/admin/acted"] = b"GET", self.acted
+
+    # What the process hears
+
+    def settled(self, berth, by):
+        self.ledger.set(clock(), digest(dict(berth.terms)), by)
+
+    def refused(self, what, why):
+        self.ledger.refuse(clock(), what, why)
+
+    def listed(self, revision, known, by):
+        self.ledger.list(clock(), revision, digest(sorted(known.values())), by)
+
+    def confirmed(self):
+        self.ledger.confirm(clock())
+
+    # What operators are told
+
+    def versions(self, query):
+        return 200, {"name": self.name, **self.ledger.now_held(clock())}
+
+    def acted(self, query):
+        """`since`: seconds back; all without it."""
+        said = parse_qs(query.decode("latin-1")).get("since", ["inf"])[-1]
+        try:
+            since = float(said)
+        except ValueError:
+            since = -1.0
+        if not since >= 0:
+            return 400, {"error": f"since: {said!r} is not a number of seconds from 0 up"}
+        return 200, {"name": self.name, **self.ledger.acted(clock(), min(since * 1000, EVER))}
--- /dev/null
+++ b/tests/test_versions.py
@@ -0,0 +1,207 @@
+"""Versions: an order that never guesses, a ledger that is bounded and counts exactly, and what operators are told."""
+import asyncio
+import json
+import os
+import pathlib
+import re
+import signal
+import subprocess
+import sys
+import tempfile
+import types
+import unittest
+
+from hypothesis import given, settings, strategies as st
+from loguru import logger
+
+from sloeferry import operators, terms
+from sloeferry.versions.ledger import MOST, Ledger
+from sloeferry.versions.order import NEWER, OLDER, SAME, UNLIKE, List, Settings, compare, digest, of_files
+from tests.trace import Harbour, Lines, answer, compare as kept, play
+
+ROOT = pathlib.Path(__file__).parents[1]
+VERSION = st.one_of(st.builds(List, st.integers(1, 3), st.integers(0, 4), st.sampled_from("ab")))
+
+
+class Orders(unittest.TestCase):
+    @settings(max_examples=200, deadline=None)
+    @given(VERSION, VERSION, VERSION)
+    def test_order(self, one, two, three):
+        """Turned round it says the opposite; newer than a newer one is newer; nothing is said across two counts."""
+        turned = {NEWER: OLDER, OLDER: NEWER, SAME: SAME, UNLIKE: UNLIKE}
+        self.assertEqual(compare(one, two), turned[compare(two, one)])
+        self.assertEqual(compare(one, two) == SAME, one == two)
+        if compare(one, two) == compare(two, three) == NEWER:
+            self.assertEqual(compare(one, three), NEWER)
+        if one.incarnation != two.incarnation:
+            self.assertEqual(compare(one, two), UNLIKE)
+
+    def test_digests(self):
+        self.assertEqual(digest({"a": 1, "b": [2, 3]}), digest({"b": [2, 3], "a": 1}))
+        self.assertNotEqual(digest({"a": 1}), digest({"a": 2}))
+        self.assertEqual(of_files([("a", b"x"), ("b", b"y")]), of_files([("b", b"y"), ("a", b"x")]))
+        self.assertNotEqual(of_files([("a", b"xb"), ("b", b"y")]), of_files([("a", b"x"), ("b", b"by")]))
+        self.assertEqual(compare(Settings(2, "a"), Settings(1, "b")), NEWER)     # a roll-back is the newer one
+
+
+class Ledgers(unittest.TestCase):
+    def test_course(self):
+        """Settings, lists that go on, back and anew, a refusal, and txns that outlive their settings."""
+        lines, ledger = Lines(), Ledger(0.0, "program")
+
+        def say(what, now):
+            held, acted = ledger.now_held(now), ledger.acted(now, 1e9)
+            lines.lines.append(f"{now:6.0f}  {what}: confirmed {held['confirmed_ms']} ms ago, {held['open']} open")
+            for kind in ("settings", "lists"):
+                lines.lines += [f"          {kind[:4]} {one}" for one in acted[kind]]
+            lines.lines += [f"          refused {one}" for one in acted["refused"]]
+
+        def txn(ref):
+            return types.SimpleNamespace(ref=ref)
+        ledger.set(0.0, "s-a", "start")
+        ledger.list(10.0, 41, "l-a", "known")
+        ledger.taken(20.0, txn(1))
+        ledger.posted(20.0)
+        say("one txn", 25.0)
+        ledger.list(30.0, 42, "l-b", "discovery")
+        ledger.set(40.0, "s-b", "SIGHUP")
+        ledger.taken(50.0, txn(2))
+        ledger.posted(50.0)
+        ledger.over(txn(2), True)
+        say("newer ones of both; the first txn keeps its settings", 60.0)
+        ledger.refuse(70.0, "settings", "no JSON")
+        ledger.over(txn(1), True)
+        ledger.set(80.0, "s-a", "SIGHUP")
+        say("rolled back: an older digest, a newer generation", 90.0)
+        ledger.list(100.0, 42, "l-b", "discovery")
+        say("the same list again only confirms", 100.0)
+        ledger.list(110.0, 7, "l-c", "discovery")
+        say("the count goes back: lost, or a replica that lags", 120.0)
+        ledger.list(130.0, 7, "l-d", "discovery")
+        say("one revision that says two things", 140.0)
+        lines.lines.append(f"of the last 15 ms: {[one['revision'] for one in ledger.acted(140.0, 15.0)['lists']]}")
+        kept(self, lines, "versions_ledger")
+
+    @settings(max_examples=60, deadline=None)
+    @given(st.lists(st.tuples(st.sampled_from(["set", "list", "take", "end", "post", "refuse"]), st.integers(0, 9)),
+                    max_size=400))
+    def test_counts(self, course):
+        """Whatever happens it stays bounded, and each txn and posting is counted once, where it belongs."""
+        ledger, now, taken, posted, open_ = Ledger(0.0, ""), 0.0, 0, 0, set()
+        ledger.set(0.0, "0", "start")
+        for what, number in course:
+            now += 1.0
+            if what == "set":
+                ledger.set(now, str(number), "x")
+            elif what == "list":
+                ledger.list(now, number, str(number % 3), "x")
+            elif what == "take" and now not in open_:
+                ledger.taken(now, types.SimpleNamespace(ref=now))
+                open_.add(now)
+                taken += 1
+            elif what == "end" and open_:
+                ledger.over(types.SimpleNamespace(ref=open_.pop()), True)
+            elif what == "post" and ledger.lists:
+                ledger.posted(now)
+                posted += 1
+            elif what == "refuse":
+                ledger.refuse(now, "settings", "x" * 1000)
+        self.assertEqual(sum(one.open for one in ledger.settings), len(open_))
+        self.assertLessEqual(len(ledger.refused), MOST)
+        self.assertLessEqual(sum(not one.open for one in ledger.settings), MOST)
+        if not ledger.dropped:
+            self.assertEqual(sum(one.acts for one in ledger.settings), taken)
+            self.assertEqual(sum(one.acts for one in ledger.lists), posted)
+        self.assertEqual([one.version.generation for one in ledger.settings],
+                         sorted(one.version.generation for one in ledger.settings))
+
+    def test_bound(self):
+        """A thousand versions cost what MOST cost; who has open txns is kept."""
+        ledger = Ledger(0.0, "")
+        ledger.set(0.0, "first", "start")
+        ledger.taken(0.0, types.SimpleNamespace(ref=1))
+        for at in range(1000):
+            ledger.set(float(at), str(at), "SIGHUP")
+            ledger.list(float(at), at, str(at), "discovery")
+        self.assertEqual((len(ledger.settings), len(ledger.lists)), (MOST, MOST))
+        self.assertEqual((ledger.settings[0].version.generation, ledger.settings[-1].version.generation), (1, 1001))
+        self.assertLess(len(json.dumps(ledger.acted(2000.0, 1e9))), 60_000)
+
+
+class Told(unittest.TestCase):
+    def setUp(self):
+        logger.remove()
+
+    async def ops(self, h, call):
+        reader, writer = await asyncio.open_connection("127.0.0.1", h.ops)
+        writer.write(f"GET {call} HTTP/1.1\r\n\r\n".encode())
+        head, _, body = (await reader.read()).decode().partition("\r\n\r\n")
+        writer.close()
+        said = json.loads(body)
+        # What differs from run to run: ages, digests, ports.
+        text = re.sub(r'"([a-z]+_ms)": [\d.]+', r'"\1": N', json.dumps(said))
+        text = re.sub(r'"(program|digest)": "[0-9a-f]{16}"', r'"\1": "D"', re.sub(r"127\.0\.0\.1:\d+|/\S+/", "X", text))
+        h.say(f"{call}: {head.split()[1]} {text}")
+        return said
+
+    def test_calls(self):
+        """What it holds, by whose word, what was refused and what was done under each; off, there is no such call."""
+        with tempfile.TemporaryDirectory() as folder:
+            path, file = pathlib.Path(folder, "operator.toml"), pathlib.Path(folder, "config.json")
+            path.write_text("[versions]\ntell = true\n")
+
+            async def story(h):
+                await self.ops(h, "/admin/versions")
+                if not h.environ:
+                    return
+                await h.call("safe")
+                said = await self.quiet(h)
+                for text in (json.dumps(h.told | {"settings": h.told["settings"] | {"step": 2000}}), "{half"):
+                    file.write_text(text)
+                    os.kill(os.getpid(), signal.SIGHUP)
+                    while text == "{half" and not said["refused"] or said["settings"]["generation"] < 2:
+                        await asyncio.sleep(0.01)
+                        said = await self.quiet(h)
+                await h.call("safe")
+                h.list(("b", "leaving"), complete=False)
+                while (await self.quiet(h))["list"]["revision"] != h.revision:
+                    await asyncio.sleep(0.01)
+                await self.ops(h, "/admin/versions")
+                await self.ops(h, "/admin/acted")
+                for since in ("x", "-1", "nan", "0"):
+                    await self.ops(h, f"/admin/acted?since={since}")
+            on = {"SLOEFERRY_OPERATOR": str(path), "BALANCER_CONFIG": str(file)}
+            play(self, story, "versions_told", Harbour({"b": answer()}, ops=True, environ=on), Harbour({"b": answer()}, ops=True))
+
+    async def quiet(self, h):
+        before = len(h.lines)
+        said = await self.ops(h, "/admin/versions")
+        del h.lines[before:]
+        return said
+
+    def test_file(self):
+        """The operators' file: a fault names its key, and ends the program with one line and 2."""
+        lines = Lines()
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "operator.toml")
+            for text in ("[versions]\ntell = 1", "[versions]\nshout = true", "[version]\ntell = true", "versions = 3", "[versions"):
+                path.write_text(text)
+                with self.assertRaises(terms.Fault) as caught:
+                    operators.read(path)
+                lines.lines.append(f"{text!r}  ->  {str(caught.exception).replace(folder, '')}")
+            path.write_text("")
+            self.assertEqual(operators.read(path), {"versions": {"tell": False}})
+            self.assertTrue(operators.read(ROOT / "deploy" / "operator.toml")["versions"]["tell"])
+            with self.assertRaises(terms.Fault):
+                operators.read(pathlib.Path(folder, "none"))
+        kept(self, lines, "versions_file")
+
+    def test_off(self):
+        """What is off is not imported."""
+        code = ("import sys, sloeferry.__main__ as m; m.operators_of({}); "
+                "print([name for name in sys.modules if 'versions' in name or 'operators' in name])")
+        self.assertEqual(subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True).stdout, "[]\n")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/trace.py
+++ b/tests/trace.py
@@ -5,6 +5,7 @@
 import difflib
 import functools
 import json
+import os
 import pathlib
 import re
 import tempfile
@@ -113,10 +114,11 @@
     """
     SCHEMES = [("safe", "retryable"), ("keyed", "dedup"), ("once", "fragile")]
 
-    def __init__(self, backends, known=None, sockets=256, expiry=3000, ask_in=4000, more=None, ops=False, **limits):
+    def __init__(self, backends, known=None, sockets=256, expiry=3000, ask_in=4000, more=None, ops=False, environ=(), **limits):
         self.lines, self.scripts, self.servers = [], backends, []
         self.known, self.sockets, self.expiry, self.limits, self.ops = known, sockets, expiry, limits, ops
         self.ask_in, self.more = ask_in, more or {}      # further settings
+        self.environ = dict(environ)     # beside this process's own
         self.revision, self.watches, self.writers, self.ports, self.count = 1, [], [], {}, {}
         self.shown, self.asked, self.calls, self.moods, self.show_head = {}, 0, [], [], False
         self.connections = []            # of the client
@@ -150,7 +152,8 @@
             json.dump(told, file)
             file.flush()
             berth = terms.read({"BALANCER_CONFIG": file.name})
-        self.proxy = asyncio.get_running_loop().create_task(start.serve(berth))
+        self.proxy = asyncio.get_running_loop().create_task(start.serve(
+            berth, {**os.environ, **self.environ} if self.environ else os.environ))
         while "200" not in await self.ask("GET /ready HTTP/1.1\r\n\r\n", quiet=True):
             await asyncio.sleep(0.01)
         return self
