`sloeferry fleet versions|audit`: who of a whole fleet acts on which version, and why one lags

Asks all operators' addresses side by side, each call bounded in time and bytes; whoever gives no answer is unknown, with a word why. Names stragglers with a cause by elimination, how a change went out (50, 90, 99, 100 %), acts on an old version after a bound, and two answers that contradict each other. Exit 0, 1 or 3.

Found by it at once: settings that had been through a SIGHUP had another digest than the same ones read at a start, for places and dropped schemes count in the terms; versions are now of what all proxies share, by name (witness.shared).

Proof: ten real processes and a babbler, with a proxy stopped, killed, cut from discovery, restarted on an old list with no discovery, shown a frozen list, never told, told of half a file, and one that answers to another's name: all eleven said right, in a kept trace.

--- a/sloeferry/cli.py
+++ b/sloeferry/cli.py
@@ -40,7 +40,8 @@
 
 
 # Verbs of subsystems: the module that has them, the extra it needs, and what they are for.
-VERBS = {"load": ("sloeferry.load.cli", "load", "Open-loop load on loopback"),
+VERBS = {"fleet": ("sloeferry.fleet.cli", "cli", "Asks a whole fleet who acts on which version"),
+         "load": ("sloeferry.load.cli", "load", "Open-loop load on loopback"),
          "ops": ("sloeferry.ops.cli", "cli", "Asks a proxy at its operators' address"),
          "rig": ("sloeferry.rig.cli", "rehearsal", "Plays plans with real processes and faults between them"),
          "rehearse": ("sloeferry.rehearsal.cli", "rehearsal", "Plays days with a whole bank, in virtual time or live")}
--- a/sloeferry/versions/witness.py
+++ b/sloeferry/versions/witness.py
@@ -7,6 +7,7 @@
 from sloeferry.versions.order import digest, of_files
 
 EVER = 1e15                              # ms
+OWN = ("ordinal", "zone")                # settings that differ from proxy to proxy: no two would have one version
 
 
 def program():
@@ -15,6 +16,21 @@
     return of_files((str(path.relative_to(root)), path.read_bytes()) for path in root.rglob("*.py"))
 
 
+def shared(terms):
+    """Settings as all proxies have them, whatever each did before: without what is a proxy's own; schemes and
+    customers by name, since places depend on what stood there earlier, and without those that were dropped."""
+    plain, lines = {}, {}
+    for key, said in terms.items():
+        what, _, rest = key.partition(".")
+        at, _, name = rest.partition(".")
+        if what in ("schemes", "tenants"):
+            lines.setdefault((what, at), {})[name] = said
+        elif key not in OWN:
+            plain[key] = said
+    return plain | {f"{what}/{line['name']}": {name: said for name, said in line.items() if name != "dropped"}
+                    for (what, _), line in lines.items() if "name" in line and not line.get("dropped")}
+
+
 class Witness:
     """`berth` is what the process started with."""
 
@@ -34,7 +50,7 @@
     # What the process hears
 
     def settled(self, berth, by):
-        self.ledger.set(clock(), digest(dict(berth.terms)), by)
+        self.ledger.set(clock(), digest(shared(berth.terms)), by)
 
     def refused(self, what, why):
         self.ledger.refuse(clock(), what, why)
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,194 @@
+"""The fleet's audit: real proxies, each with another fault, and what the audit says of each; and what is no answer."""
+import asyncio
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import types
+import unittest
+from random import Random
+
+from click.testing import CliRunner
+
+from sloeferry.faults import Unusable
+from sloeferry.fleet import ask, roll as r
+from sloeferry.fleet.audit import audit
+from sloeferry.fleet.cli import fleet
+from sloeferry.rig.relay import Link
+from sloeferry.standins import platform, processes
+from sloeferry.standins.ledger import Ledger
+from sloeferry.standins.roster import Roster
+from tests.trace import Lines, compare
+
+ROOT = pathlib.Path(__file__).parents[1]
+SCHEMES = [platform.scheme("pull", "repeatable", 300, 800, 1.0)]
+
+
+class Harm(unittest.TestCase):
+    """Eleven processes of the program, one discovery, a fault each."""
+    NAMES = [f"p{at}" for at in range(10)]
+
+    def write(self, at, sla=300, **more):
+        settings = platform.settings([dict(SCHEMES[0], sla_time=sla * 1000)], [], instances=len(self.NAMES), ordinal=at,
+                                     zones=["a", "b"], kinds=["m"])
+        path = pathlib.Path(self.folder, f"p{at}.json")
+        path.write_text(json.dumps(platform.berth(
+            f"p{at}", ("127.0.0.1", self.ports[at]), more.pop("discovery", self.lists[f"p{at}"]), settings, seed=at,
+            ops=("127.0.0.1", self.ops[at]), **more)))
+        return path
+
+    def start(self, at, **more):
+        self.processes[at] = processes.start(self.write(at, **more), SLOEFERRY_OPERATOR=str(self.operators))
+
+    async def until(self, met):
+        """Waits for a state, not for a time."""
+        for _ in range(1500):
+            if await met():
+                return
+            await asyncio.sleep(0.02)
+        self.fail("it never came to that")
+
+    async def holds(self, at, **what):
+        said = await ask.call(("127.0.0.1", self.ops[at]), "/admin/versions")
+        if isinstance(said, ask.Unknown):
+            return False
+        held = {"revision": (said["list"] or {}).get("revision"), "generation": said["settings"]["generation"],
+                "refused": len(said["refused"])}
+        return all(held[key] == value for key, value in what.items())
+
+    async def course(self):
+        loop, count = asyncio.get_running_loop(), len(self.NAMES)
+        ports = processes.free_ports("127.0.0.1", 3 * count + 2)
+        self.ports, self.ops = ports[:count], ports[count:2 * count]
+        self.lists = {name: ("127.0.0.1", ports[2 * count + at]) for at, name in enumerate(self.NAMES)}
+        roster = Roster(loop, types.SimpleNamespace(call_ms=0.0, spread_ms=0.0), dict(self.lists), Ledger(), Random(1), time.time)
+        nodes = [types.SimpleNamespace(ident=f"s{at}", address=("127.0.0.1", 1), zone="a", told=types.SimpleNamespace(kind="m"))
+                 for at in range(3)]
+        for node in nodes:
+            roster.publish(node, "active", 0.0)
+        await roster.start()
+        link = Link(loop, "discovery/4", ("127.0.0.1", ports[-1]), self.lists["p4"], types.SimpleNamespace(note=lambda *_: None))
+        await link.open()
+        garbage = await asyncio.start_server(self.babble, "127.0.0.1", ports[-2])
+        for at in range(count):
+            self.start(at, **({"discovery": ("127.0.0.1", ports[-1])} if at == 4 else {}))
+        for at in range(count):
+            await self.until(lambda: self.holds(at, revision=3))
+        # The change, and what keeps some from it.
+        known = roster.known_to("p8")
+        self.processes[8].kill()
+        self.processes[8].wait()
+        await link.do("hold", {"way": "both"})
+        roster.show("p7", until=loop.time())
+        processes.tell(self.processes[2], signal.SIGSTOP)
+        processes.tell(self.processes[3], signal.SIGKILL)
+        self.processes[3].wait()
+        roster.publish(nodes[0], "leaving")
+        for at in (0, 1, 4, 6, 7, 9):
+            path = self.write(at, sla=400, **({"discovery": ("127.0.0.1", ports[-1])} if at == 4 else {}))
+            if at == 6:
+                path.write_text(path.read_text()[:200])
+            processes.tell(self.processes[at], signal.SIGHUP)
+        self.start(8, sla=400, known=known, discovery=("127.0.0.1", 1))
+        for at in (0, 1, 9):
+            await self.until(lambda: self.holds(at, revision=4, generation=2))
+        await self.until(lambda: self.holds(6, revision=4, refused=1))
+        await self.until(lambda: self.holds(7, revision=3, generation=2))
+        await self.until(lambda: self.holds(5, revision=4, generation=1))
+        await self.until(lambda: self.holds(8, revision=3))
+
+        async def silent():              # as long as the audit takes to call it cut off
+            said = await ask.call(("127.0.0.1", self.ops[4]), "/admin/versions")
+            return not isinstance(said, ask.Unknown) and said["confirmed_ms"] > 5200
+        await self.until(silent)
+        lines = [f'discovery = "127.0.0.1:{self.lists["p0"][1]}"']
+        for at, name in enumerate([*self.NAMES[:9], "somebody", "babbler"]):
+            lines.append(f'[[proxy]]\nname = "{name}"\nat = "127.0.0.1:{[*self.ops, ports[-2]][at]}"')
+        path = pathlib.Path(self.folder, "fleet.toml")
+        path.write_text("\n".join(lines))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "sloeferry.cli", "fleet", "audit", "--fleet", str(path), "--json", cwd=ROOT, stdout=subprocess.PIPE)
+        text = (await process.communicate())[0]
+        garbage.close()
+        roster.out()
+        link.server.close()
+        return process.returncode, json.loads(text)
+
+    async def babble(self, reader, writer):
+        await reader.read(100)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n{\"name\": \"babb")
+        writer.close()
+
+    def test_causes(self):
+        """Each straggler has its cause; who does not answer is unknown, never fine."""
+        self.processes, lines = {}, Lines()
+        with tempfile.TemporaryDirectory() as self.folder:
+            self.operators = pathlib.Path(self.folder, "operator.toml")
+            self.operators.write_text("[versions]\ntell = true\n")
+            try:
+                code, said = asyncio.run(self.course())
+            finally:
+                for process in self.processes.values():
+                    processes.tell(process, signal.SIGKILL)
+                    process.wait()
+        lines.lines.append(f"exit {code}, newest list {said['newest']['list']}, by discovery {said['newest']['by_discovery']}: "
+                           f"{said['current']} current, {said['straggler']} behind, {said['unknown']} unknown")
+        lines.lines += [f"{row['name']}: {row['state']} {row.get('behind', '')} {row['cause']}" for row in said["rows"]]
+        compare(self, lines, "fleet_causes")
+
+
+class Answers(unittest.TestCase):
+    def test_no_answers(self):
+        """What is no answer is unknown, with a word why."""
+        lines = Lines()
+        for said in (b"", b"nonsense", b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{", b"HTTP/1.1 200 OK\r\n\r\n{}",
+                     b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]",
+                     b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnull", b"SSH-2.0-x\r\n\r\n",
+                     b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"):
+            lines.lines.append(f"{said!r}  ->  {ask.understood(said)}")
+        compare(self, lines, "fleet_answers")
+
+    def test_bad_input(self):
+        lines = Lines()
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "fleet.toml")
+            one = '[[proxy]]\nname = "a"\nat = "127.0.0.1:1"\n'
+            for text in ("", "[proxy", 'discovery = "nowhere"\n' + one, one + one.replace('"a"', '"b"'), one.replace("at =", "port ="),
+                         "proxies = 3\n" + one, one.replace("127.0.0.1:1", "127.0.0.1:0")):
+                path.write_text(text)
+                with self.assertRaises(Unusable) as caught:
+                    r.read(path)
+                lines.lines.append(f"{text!r}  ->  {str(caught.exception).replace(folder, '')}")
+            path.write_text(one)
+            for words in (["--since", "-5"], ["--since", "1e12"], ["--since", "nan"]):
+                fault = CliRunner().invoke(fleet, ["audit", "--fleet", str(path), *words]).exception
+                self.assertIsInstance(fault, Unusable, words)
+                lines.lines.append(f"{' '.join(words)}  ->  {fault}")
+            self.assertIsInstance(CliRunner().invoke(fleet, ["audit", "--fleet", folder + "/none"]).exception, Unusable)
+            said = CliRunner().invoke(fleet, ["audit", "--fleet", str(path)])        # nobody there
+            self.assertEqual(said.exit_code, 3, said.output)
+        compare(self, lines, "fleet_faults")
+
+    def test_contradiction(self):
+        """Two that hold one revision and do not hold the same are shown side by side; acts on the old one are counted."""
+        def told(name, list_digest, revision=5, acts=(), settings="s"):
+            entry = {"generation": 1, "digest": settings, "by": "start", "heard_ms": 90_000.0, "acts": 3, "last_ms": 10.0}
+            lists = [{"incarnation": 1, "revision": at, "digest": "x", "by": "discovery", "heard_ms": heard, "acts": done, "last_ms": last}
+                     for at, heard, done, last in acts]
+            held = {"incarnation": 1, "revision": revision, "digest": list_digest, "by": "discovery at d:1", "heard_ms": 20_000.0}
+            return ({"name": name, "program": "p", "up_ms": 90_000, "settings": entry, "list": held, "confirmed_ms": 10,
+                     "open": 0, "refused": []}, {"settings": [entry], "lists": [*lists, held | {"acts": 1, "last_ms": 5.0}], "refused": []})
+        roll = r.Roll(tuple(r.Proxy(name, ("127.0.0.1", at + 1)) for at, name in enumerate("abc")), None)
+        said = audit(roll, [told("a", "x"), told("b", "y"), told("c", "z", 4, [(4, 60_000.0, 7, 1_000.0)])], None, 6000.0)
+        self.assertEqual([one["revision"] for one in said["contradictions"]], [5])
+        self.assertEqual([row["state"] for row in said["rows"]], ["current", "current", "straggler"])
+        # Seven postings on revision 4, and the one that its newest entry counts, 14 s and more after the bound.
+        self.assertEqual((said["acts_after_bound"], said["exit"]), (8, 1))
+        self.assertEqual(said["rows"][2]["cause"], "told nothing newer")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -17,6 +17,7 @@
 from sloeferry import operators, terms
 from sloeferry.versions.ledger import MOST, Ledger
 from sloeferry.versions.order import NEWER, OLDER, SAME, UNLIKE, List, Settings, compare, digest, of_files
+from sloeferry.versions.witness import shared
 from tests.trace import Harbour, Lines, answer, compare as kept, play
 
 ROOT = pathlib.Path(__file__).parents[1]
@@ -36,6 +37,18 @@
         if one.incarnation != two.incarnation:
             self.assertEqual(compare(one, two), UNLIKE)
 
+    def test_shared(self):
+        """One version for all proxies that hold the same, whatever each held before: its own place, the order of
+        schemes and those that were dropped make no other."""
+        def of(*schemes, **more):
+            lines = {f"schemes.{at}.{key}": said for at, scheme in enumerate(schemes) for key, said in scheme.items()}
+            return terms.complete({"schemes.count": len(schemes), **lines, **more})
+        a, b, c = ({"name": name, "gain": gain} for name, gain in (("a", 1.0), ("b", 2.0), ("c", 3.0)))
+        started, former = of(a, b, ordinal=3, zone=1), of(c, b, a, ordinal=5)
+        self.assertEqual(shared(terms.aligned(of(a, b, ordinal=5), former)), shared(started))
+        self.assertNotEqual(shared(of(a, c)), shared(started))
+        self.assertNotEqual(shared(of(a, dict(b, gain=9.0))), shared(started))
+
     def test_digests(self):
         self.assertEqual(digest({"a": 1, "b": [2, 3]}), digest({"b": [2, 3], "a": 1}))
         self.assertNotEqual(digest({"a": 1}), digest({"a": 2}))
