--- a/sloeferry/__main__.py
+++ b/sloeferry/__main__.py
@@ -124,7 +124,9 @@
             backends.probes(), backends.sweep(), discovery.run(), clients.sweep(), clients.backstop())]
         if told.get("versions", {}).get("tell"):
             from sloeferry.versions.witness import Witness
-            renewal.witness = discovery.witness = Witness(facade, berth, desk)
+            renewal.witness = discovery.witness = Witness(facade, berth, desk, told["versions"]["carry"])
+            if told["versions"]["bring_up"]:
+                discovery.witness.brings_up(desk, discovery, renewal)
             if discovery.known:
                 discovery.witness.listed(discovery.revision, discovery.known, "known")
         if handover:
--- a/sloeferry/core/facade.py
+++ b/sloeferry/core/facade.py
@@ -36,6 +36,7 @@
         self.began = began
         self.ref, self.ends, self.orders, self.over, self.out, self.sent = ref, ends, deque(), False, 0, 0
         self.waiter = self.relief = None
+        self.acted = None                # where postings say what they act on: for each, as a header's line
         self.abandoned = False           # its client's connection has ended
 
     def order(self, *what):
--- a/sloeferry/fleet/ask.py
+++ b/sloeferry/fleet/ask.py
@@ -15,14 +15,14 @@
     why: str
 
 
-async def call(address, path):
-    """One GET: the JSON object that was answered with 200, or Unknown."""
+async def call(address, path, method="GET"):
+    """One call: the JSON object that was answered with yes (2xx), or Unknown."""
     writer, how = None, "silent"
     try:
         async with asyncio.timeout(PATIENCE):
             reader, writer = await asyncio.open_connection(*address, limit=MOST)
             how = "hung"                 # its machine took the connection, the process says nothing
-            writer.write(f"GET {path} HTTP/1.1\r\nHost: {address[0]}\r\nConnection: close\r\n\r\n".encode())
+            writer.write(f"{method} {path} HTTP/1.1\r\nHost: {address[0]}\r\nConnection: close\r\n\r\n".encode())
             said = await reader.read(1)
             how = "garbled"
             while len(said) <= MOST and not whole(said) and (more := await reader.read(65536)):
@@ -53,7 +53,7 @@
     words, length = head.partition(b"\r\n")[0].split(), LENGTH.search(head + b"\r\n")
     if not cut or len(words) < 2 or not words[0].startswith(b"HTTP/1."):
         return Unknown("garbled", f"no HTTP answer: {said[:40]!r}")
-    if words[1] != b"200":
+    if words[1] not in (b"200", b"202"):
         return Unknown("untold", f"answered {words[1].decode('latin-1')[:20]}: its operators' file does not have it told")
     if not length or int(length[1]) != len(body):
         return Unknown("garbled", f"{len(body)} bytes of a body that was to be another length")
--- a/sloeferry/fleet/cli.py
+++ b/sloeferry/fleet/cli.py
@@ -10,7 +10,9 @@
 from sloeferry.fleet import roll as r
 from sloeferry.fleet.ask import ask_all
 from sloeferry.fleet.audit import audit as audited
+from sloeferry.fleet.bring_up import bring_up
 
+BOUND = 6.0                              # seconds until what discovery has to tell counts as told
 OLD = 86400.0 * 366                      # seconds: whatever lies further back is a wrong number
 
 
@@ -63,7 +65,7 @@
     @fleet.command(name, help=about)
     @click.option("--fleet", "path", required=True, metavar="FILE", help="TOML: [[proxy]] name and at; discovery.")
     @click.option("--since", type=float, metavar="SECONDS", help="Acts of so long back; all that is kept without it.")
-    @click.option("--bound", type=click.FloatRange(0), default=6.0, show_default=True,
+    @click.option("--bound", type=click.FloatRange(0), default=BOUND, show_default=True,
                   help="Seconds after a change from which acts on the version before count.")
     @click.option("--json", "as_json", is_flag=True)
     def command(path, since, bound, as_json):
@@ -74,5 +76,19 @@
         sys.exit(said["exit"])
 
 
+@fleet.command("bring-up")
+@click.option("--fleet", "path", required=True, metavar="FILE", help="TOML: [[proxy]] name and at; discovery.")
+@click.option("--pace", type=click.FloatRange(0.001), default=0.1, show_default=True, help="Seconds from one call to the next.")
+@click.option("--patience", type=click.FloatRange(0), default=10.0, show_default=True, help="Seconds until who still lags is told.")
+@click.option("--seed", type=click.IntRange(0), default=0, help="Of the order.")
+@click.option("--json", "as_json", is_flag=True)
+def bring(path, pace, patience, seed, as_json):
+    """Has stragglers ask for the list, or read their file, again.  Exit as of an audit afterwards."""
+    said = asyncio.run(bring_up(r.read(path), pace, patience, BOUND * 1000, seed,
+                                lambda text: click.echo(text, err=True)))
+    click.echo(json.dumps(said, indent=1) if as_json else table(said, False))
+    sys.exit(said["exit"])
+
+
 verb("versions", True, "Who holds which version, a row a proxy.")
 verb("audit", False, "Who lags and why.  Exit 0: all on the newest, 1: stragglers or acts after the bound, 3: only unknowns.")
--- a/sloeferry/net/backends.py
+++ b/sloeferry/net/backends.py
@@ -224,7 +224,8 @@
 
         def write():
             start = upload.start() if upload else body
-            return b"%bX-Budget-Ms: %d\r\n\r\n%b" % (opening, max(1, errand.ends - f.clock()), start)
+            acted = errand.acted[seq] if errand.acted else b""
+            return b"%b%bX-Budget-Ms: %d\r\n\r\n%b" % (opening, acted, max(1, errand.ends - f.clock()), start)
 
         def wanted():
             return not errand.over and self.facade.stands(ident) and (not upload or upload.claim(seq))
--- a/sloeferry/net/discovery.py
+++ b/sloeferry/net/discovery.py
@@ -73,7 +73,12 @@
         if address == self.address:
             return
         logger.info("discovery moves to {}:{}", *address)
-        self.address, self.revision = address, None
+        self.address = address
+        self.again()
+
+    def again(self):
+        """The whole list is asked for on another watch; the one that stands goes on telling until that has come."""
+        self.revision = None
         if self.standing:
             self.former = self.watching
         elif self.watching:
--- a/sloeferry/net/http1.py
+++ b/sloeferry/net/http1.py
@@ -266,7 +266,7 @@
     return opening(method, url, headers, len(body)) + b"\r\n" + body
 
 
-REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout", 413: b"Content Too Large",
+REASONS = {200: b"OK", 202: b"Accepted", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout", 413: b"Content Too Large",
            409: b"Conflict", 503: b"Service Unavailable", 504: b"Gateway Timeout"}
 
 
--- a/sloeferry/operators.py
+++ b/sloeferry/operators.py
@@ -5,7 +5,7 @@
 from sloeferry.terms import Fault
 
 # Table, key -> what it is where nothing is said; the kind of a value is that of its default.
-TABLES = {"versions": {"tell": False}}
+TABLES = {"versions": {"tell": False, "bring_up": False, "carry": False}}
 
 
 def read(path):
--- a/sloeferry/rehearsal/judge.py
+++ b/sloeferry/rehearsal/judge.py
@@ -241,6 +241,9 @@
         known = [when for when in (self.gone.get((proxy, node)), self.deemed.get(node)) if when is not None]
         return min(known, default=None)
 
+    def acted(self, node, ident, said, now):
+        pass
+
     def ran(self, node, ident, now):
         found, scheme = self.tries[ident], self.scheme(ident)
         found.runs += 1
--- a/sloeferry/rig/crew.py
+++ b/sloeferry/rig/crew.py
@@ -15,6 +15,9 @@
 
 import uvloop
 
+from sloeferry.fleet.ask import ask_all
+from sloeferry.fleet.audit import audit
+from sloeferry.fleet.roll import Proxy, Roll
 from sloeferry.rehearsal import live
 from sloeferry.rehearsal.bank import READY, Bank, expand, spot
 from sloeferry.rehearsal.troubles import Troubles
@@ -22,9 +25,10 @@
 from sloeferry.rig.hands import BEAT
 from sloeferry.rig.scribe import Scribe
 from sloeferry.standins import processes
-from sloeferry.standins.callers import Front
+from sloeferry.standins.callers import OPS, Front
 from sloeferry.standins.roster import Roster
 
+BOUND = 6000.0                           # ms after which acts on an old version count
 GROUND = 12000, 32000, 2500              # ports: from, to, and how many a play may take
 ROOT = str(pathlib.Path(__file__).resolve().parents[2])
 
@@ -155,6 +159,8 @@
         words, environ = processes.command("sloeferry" if off is None else "sloeferry.rig.berth")
         if off is not None:
             environ |= {"SLOEFERRY_RIG_CLOCK": repr(off)}
+        if daemon.bank.plan.rig.audit_s:
+            environ |= {"SLOEFERRY_OPERATOR": str(pathlib.Path(self.folder, "operator.toml"))}
         return words, environ, self.tree or ROOT
 
     def proxy(self, bank, at):
@@ -175,6 +181,7 @@
         self.draw()
         lists = {name: (spot(30, 0), port + 500 + at) for at, (name, _, _) in enumerate(self.places)}
         self.roster = Roster(self.loop, plan.discovery, lists, self.judge, house.rng("roster"), house.unix)
+        (folder / "operator.toml").write_text("[versions]\ntell = true\ncarry = true\n")
         self.hands_of_nodes = [Hand(self, "nodes", at) for at in range(plan.rig.nodes)]
         self.hands_of_callers = [Hand(self, "callers", at) for at in range(plan.rig.callers)]
         self.relay = Hand(self, "relay") if self.links else None
@@ -266,6 +273,16 @@
         Troubles(self).begin(now)
         for at, fault in enumerate(self.plan.fault):
             self.loop.call_at(now + fault.at, self.strike, at, fault)
+        if self.plan.rig.audit_s:
+            self.loop.call_at(now + self.plan.rig.audit_s, lambda: self.loop.create_task(self.audit()))
+
+    async def audit(self):
+        """The fleet's own word of itself, as operators get it, into the record."""
+        proxies = tuple(Proxy(name, (host, port + OPS)) for name, (host, port), _ in self.places)
+        self.judge.note(self.loop.time(), "auditing", self.roster.revision)
+        answers, newest = await ask_all(Roll(proxies, None), None)
+        said = audit(Roll(proxies, None), answers, {"revision": self.roster.revision}, BOUND)
+        self.judge.note(self.loop.time(), "audited", said)
 
     def busy(self):
         return any(hand.open != 0 for hand in self.hands_of_callers)
@@ -277,6 +294,9 @@
             told = {name: getattr(fault, name) for name in ("way", "ms", "bytes") if hasattr(fault, name)}
             self.relay.do("do", links, p.word(fault), told)
             self.loop.call_later(fault.lasts, self.relay.do, "do", links, "", {})
+            if fault.between == "discovery":
+                for number in some:
+                    self.judge.note(self.loop.time(), "unfed", f"p{number}", self.loop.time() + fault.lasts)
             if fault.between == "callers":       # nobody can answer through it
                 for number in some:
                     self.judge.stopped(f"p{number}", self.loop.time(), self.loop.time() + fault.lasts)
--- a/sloeferry/rig/scribe.py
+++ b/sloeferry/rig/scribe.py
@@ -87,6 +87,9 @@
     def posted(self, node, zone, ident, since):
         self.note(self.clock(), "posted", node, zone, ident.decode(), since)
 
+    def acted(self, node, ident, said, now):
+        self.note(now, "acted", node, ident.decode(), said.decode("latin-1"))
+
     def ran(self, node, ident, now):
         self.note(now, "ran", node, ident.decode())
 
--- a/sloeferry/rig/verdict.py
+++ b/sloeferry/rig/verdict.py
@@ -9,6 +9,7 @@
 from sloeferry.rehearsal.judge import Judge, arrivals
 from sloeferry.rig.scribe import read
 
+MOMENT = 0.4                             # seconds in which who was told may not have taken it in yet
 SHOWN = 14                               # events of one txn that are printed beside a broken rule
 
 
@@ -18,6 +19,8 @@
     def __post_init__(self):
         super().__post_init__()
         self.entered, self.apart, self.hows, self.crossed = {}, defaultdict(list), {}, set()
+        self.after, self.unfed, self.deferred = {}, defaultdict(list), []
+        self.audit, self.auditing, self.acts, self.acted_on = None, None, defaultdict(int), []
         self.late, self.by_ident, self.about, self.lists = defaultdict(float), defaultdict(list), [], {}
 
     def breach(self, rule, now, text):
@@ -35,6 +38,9 @@
 
     def hear(self, event):
         at, what, *more = event
+        while self.deferred and self.deferred[0][0] <= at:
+            when, *said = self.deferred.pop(0)
+            self.on_told(when, *said)
         if (call := getattr(self, "on_" + what, None)) is not None:
             call(at, *more)
 
@@ -84,7 +90,12 @@
         self.breach(rule, at, text)
 
     def on_told(self, at, proxy, node, phase, launched):
-        self.told(proxy, node, phase, at, launched)
+        # What discovery wrote into a link that holds it is written to the proxy once the link lets it go.
+        if until := max((until for since, until in self.unfed[proxy] if since <= at < until), default=0.0):
+            self.deferred.append((until, proxy, node, phase, launched))
+            self.deferred.sort(key=lambda said: said[0])
+        else:
+            self.told(proxy, node, phase, at, launched)
 
     def on_listed(self, at, proxy, revision):
         self.lists[proxy] = revision, at
@@ -107,6 +118,46 @@
     def on_apart(self, at, proxy, until):
         self.apart[proxy].append((at, until))
 
+    def on_auditing(self, at, revision):
+        # Between being told and having read it a moment passes, and the audit takes one too.
+        self.auditing = at, revision, {proxy: told for proxy, (told, when) in self.lists.items() if when < at - MOMENT}
+
+    def on_audited(self, at, said):
+        self.audit, self.after = said, dict(self.lists)
+
+    def on_unfed(self, at, proxy, until):
+        self.unfed[proxy].append((at, until))
+
+    def on_acted(self, at, node, ident, said):
+        proxy = self.tries[ident.encode()].proxy
+        listed = said.partition("list=")[2].partition(":")[0]
+        self.acts[proxy, listed] += 1
+        self.acted_on.append((at, proxy, int(listed.partition(".")[2] or -1)))
+
+    def audit_failures(self):
+        """Where the audit's word and the records contradict each other."""
+        if self.audit is None:
+            return []
+        at, newest, told = self.auditing
+        found = []
+        for row in self.audit["rows"]:
+            name, behind = row["name"], "list" in row.get("behind", ())
+            if row["state"] == "unknown":
+                if not self.silent(name, at):
+                    found.append(f"audit: {name} is called unknown, {row['cause']}, and nothing kept it from answering")
+            elif any(since <= at <= until + MOMENT for since, until in self.unfed[name]):
+                continue                 # what was written to it may wait on its way: either may be true
+            elif self.after.get(name, (newest,))[0] != newest and not behind:
+                found.append(f"audit: {name} was last told revision {self.after[name][0]} of {newest} and is called current")
+            elif told.get(name) == newest and behind:
+                found.append(f"audit: {name} was told revision {newest} and is called a straggler: {row['cause']}")
+        return found
+
+    def silent(self, name, at):
+        """Whether it was killed or stopped just before."""
+        return self.killed.get(name, -1.0) > at - 30 or any(
+            since <= at + MOMENT and until >= at - MOMENT for since, until in self.stops.get(name, ()))
+
     def on_late(self, at, role, ms):
         # What runs late while all is being started measures nothing yet.
         if self.begin and at > self.begin:
@@ -133,12 +184,18 @@
         failed.append(f"service {service:.3f}, at least {expect.service:g} was to be")
     if (lost := said["txns"]["lost"]) > expect.lost:
         failed.append(f"{lost} txns lost, {expect.lost} at the most were to be")
+    failed += bench.audit_failures()
+    if plan.rig.audit_s and bench.audit is None:
+        failed.append("the audit never ended")
     failed += [f"the rig itself: {fault}" for fault in faults]
     if figures.get("ready", plan.bank.proxies) < plan.bank.proxies:
         failed.append(f"{plan.bank.proxies - figures['ready']} proxies were never ready")
     late = {role: round(ms, 1) for role, ms in sorted(bench.late.items())}
     void = [f"{role} ran {ms:g} ms late, {plan.rig.late_ms:g} at the most" for role, ms in late.items() if ms > plan.rig.late_ms]
     broken = bool(failed) or any(said["rules"].values())
+    if bench.audit:
+        said["audit"] = {key: bench.audit[key] for key in ("current", "straggler", "unknown", "acts_after_bound", "reached")} | {
+            "causes": sorted(f"{row['name']}: {row['cause']}" for row in bench.audit["rows"] if row["cause"])}
     said |= {"plan": plan.name, "seed": seed, "late_ms": late, "failed": failed, "void": void, "figures": figures,
              "struck": {str(at): some for at, (some, _) in struck.items()},
              "evidence": [evidence(bench, *one) for one in bench.about[:5]],
--- a/sloeferry/standins/ledger.py
+++ b/sloeferry/standins/ledger.py
@@ -32,6 +32,7 @@
 
     def got(self, node, ident, body, now): pass
     def posted(self, node, zone, ident, since): pass
+    def acted(self, node, ident, said, now): pass        # the posting's own word of what it acts on
     def ran(self, node, ident, now): pass
     def worked(self, ms): pass
     def probed(self, node, work): pass
--- a/sloeferry/standins/nodes.py
+++ b/sloeferry/standins/nodes.py
@@ -218,6 +218,8 @@
         peer.busy, ident = True, fields.get(b"x-call-id")
         if ident is not None and self.judge.scheme(ident):
             self.judge.posted(self.ident, self.zone, ident, since)
+            if b"x-acted-on" in fields:
+                self.judge.acted(self.ident, ident, fields[b"x-acted-on"], self.loop.time())
             odds, late = self.way(ident)
             if odds and self.rng.random() < odds / 2:
                 return                   # lost on the way
--- a/sloeferry/versions/ledger.py
+++ b/sloeferry/versions/ledger.py
@@ -86,6 +86,12 @@
         if self.lists:
             self.lists[-1].act(now)
 
+    def acts_on(self, ref):
+        """What a posting of that txn, chosen now, acts on, in a header's words; short, for it goes with each."""
+        settings, listed = self.txns.get(ref, self.settings[-1]).version, self.lists[-1].version if self.lists else None
+        return f"settings={settings.generation}:{settings.digest}" + (
+            f";list={listed.incarnation}.{listed.revision}:{listed.digest}" if listed else "")
+
     # What is told
 
     def now_held(self, now):
--- a/sloeferry/versions/witness.py
+++ b/sloeferry/versions/witness.py
@@ -34,19 +34,28 @@
 class Witness:
     """`berth` is what the process started with."""
 
-    def __init__(self, facade, berth, desk):
+    def __init__(self, facade, berth, desk, carry=False):
         self.name, self.ledger = berth.name, Ledger(clock(), program())
         self.settled(berth, "start")
         facade.proxy.stages.all.append(self.ledger)
         post = facade.post
 
-        def posted(*order):
+        def posted(ref, *order):
             self.ledger.posted(clock())
-            post(*order)
+            if carry and (errand := facade.errands.get(ref)):
+                errand.acted = errand.acted or {}
+                errand.acted[errand.sent] = b"X-Acted-On: %b\r\n" % self.ledger.acts_on(ref).encode()
+            post(ref, *order)
         facade.post = posted             # this instance's alone: where nobody asks for it, no txn passes here
         desk.calls[b"/admin/versions"] = b"GET", self.versions
         desk.calls[b"/admin/acted"] = b"GET", self.acted
 
+    def brings_up(self, desk, discovery, renewal):
+        """Operators may have it ask for the list, and read its file, again."""
+        self.discovery, self.renewal = discovery, renewal
+        desk.calls[b"/admin/relist"] = b"POST", self.relist
+        desk.calls[b"/admin/reread"] = b"POST", self.reread
+
     # What the process hears
 
     def settled(self, berth, by):
@@ -66,6 +75,16 @@
     def versions(self, query):
         return 200, {"name": self.name, **self.ledger.now_held(clock())}
 
+    def relist(self, query):
+        self.discovery.again()
+        return 202, {"name": self.name}  # the list comes when discovery's turn for it does
+
+    def reread(self, query):
+        before = self.ledger.settings[-1]
+        self.renewal()
+        yes = self.ledger.settings[-1] is not before
+        return 200 if yes else 409, {"name": self.name, **self.ledger.now_held(clock())}
+
     def acted(self, query):
         """`since`: seconds back; all without it."""
         said = parse_qs(query.decode("latin-1")).get("since", ["inf"])[-1]
