--- a/sloeferry/__main__.py
+++ b/sloeferry/__main__.py
@@ -1,9 +1,14 @@
 """Wires the real proxy together and starts it: python -m sloeferry."""
+import signal
+
+early = []                               # SIGHUPs that came before anybody could act on them
+if __name__ == "__main__":               # first of all: until there is a handler the signal ends the process
+    signal.signal(signal.SIGHUP, lambda *_: early.append(True))
+
 import asyncio
 import gc
 import math
 import os
-import signal
 import sys
 
 import uvloop
@@ -134,6 +139,8 @@
             tasks.append(loop.create_task(handover.run()))
         for task in tasks:               # none of them ends by itself
             task.add_done_callback(lambda task: leave.set())
+        if early:                        # the file may be newer than what was read
+            renewal()
         settled(facade)
         clients.open()
         logger.info("{} listens on {}:{}", berth.name, *berth.listen)
--- a/sloeferry/rig/relay.py
+++ b/sloeferry/rig/relay.py
@@ -62,7 +62,9 @@
     async def dial(self):
         try:
             await self.link.loop.create_connection(lambda: End(self, False), *self.link.target)
-        except OSError:
+        except OSError:                  # nobody took what came here, though a connection stood
+            link = self.link
+            link.scribe.note(link.loop.time(), "refused", link.name)
             self.reset()
             return
         self.flush()
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -10,11 +10,12 @@
 import tempfile
 import types
 import unittest
+from unittest import mock
 
 from hypothesis import given, settings, strategies as st
 from loguru import logger
 
-from sloeferry import operators, terms
+from sloeferry import __main__ as start, operators, terms
 from sloeferry.versions.ledger import MOST, Ledger
 from sloeferry.versions.order import NEWER, OLDER, SAME, UNLIKE, List, Settings, compare, digest, of_files
 from sloeferry.versions.witness import shared
@@ -209,6 +210,24 @@
                 operators.read(pathlib.Path(folder, "none"))
         kept(self, lines, "versions_file")
 
+    def test_signal_at_start(self):
+        """A SIGHUP that comes while the program starts ends nothing, and the file is read once more."""
+        # Until there was a handler, some 0.2 s, it ended the process: the rig's drawn plan 19.
+        code = ("import runpy, signal, sys; sys.modules['uvloop'] = None\n"
+                "try: runpy.run_module('sloeferry', run_name='__main__')\n"
+                "except ImportError: print(signal.getsignal(signal.SIGHUP) == signal.SIG_DFL)")
+        self.assertEqual(subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True).stdout, "False\n")
+        with tempfile.TemporaryDirectory() as folder:
+            path, file = pathlib.Path(folder, "operator.toml"), pathlib.Path(folder, "config.json")
+            path.write_text("[versions]\ntell = true\n")
+
+            async def story(h):
+                said = await self.quiet(h)
+                h.say(f"generation {said['settings']['generation']} by {said['settings']['by']}, refused {len(said['refused'])}")
+            on = {"SLOEFERRY_OPERATOR": str(path), "BALANCER_CONFIG": str(file)}
+            with mock.patch.object(start, "early", [True]):
+                play(self, story, "versions_early", Harbour({"b": answer()}, ops=True, environ=on))
+
     def test_off(self):
         """What is off is not imported."""
         code = ("import sys, sloeferry.__main__ as m; m.operators_of({}); "
