Whoever finds no place after a standstill has waited as long as the others

Met on the way: who comes in may push out an idle client, so that counting from the former number of guests missed as many newcomers.

--- a/sloeferry/net/clients.py
+++ b/sloeferry/net/clients.py
@@ -334,6 +334,7 @@
         self.open_ids, self.lingering, self.passed = set(), 0, False
         self.lobby = Lobby(loop, facade, buffers)
         self.turn, self.late = f.clock(), 0.0    # when this loop last turned; for how long it just stood still, in ms
+        self.stalled = 0                 # so many more who wait outside may have come while this loop stood still
         self.crowd = None                # since when more wait outside than are let in in a row
         self.left = False                # it leaves, and who never asked has had his time
         self.inherited, self.listening = berth.inherited, False
@@ -440,14 +441,21 @@
             except OSError as fault:
                 self.seats.give()
                 if isinstance(fault, BlockingIOError):
-                    self.crowd = None
+                    self.crowd, self.stalled = None, 0
                 elif not isinstance(fault, ConnectionAbortedError):
                     warn("accept", "{}", fault)
                     self.pause()
                 return
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            Guest(self, sock).outside = self.crowd
+            guest = Guest(self, sock)
+            if not self.stalled:
+                guest.outside = self.crowd
+                continue
+            guest.waited = f.clock() - self.crowd
+            self.stalled -= 1
+            if not self.stalled:         # whoever stood outside then has been let in
+                self.crowd = f.clock()
         self.crowd = self.crowd or f.clock()
 
     def pause(self):
@@ -516,10 +524,13 @@
         for guest in self.guests:
             guest.waited = 0.0 if guest.busy or http1.quiet(guest.sock) else late
         if not self.duty.leaving:
-            before = len(self.guests)
+            before = dict(self.guests)   # not how many: who comes in may push out another who idles
             self.accept(BACKLOG)         # those who came meanwhile
-            for guest in list(self.guests)[before:]:
-                guest.waited = late
+            for guest in self.guests:
+                if guest not in before:
+                    guest.waited = late
+            if self.crowd is not None:   # there was no room for all: who is let in later has waited for as long, too
+                self.crowd, self.stalled = self.crowd - late, BACKLOG
 
     # The way out
 
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -377,6 +377,20 @@
             rules, texts = self.broken(told)
         self.assertIn("1", rules, texts)
 
+    def test_full_after_a_stop(self):
+        """Guards Clients.stalled: whoever found no place after a standstill is let in later, and has waited as long as the
+        others.  Taken for new it was sent on a second past its expiry."""
+        told, accept = s.read(HERE / "full.toml"), clients.Clients.accept
+
+        def forgets(door, *most):
+            door.stalled = 0
+            accept(door, *most)
+        self.assertEqual(self.broken(told), ({}, []))
+        with mock.patch.object(clients.Clients, "accept", forgets):
+            rules, texts = self.broken(told)
+        self.assertIn("1", rules, texts)
+        self.assertIn("past its expiry", texts[0])
+
     def test_untold(self):
         """A cold node falls over, whoever sent to it; rule 4 is broken by those who could know that it was cold."""
         told = s.read(HERE / "untold.toml")
