The rig holds postings' own word against what their proxy was told; a restarted proxy is given its own revision

With X-Acted-On nodes write down what each posting acts on: in plan `audit` none may act on a revision older than its proxy was told a moment before, but for one that was stopped or whose way to discovery was held.

The kit gave a proxy that starts again its old members under the newest revision, so that it was never told what it had missed; it gets the revision that it had.

--- a/sloeferry/rig/crew.py
+++ b/sloeferry/rig/crew.py
@@ -174,7 +174,7 @@
         self.text, self.plan, self.scenario, self.house, self.loop, self.port = text, plan, plan, house, house.loop, port
         self.proxies_wanted, self.nodes_wanted = proxies, nodes
         zones, folder = plan.network.zones, pathlib.Path(house.folder)
-        self.faults, self.made, self.sla, self.unread = [], 0, {}, {}
+        self.faults, self.made, self.sla, self.made_of = [], 0, {}, {}
         self.judge = Scribe(plan, house.seed, folder / "driver.jsonl", self.loop.time)
         self.places = [(f"p{at}", (spot(10, at), port), zones[at % len(zones)]) for at in range(plan.bank.proxies)]
         self.struck, self.links = {}, {}         # fault -> what it strikes; link -> where it listens, where it leads
@@ -191,7 +191,7 @@
 
     def draw(self):
         """Whom each fault strikes, and the links that takes, all from the seed."""
-        plan, count, listens = self.plan, sum(nodes.count for nodes in self.plan.nodes), 0
+        plan, count, turns = self.plan, sum(nodes.count for nodes in self.plan.nodes), {}
         for at, fault in enumerate(plan.fault):
             rng = self.house.rng(f"fault-{at}")
             some = fault.proxies or sorted(rng.sample(range(plan.bank.proxies), max(1, round(fault.part * plan.bank.proxies))))
@@ -201,28 +201,23 @@
                 for proxy in some:
                     for node in ends:
                         name = f"{fault.between}/{proxy}" + (f"/{node}" if node is not None else "")
-                        if name not in self.links:
-                            self.links[name] = fault.between, proxy, node, (spot(50 + listens // 60000, 0), 0)
-                            listens += 1
+                        if name not in self.links:       # one address a proxy for its links, a port each
+                            turn = turns[proxy] = turns.get(proxy, -1) + 1
+                            self.links[name] = fault.between, proxy, node, (spot(50, proxy), self.port + turn)
                         names.append(name)
             self.struck[at] = some, names
-        # One address a proxy for its links, a port each.
-        turns = {}
-        for name, (between, proxy, node, _) in self.links.items():
-            turn = turns[proxy] = turns.get(proxy, -1) + 1
-            self.links[name] = between, proxy, node, (spot(50, proxy), self.port + turn)
 
     def node(self, told, zone):
         at, self.made = self.made, self.made + 1
         node = Node(self, at, told, self.plan.nodes.index(told), zone)
-        self.unread[at] = node
+        self.made_of[at] = node
         return node
 
     def heard(self, said):
         if "up" in said:
-            self.unread[said["up"]].came.set_result(None)
+            self.made_of[said["up"]].came.set_result(None)
         elif "idle" in said:
-            self.unread[said["idle"]].works = False
+            self.made_of[said["idle"]].works = False
         elif "laid" in said:
             self.laid.set()
 
--- a/sloeferry/rig/verdict.py
+++ b/sloeferry/rig/verdict.py
@@ -20,7 +20,7 @@
         super().__post_init__()
         self.entered, self.apart, self.hows, self.crossed = {}, defaultdict(list), {}, set()
         self.after, self.unfed, self.deferred = {}, defaultdict(list), []
-        self.audit, self.auditing, self.acts, self.acted_on = None, None, defaultdict(int), []
+        self.audit, self.auditing, self.history, self.old = None, None, defaultdict(list), []
         self.late, self.by_ident, self.about, self.lists = defaultdict(float), defaultdict(list), [], {}
 
     def breach(self, rule, now, text):
@@ -120,6 +120,9 @@
 
     def on_listed(self, at, proxy, revision):
         self.lists[proxy] = revision, at
+        if self.history[proxy] and revision < self.history[proxy][-1][1]:
+            self.history[proxy].clear()  # another count, or another replica: what came before says nothing of it
+        self.history[proxy].append((at, revision))
 
     def on_published(self, at, node, phase):
         self.published(node, phase, at)
@@ -150,10 +153,14 @@
         self.unfed[proxy].append((at, until))
 
     def on_acted(self, at, node, ident, said):
+        """The posting's own word, as a node saw it: it acts on nothing older than its proxy was told a moment before."""
         proxy = self.tries[ident.encode()].proxy
-        listed = said.partition("list=")[2].partition(":")[0]
-        self.acts[proxy, listed] += 1
-        self.acted_on.append((at, proxy, int(listed.partition(".")[2] or -1)))
+        incarnation, _, revision = said.partition("list=")[2].partition(":")[0].partition(".")
+        told = max((told for when, told in self.history[proxy] if when < at - MOMENT), default=0)
+        kept = [*self.stops.get(proxy, ()), *self.unfed[proxy]]
+        if incarnation == "1" and int(revision) < told and not any(
+                since - MOMENT <= at <= until + MOMENT for since, until in kept):
+            self.old.append(f"{ident} was posted to {node} by {proxy} on revision {revision}, told of {told} before")
 
     def audit_failures(self):
         """Where the audit's word and the records contradict each other."""
@@ -205,7 +212,7 @@
         failed.append(f"service {service:.3f}, at least {expect.service:g} was to be")
     if (lost := said["txns"]["lost"]) > expect.lost:
         failed.append(f"{lost} txns lost, {expect.lost} at the most were to be")
-    failed += bench.audit_failures()
+    failed += bench.audit_failures() + bench.old[:5]
     if plan.rig.audit_s and bench.audit is None:
         failed.append("the audit never ended")
     failed += [f"the rig itself: {fault}" for fault in faults]
--- a/sloeferry/standins/roster.py
+++ b/sloeferry/standins/roster.py
@@ -16,7 +16,7 @@
         self.loop, self.told, self.addresses, self.judge, self.rng, self.unix = loop, told, addresses, judge, rng, unix
         self.members, self.changes, self.revision = {}, [], 0      # changes: (revision, ident)
         self.servers, self.watches, self.free, self.more = [], {}, 0.0, 0.0
-        self.lists = {}                  # proxy -> the list as it was last told
+        self.lists, self.held = {}, {}   # proxy -> the list as it was last told, and its revision
         self.log, self.views = [], {}    # all that was ever published; proxy -> what it is shown instead of the newest
         self.ways = {}                   # proxy, node -> host:port of the way between them, where it is not the node's own
 
@@ -110,6 +110,7 @@
             document = document | {"members": [
                 entry | {"host_port": self.ways.get((proxy, entry["id"]), entry["host_port"])}
                 for entry in document["members"]]}
+        self.held[proxy] = document["revision"]
         self.judge.listed(proxy, document["revision"], now)
         if document["complete"]:
             named = {member["id"] for member in document["members"]}
@@ -127,7 +128,8 @@
         """What a proxy that starts again is given: the list as it last had it."""
         if proxy not in self.lists:
             return {}
-        return {"revision": self.revision, "complete": True, "members": list(self.lists[proxy].values())}
+        # With the revision that it had: with the newest it would never be told what it missed.
+        return {"revision": self.held[proxy], "complete": True, "members": list(self.lists[proxy].values())}
 
 
 class Call(asyncio.Protocol):
