--- a/sloeferry/core/decide.py
+++ b/sloeferry/core/decide.py
@@ -16,8 +16,8 @@
 from sloeferry.core import ports
 from sloeferry.core.histogram import Histogram
 from sloeferry.core.keys import Keys
-from sloeferry.core.records import (BLAMELESS, BOUNDS, OUT, Backend, Curve, Make, Posting, Prompt, Scheme, Txn,
-                               compare)
+from sloeferry.core.records import (BLAMELESS, BOUNDS, OUT, Backend, Curve, Make, Posting, Prompt, Scheme,
+                                    Txn, compare)
 from sloeferry.core.stages import Stages
 from sloeferry.core.timers import Timers
 
