Read over: one watch over lateness, one bound, one writer of records

The driver and the hands each had the same look at how late they run: Scribe.beat does it for both. The six seconds after which acts count stood in the rig and in the fleet's verbs: fleet.audit.BOUND. The rig's verb wrote records as the rehearsal's does: both call keep. The curve of a change no longer loops over one element to hold a condition.

--- a/sloeferry/fleet/audit.py
+++ b/sloeferry/fleet/audit.py
@@ -6,6 +6,7 @@
 """
 from sloeferry.fleet.ask import Unknown
 
+BOUND = 6000.0                           # ms after which what discovery has to tell counts as told
 CUT = 5000.0                             # ms without a word from discovery, whose watches say something every 2 s
 # Why nothing is known of one, by how its call ended.
 UNKNOWN = {"down": "nobody listens there", "silent": "its machine does not answer", "hung": "stopped, or hung",
@@ -60,9 +61,8 @@
     for what, key, wanted in (("settings", "digest", settings), ("lists", "revision", revision)):
         age, late = ages["settings" if what == "settings" else "list"], []
         for _, answer in pairs:
-            if not isinstance(answer, Unknown):
-                late += [age - max(e["heard_ms"] for e in answer[1][what] if e[key] == wanted)
-                         for _ in (1,) if any(e[key] == wanted for e in answer[1][what])]
+            heard = [] if isinstance(answer, Unknown) else [e["heard_ms"] for e in answer[1][what] if e[key] == wanted]
+            late += [age - max(heard)] if heard else []
         late.sort()
         said[what] = {f"{part}%": round(late[need - 1], 1) if (need := -(-len(pairs) * part // 100)) <= len(late) else None
                       for part in (50, 90, 99, 100)}
--- a/sloeferry/fleet/cli.py
+++ b/sloeferry/fleet/cli.py
@@ -9,10 +9,9 @@
 from sloeferry.faults import Unusable
 from sloeferry.fleet import roll as r
 from sloeferry.fleet.ask import ask_all
-from sloeferry.fleet.audit import audit as audited
+from sloeferry.fleet.audit import BOUND, audit as audited
 from sloeferry.fleet.bring_up import bring_up
 
-BOUND = 6.0                              # seconds until what discovery has to tell counts as told
 OLD = 86400.0 * 366                      # seconds: whatever lies further back is a wrong number
 
 
@@ -65,7 +64,7 @@
     @fleet.command(name, help=about)
     @click.option("--fleet", "path", required=True, metavar="FILE", help="TOML: [[proxy]] name and at; discovery.")
     @click.option("--since", type=float, metavar="SECONDS", help="Acts of so long back; all that is kept without it.")
-    @click.option("--bound", type=click.FloatRange(0), default=BOUND, show_default=True,
+    @click.option("--bound", type=click.FloatRange(0), default=BOUND / 1000, show_default=True,
                   help="Seconds after a change from which acts on the version before count.")
     @click.option("--json", "as_json", is_flag=True)
     def command(path, since, bound, as_json):
@@ -84,7 +83,7 @@
 @click.option("--json", "as_json", is_flag=True)
 def bring(path, pace, patience, seed, as_json):
     """Has stragglers ask for the list, or read their file, again.  Exit as of an audit afterwards."""
-    said = asyncio.run(bring_up(r.read(path), pace, patience, BOUND * 1000, seed,
+    said = asyncio.run(bring_up(r.read(path), pace, patience, BOUND, seed,
                                 lambda text: click.echo(text, err=True)))
     click.echo(json.dumps(said, indent=1) if as_json else table(said, False))
     sys.exit(said["exit"])
--- a/sloeferry/rehearsal/cli.py
+++ b/sloeferry/rehearsal/cli.py
@@ -55,6 +55,15 @@
     return "\n".join(lines)
 
 
+def keep(record, text):
+    """Writes a record where one is wanted."""
+    if record:
+        try:
+            record.write_text(text)
+        except OSError as fault:
+            raise s.Fault(f"--record: {record} can't be written: {fault.strerror}") from None
+
+
 @rehearse.command("run")
 @click.argument("scenario")
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
@@ -83,11 +92,7 @@
         said = play(told, seed, policy, progress(told.name), show, chance)
     clear()
     text = json.dumps(said, indent=1, sort_keys=True) + "\n"
-    if record:
-        try:
-            record.write_text(text)
-        except OSError as fault:
-            raise s.Fault(f"--record: {record} can't be written: {fault.strerror}") from None
+    keep(record, text)
     click.echo(text if as_json else short(said), nl=not as_json)
     sys.exit(0 if not any(said["rules"].values()) and not said["faults"] else 1)
 
--- a/sloeferry/rig/cli.py
+++ b/sloeferry/rig/cli.py
@@ -9,6 +9,7 @@
 import click
 
 from sloeferry.rehearsal import scenario as s
+from sloeferry.rehearsal.cli import keep, short as told_short
 from sloeferry.rig import plan as p
 
 MEMORY = "/dev/shm"
@@ -60,7 +61,6 @@
     if record and not record.parent.is_dir():
         raise s.Fault(f"--record: {record.parent} is no folder")
     if virtual:
-        from sloeferry.rehearsal.cli import short as told_short
         from sloeferry.rehearsal.play import play as play_virtual
         if plant:
             raise s.Fault("--plant: for real processes alone")
@@ -73,11 +73,7 @@
         said = play_real(p.text(plan), told, seed, proxies, nodes, plant, keep_logs)
         text, broken = short(said), said["verdict"] == "broken"
     whole = json.dumps(said, indent=1, sort_keys=True) + "\n"
-    if record:
-        try:
-            record.write_text(whole)
-        except OSError as fault:
-            raise s.Fault(f"--record: {record} can't be written: {fault.strerror}") from None
+    keep(record, whole)
     click.echo(whole if as_json else text, nl=not as_json)
     sys.exit(1 if broken else 3 if said.get("verdict") == "void" else 0)
 
--- a/sloeferry/rig/crew.py
+++ b/sloeferry/rig/crew.py
@@ -11,24 +11,22 @@
 import signal
 import socket
 import sys
-from asyncio.subprocess import DEVNULL, PIPE
+from asyncio.subprocess import PIPE
 
 import uvloop
 
 from sloeferry.fleet.ask import ask_all
-from sloeferry.fleet.audit import audit
+from sloeferry.fleet.audit import BOUND, audit
 from sloeferry.fleet.roll import Proxy, Roll
 from sloeferry.rehearsal import live
 from sloeferry.rehearsal.bank import READY, Bank, expand, spot
 from sloeferry.rehearsal.troubles import Troubles
 from sloeferry.rig import plan as p
-from sloeferry.rig.hands import BEAT
 from sloeferry.rig.scribe import Scribe
 from sloeferry.standins import processes
 from sloeferry.standins.callers import OPS, Front
 from sloeferry.standins.roster import Roster
 
-BOUND = 6000.0                           # ms after which acts on an old version count
 GROUND = 12000, 32000, 2500              # ports: from, to, and how many a play may take
 ROOT = str(pathlib.Path(__file__).resolve().parents[2])
 
@@ -403,12 +401,7 @@
         gc.set_threshold(50000, 20, 50)
         began = loop.time() + 0.2
         crew.begin(began)
-
-        def beat(due):
-            if (late := loop.time() - due) > BEAT:
-                crew.judge.note(loop.time(), "late", "driver", late * 1000)
-            loop.call_later(BEAT, beat, loop.time() + BEAT)
-        beat(loop.time())
+        crew.judge.beat(loop, "driver")
         last, used = began + plan.seconds, {}
         while loop.time() < last or crew.busy() and loop.time() < last + crew.longest():
             await asyncio.sleep(0.25)
--- a/sloeferry/rig/hands.py
+++ b/sloeferry/rig/hands.py
@@ -14,12 +14,10 @@
 
 from sloeferry.rig import plan as p
 from sloeferry.rig.relay import Link
-from sloeferry.rig.scribe import Scribe
+from sloeferry.rig.scribe import BEAT, Scribe
 from sloeferry.standins.callers import Callers, Front
 from sloeferry.standins.nodes import Memory, Node
 
-BEAT = 0.02                              # seconds between two looks at how late this process runs
-
 
 def say(**what):
     sys.stdout.write(json.dumps(what) + "\n")
@@ -159,13 +157,7 @@
     await hand.open()
     gc.freeze()
     gc.set_threshold(50000, 20, 50)      # a look at all that is kept takes longer than what is measured
-
-    def beat(due):
-        late = loop.time() - due
-        if late > BEAT:
-            scribe.note(loop.time(), "late", told["role"], late * 1000)
-        loop.call_later(BEAT, beat, loop.time() + BEAT)
-    beat(loop.time())
+    scribe.beat(loop, told["role"])
     await loop.connect_read_pipe(lambda: Orders(hand), sys.stdin)
     say(ready=told["role"])
     await hand.over.wait()
--- a/sloeferry/rig/scribe.py
+++ b/sloeferry/rig/scribe.py
@@ -13,6 +13,7 @@
 from sloeferry.standins.frames import content
 from sloeferry.standins.ledger import Ledger
 
+BEAT = 0.02                              # seconds between two looks at how late a process runs
 encode = msgspec.json.encode
 
 
@@ -26,6 +27,12 @@
         # A loop's own time is that of its pass, in whole ms: what comes first is told by the machine's clock.
         self.file.write(encode((monotonic(), at, what, *more)) + b"\n")
 
+    def beat(self, loop, role, due=None):
+        """Writes down how late this process runs, whenever it does, from now on."""
+        if due is not None and (late := loop.time() - due) > BEAT:
+            self.note(loop.time(), "late", role, late * 1000)
+        loop.call_later(BEAT, self.beat, loop, role, loop.time() + BEAT)
+
     def close(self):
         self.file.close()
 
