Nothing is sent on for a client who has left: looked at before each first byte

Cause: only the look of every 10 ms asked whether a client was there, of a txn already taken, by peeking one byte: whoever closed behind a further byte passed for present (http1.gone), and what waited in the lobby, behind the listener, read ahead, half come, during a dial or between two postings went out before any look. Facade.goes_on asks now right before the first byte, by POLLRDHUP (machine.ended), which tells the end whatever lies unread; the look of every 10 ms asks the same.

Found beside it, each with a test that fails on: - Guest.end cancelled its task without a word to the decisions: a posting ordered and not begun stayed out for ever, its backend looked fuller by one for good, its id stayed open (errands 1, txns 1, open ids 1, out 1). - A client that left unseen and came again under the same id got 409. - The end of half a request's time cancelled whatever its task waited for, a 100 Continue in the middle too. - An answer whose connection closes was followed by a close over unread bytes, which resets it: 900 KB were cut off. - SIGTERM with a full table: who had connected and asked was reset with the listener. The listener also closed at 0.4 s sharp, when the last of the protocol's 0.4 s may still be on its way: 0.45 s. - A backend listed elsewhere while it was dialled was still written to at its former address. - SIGHUP between a head and its last byte: a request without a key was taken under a scheme that had become referenced meanwhile, and might have been posted twice with nothing to tell a repeat by. It is turned away unsent. Checked and in order: two cancels in one turn, an answer there as its posting is given up (crossing_cancels passes on both).

--- a/sloeferry/core/facade.py
+++ b/sloeferry/core/facade.py
@@ -38,6 +38,7 @@
         self.waiter = self.relief = None
         self.acted = None                # where postings say what they act on: for each, as a header's line
         self.abandoned = False           # its client's connection has ended
+        self.gone = None                 # tells whether its client has left, where it has one
 
     def order(self, *what):
         self.orders.append(what)
@@ -141,18 +142,32 @@
             self.finish(errand, LEAVE)
             self.proxy.left(clock(), errand.ref)
 
+    def abandon(self, errand):
+        """Nobody carries out its orders any more: its client's connection ends from this side, and with it what was
+        ordered and not begun.  Such a posting would count as out for ever."""
+        errand.abandoned = True
+        self.report_left(errand)
+        links = [what[0].link for order, *what in errand.orders if order == SETTLE and what[0].link]
+        for order, *what in list(errand.orders):
+            if order == POST:
+                self.report(errand, what[0], NOTHING, VOID, 0.0)
+        errand.orders.clear()
+        return links
+
     def report_probe(self, backend, reached, why, took, load=()):
         self.proxy.probed(clock(), backend, outcome(reached, why), took, load)
 
-    def report_list(self, whole, lines, cached=False, news=()):
+    def report_list(self, whole, lines, cached=False, news=(), ours=True):
         """A list: (backend, zone, kind, cell, standing, share, started in Unix time), all or what changed; `news` are
-        those whose start was told just as it was listed."""
+        those whose start was told just as it was listed; not `ours`: a former watch told it, and the call for
+        another goes on."""
         lines = [(ident, zone, kind, cell, STANDINGS[standing], share, self.launched(ident, started, ident in news))
                  for ident, zone, kind, cell, standing, share, started in lines]
         for line in lines:
             if line[4] == ports.GONE:
                 self.starts.pop(line[0], None)
-        self.proxy.listed(clock(), ports.CACHED if cached else ports.WHOLE if whole else ports.CHANGES, lines)
+        heard = self.proxy.listed if ours else self.proxy.board.listed
+        heard(clock(), ports.CACHED if cached else ports.WHOLE if whole else ports.CHANGES, lines)
 
     def launched(self, ident, started, news):
         """When a backend started, on this clock.  The wall clock here may be hours off: nothing has started later than
@@ -170,6 +185,10 @@
         """A watch that was asked for, or stood, has failed."""
         self.proxy.listed(clock(), ports.FAILED, ())
 
+    def report_silent(self, by):
+        """A watch fell silent: what it missed counts as told `by` that time, ms of this clock."""
+        self.proxy.discovery.deem(by)
+
     def turned(self):
         """This loop turns, which it says again and again.  After it stood still (stopped, starved) a list may lie
         unread that counts as told when it was written (rule 3): until it is read, a task, nothing is sent."""
@@ -183,6 +202,14 @@
     def caught_up(self, task):
         self.catching = None
 
+    def goes_on(self, errand, backend):
+        """Whether a posting may still begin: asked right before its first byte, whatever the txn has waited for since
+        it came (the door, a body, a dial, a failed posting).  The one place that sees to it that nothing is sent on
+        for a client who has left."""
+        if not errand.over and errand.gone and errand.gone():
+            self.report_left(errand)
+        return not errand.over and self.stands(backend)
+
     def stands(self, backend):
         """Rule 3, once more before the first byte: a dial takes time, and the list may have changed."""
         known = self.proxy.board.all.get(backend)
--- a/sloeferry/machine.py
+++ b/sloeferry/machine.py
@@ -11,6 +11,16 @@
 epoll = select.epoll
 
 
+def ended(sock):
+    """Whether the other side has ended its sending or the connection, whatever of what it sent lies unread: behind
+    unread bytes a look at what may be read shows no end.  Linux tells it (poll(2), POLLRDHUP)."""
+    if sock.fileno() < 0:
+        return True
+    look = select.poll()
+    look.register(sock, select.POLLRDHUP)
+    return bool(look.poll(0))
+
+
 def tcp():
     """A new TCP socket that never blocks."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -31,7 +41,7 @@
 
 def stand_in(**ours):
     """For a rehearsal alone: its own in the place of these; what stood there before."""
-    if unknown := set(ours) - {"monotonic", "unix", "epoll", "tcp", "inherited"}:
+    if unknown := set(ours) - {"monotonic", "unix", "epoll", "tcp", "inherited", "ended"}:
         raise ValueError(f"no part of the machine: {sorted(unknown)}")
     before = {name: globals()[name] for name in ours}
     globals().update(ours)
--- a/sloeferry/net/backends.py
+++ b/sloeferry/net/backends.py
@@ -155,7 +155,8 @@
                 return Ended(f.NOTHING, link)
             while catching := self.facade.turned():
                 await asyncio.wait([catching])
-            if f.clock() >= until or not wanted():
+            # What stood when the dial began may have moved since, and its address be another's by now.
+            if f.clock() >= until or self.addresses.get(ident) != link.address or not wanted():
                 why = f.VOID
             else:
                 reached = f.PART
@@ -228,7 +229,7 @@
             return b"%b%bX-Budget-Ms: %d\r\n\r\n%b" % (opening, acted, max(1, errand.ends - f.clock()), start)
 
         def wanted():
-            return not errand.over and self.facade.stands(ident) and (not upload or upload.claim(seq))
+            return self.facade.goes_on(errand, ident) and (not upload or upload.claim(seq))
         ended = await self.exchange(ident, errand.ends, wanted, write, upload, seq)
         if upload and not upload.bound:
             upload.release(seq)          # it is all there still: another may have it
@@ -252,14 +253,6 @@
             answer.link.close()
         return relieved
 
-    @staticmethod
-    def abandon(errand):
-        """Nobody is left to whom its answer could be passed on: one that is under way holds a connection."""
-        errand.abandoned = True
-        for order, *what in errand.orders:
-            if order == f.SETTLE and what[0].link:
-                what[0].link.close()
-
     async def probes(self):
         while True:
             _, ident = await self.facade.pick(self.facade.probing)
--- a/sloeferry/net/clients.py
+++ b/sloeferry/net/clients.py
@@ -20,7 +20,8 @@
 OVERDUE, LOOK = 30.0, 0.01               # ms past a txn's expiry, when its answer waits for no decision; how often
 LINGER, AT_MOST = 0.5, 16                # seconds that a refused sender has to read why, while so many reads last
 STALE = 0.2                              # seconds after which a quarter of the seats being idle is too many
-STILL_COMING, LAST = 0.4, 0.2            # seconds after SIGTERM: for connections, then for what they ask
+# Seconds after SIGTERM: for connections (0.4 and the slack, protocol: the last is still on its way), then for what they ask.
+STILL_COMING, LAST = 0.45, 0.2
 BACKLOG, AT_ONCE = 1024, 16              # connections: that wait outside, that are let in in a row
 PASSES = 3                               # of the loop: until what was there to be read is read
 PAUSE = 0.01                             # seconds until a full table is tried again
@@ -45,6 +46,7 @@
                                glance=self.glance)
         self.errand, self.busy, self.fresh, self.ended, self.barred = None, False, True, False, 0.0
         self.sending, self.enrolled, self.overdue, self.waited = None, False, False, 0.0
+        self.reading, self.lingered, self.ident = False, False, None     # ident: of its open txn
         self.outside = None              # since when it may have waited, with others, to be let in
         self.since = machine.monotonic()         # it connected, was answered, or began to ask again
         self.upload = self.download = self.pulling = None        # a body on its way; since when it is waited for
@@ -59,6 +61,8 @@
                 keep = await self.reply(carried[1], await self.carry(*carried))
             while keep:
                 keep = await self.one()
+            if keep is False and self.wire.fault != http1.CLOSED and not http1.quiet(self.sock):
+                await self.linger()      # it has sent more than was answered
         except OSError:                  # the client has gone, or takes nothing more
             keep = False
         except Exception as fault:       # exceptions stop here: this connection ends, no other
@@ -83,12 +87,15 @@
                     self.clients.seats.wake(self)
                     continue
             try:
+                self.reading = True
                 came = await wire.fill()
             except asyncio.CancelledError:
-                if not self.overdue:
+                if not self.overdue or self.ended:
                     raise
                 self.task.uncancel()
                 came = wire.fault = http1.OVERDUE
+            finally:
+                self.reading = False
             self.clients.seats.wake(self)        # something came, if not a whole request: not idle
             if not wire.whole:           # its last byte is yet to come, and its time runs from that
                 self.outside = None
@@ -208,42 +215,57 @@
         if message.asks is None:         # /ready
             return 200 if self.clients.duty.ready() else 503, b"", ()
         ident = message.header(b"x-call-id")
-        if ident in self.clients.open_ids:       # another txn's: backends and clients would take one for the other
-            return 409, b"", ()
-        self.clients.open_ids.add(ident)
+        if other := self.clients.open_ids.get(ident):
+            if not other.gone():         # another txn's: backends and clients would take one for the other
+                return 409, b"", ()
+            self.clients.facade.report_left(other.errand)        # its client comes again, and nobody had seen it leave
+        self.clients.open_ids[ident], self.ident = self, ident
         try:
             errand = self.errand = self.clients.taken(message, waited)
         except Exception as fault:
-            return self.failed(ident, fault)
+            return self.failed(fault)
+        errand.gone = self.gone
         opening = http1.opening(message.method, message.url, message.passed_on(OURS),
                                 message.size if message.done else message.length)
         self.upload = None if message.done else Upload(self, message, self.clients.facade, errand)
         return await self.carry(errand, message, opening, {})
 
-    def failed(self, ident, fault):
+    def failed(self, fault):
         # In a few words: a stall brings many at once, and their stacks would make it longer.
         warn("txn", "failed: {!r}", fault)
-        if self.errand:
-            self.clients.facade.report_left(self.errand)
-        self.errand = None
-        self.clients.open_ids.discard(ident)
+        self.drop()
         return 504, b"", ()
 
+    def gone(self):
+        """Whether the client has left, by what the machine knows now."""
+        return self.ended or machine.ended(self.sock)
+
+    def let_go(self):
+        """Its txn, if it had one, is none of this connection's any more."""
+        errand, self.errand = self.errand, None
+        if self.clients.open_ids.get(self.ident) is self:        # else another has come under that id
+            del self.clients.open_ids[self.ident]
+        return errand
+
+    def drop(self):
+        """Nobody is left who waits for its txn: what was ordered for it ends here, what is out runs to its end."""
+        if errand := self.let_go():
+            for answer in self.clients.facade.abandon(errand):
+                if answer.link:
+                    answer.link.close()
+
     async def carry(self, errand, message, opening, out):
         """One txn to its end; None if another task has taken it over meanwhile."""
-        said, ident = None, message.header(b"x-call-id")
+        said = None
         try:
             said = await self.txn(errand, message, opening, out)
         except Exception as fault:
-            return self.failed(ident, fault)
+            return self.failed(fault)
         except BaseException:            # the connection ends, and with it what it asked
-            self.errand = None
-            self.clients.open_ids.discard(ident)
-            self.clients.backends.abandon(errand)
+            self.drop()
             raise
         if said is not None:
-            self.errand = None
-            self.clients.open_ids.discard(ident)
+            self.let_go()
         return said
 
     def relieve(self, *carried):
@@ -287,17 +309,18 @@
 
     def hurry(self):
         """Half a request, and its time is over.  It is told so: closed without a word, one whose last byte is on
-        its way would be lost (rule 1)."""
-        if not self.overdue:
+        its way would be lost (rule 1).  Only where it waits to read: cancelled while it writes, an answer of its own
+        would break off half way."""
+        if self.reading and not self.overdue:
             self.overdue = True
             self.task.cancel()
 
     async def linger(self):
         """Closed over unread bytes, a socket resets, and the answer is lost with it.  Few at a time do so, and
         not for long: they hold seats, and one with 60 MB to send would take the time of all others."""
-        if self.clients.lingering >= self.clients.seats.most // 8:
+        if self.lingered or self.clients.lingering >= self.clients.seats.most // 8:
             return
-        self.clients.lingering += 1
+        self.lingered, self.clients.lingering = True, self.clients.lingering + 1
         buffer = self.clients.buffers.take()
         try:
             self.sock.shutdown(socket.SHUT_WR)
@@ -314,9 +337,14 @@
         if self.ended:
             return
         self.ended = True
-        if asyncio.current_task() is not self.task:
+        current, carries = asyncio.current_task(), self.errand and self.errand.relief
+        if carries:                      # its task is out with its posting, and would take a cancel for a word to that
+            self.errand.relief = None
+            self.clients.backends.adopt(self.task)
+        elif current is not self.task:
             self.task.cancel()
-        if self.upload and self.upload.task not in (None, self.task, asyncio.current_task()):
+        self.drop()
+        if self.upload and self.upload.task not in (None, current, None if carries else self.task):
             self.upload.task.cancel()    # it reads from the connection that ends
         self.clients.guests.pop(self, None)
         if self.enrolled:
@@ -331,7 +359,7 @@
     def __init__(self, loop, facade, berth, seats, buffers, backends, duty):
         self.loop, self.facade, self.seats, self.buffers = loop, facade, seats, buffers
         self.backends, self.duty, self.guests = backends, duty, {}
-        self.open_ids, self.lingering, self.passed = set(), 0, False
+        self.open_ids, self.lingering, self.passed = {}, 0, False        # open_ids: whose each is
         self.lobby = Lobby(loop, facade, buffers)
         self.turn, self.late = f.clock(), 0.0    # when this loop last turned; for how long it just stood still, in ms
         self.stalled = 0                 # so many more who wait outside may have come while this loop stood still
@@ -348,6 +376,13 @@
         self.keyed = {at for at in self.schemes.values() if berth.terms[f"schemes.{at}.idempotency"] == "referenced"}
         self.warm_keys = berth.terms["family_info.warm_keys"]
         self.expiry = {at: berth.terms[f"schemes.{at}.expiry"] for at in self.schemes.values()}
+        # Heads that were read under the former settings and are not taken yet: a scheme may be gone, or want a key
+        # that the client had no cause to send.  Turned away unsent, it may ask anew (rule 2).
+        for guest in self.guests:
+            for message in (*guest.wire.whole, guest.wire.message):
+                begun = guest.wire.begun and not message.flows
+                if message.asks and (begun or message in guest.wire.whole) and not self.wanted(message):
+                    message.barred = message.asks[2] if berth.terms["limits.retry_after"] else 0.0
 
     def figures(self):
         """What operators are told beside the state."""
@@ -429,23 +464,25 @@
             self.sock.close()
 
     def accept(self, most=AT_ONCE):
-        """Those for whom there is no seat wait outside.  Of a crowd the last may have asked long before they are let
+        """Those for whom there is no seat wait outside; whether nobody does any more.  Of a crowd the last may have asked long before they are let
         in, and their clients' time runs from then (rule 1): a request that is there with its connection counts as
         waiting since the crowd was first met."""
         for _ in range(most):
             if not self.seats.take():
                 self.crowd = self.crowd or f.clock()
-                return self.pause()
+                self.pause()
+                return False
             try:
                 sock, _ = self.sock.accept()
             except OSError as fault:
                 self.seats.give()
                 if isinstance(fault, BlockingIOError):
                     self.crowd, self.stalled = None, 0
+                    return True
                 elif not isinstance(fault, ConnectionAbortedError):
                     warn("accept", "{}", fault)
                     self.pause()
-                return
+                return False
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             guest = Guest(self, sock)
@@ -457,6 +494,7 @@
             if not self.stalled:         # whoever stood outside then has been let in
                 self.crowd = f.clock()
         self.crowd = self.crowd or f.clock()
+        return False
 
     def pause(self):
         self.hush()
@@ -498,7 +536,7 @@
                     if now > guest.errand.ends + OVERDUE:
                         warn("txn", "no answer decided in time")
                         self.facade.report_left(guest.errand)
-                    elif http1.gone(guest.sock):
+                    elif guest.gone():
                         self.facade.report_left(guest.errand)
 
     def turned(self):
@@ -558,8 +596,12 @@
             self.hush()                  # whoever connects now is the other process's
         self.nudge()
         await asyncio.sleep(STILL_COMING)
-        if self.duty.accepts():
-            self.accept(BACKLOG)         # what the machine has accepted and nobody has fetched yet
+        # What the machine has accepted and nobody has fetched yet is reset with the listener: with a full table it
+        # waits for seats, for as long as any of it can be in time.
+        until = machine.monotonic() + max(self.expiry.values()) / 1000
+        while self.duty.accepts() and not self.accept(BACKLOG) and machine.monotonic() < until:
+            self.nudge()
+            await asyncio.sleep(PAUSE)
         self.shut()
         await asyncio.sleep(LAST)
         self.left = True
--- a/sloeferry/net/http1.py
+++ b/sloeferry/net/http1.py
@@ -211,16 +211,6 @@
         return self.fault
 
 
-def gone(sock):
-    """Whether the other side has closed, and nothing is left to be read from it."""
-    try:
-        return not sock.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-
-
 def quiet(sock):
     """Whether a socket stands and there is nothing to be read from it: no bytes and no end."""
     try:
--- a/sloeferry/rehearsal/play.py
+++ b/sloeferry/rehearsal/play.py
@@ -130,7 +130,8 @@
         logger.remove()
         logger.add(log, level="INFO", format="{message}", catch=False)
         real = machine.stand_in(monotonic=world.monotonic, unix=world.unix, tcp=house.net.sock,
-                                epoll=lambda: Epoll(house.net))
+                                epoll=lambda: Epoll(house.net),
+                                ended=lambda sock: sock.closed or sock.eof or bool(sock.fault))
         try:
             bank = Bank(scenario, house)
             house.loop.create_task(bank.open())
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,429 @@
+"""Two events that cross: each order is forced by what a peer has seen or by a hook at the await in question, none by
+waiting for a while.  `docs/crossings.md` names the pair of each test."""
+import asyncio
+import contextlib
+import json
+import os
+import select
+import signal
+import socket
+import tempfile
+import types
+import unittest
+from unittest import mock
+
+from loguru import logger
+
+from sloeferry import __main__ as start, terms
+from sloeferry.net import backends, clients, http1
+from sloeferry.net.buffers import Buffers, Seats
+from tests.trace import Harbour, answer, play
+
+NEVER = 3600.0                           # seconds: of a look that is not to come in a test
+
+
+def left(sock):
+    """Whether the machine knows that the other side has ended its sending."""
+    look = select.poll()
+    look.register(sock, select.POLLRDHUP)
+    return bool(look.poll(0))
+
+
+async def until(true):
+    while not true():
+        await asyncio.sleep(0.001)
+
+
+class Opened(Harbour):
+    """A harbour whose proxy's parts can be reached; its backends write down each head as it comes."""
+
+    async def __aenter__(self):
+        def kept(name, part):
+            def make(*what, **more):
+                made = part(*what, **more)
+                setattr(self, name, made)
+                return made
+            return make
+        with contextlib.ExitStack() as stack:
+            for name in ("Clients", "Backends", "Discovery", "Facade"):
+                stack.enter_context(mock.patch(f"sloeferry.__main__.{name}", kept(name.lower(), getattr(start, name))))
+            return await super().__aenter__()
+
+    def head(self, ident="c0", scheme="safe", more="", size=0):
+        return (f"POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: {ident}\r\nX-Call-Class: {scheme}\r\nX-Caller: acme\r\n"
+                f"X-Budget-Ms: {self.expiry}\r\nContent-Length: {size}\r\n{more}\r\n").encode()
+
+    async def sent(self, data):
+        """A client that has sent this: its socket, and its guest once it is let in."""
+        sock = socket.create_connection(("127.0.0.1", self.port))
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_sendall(sock, data)
+        name = sock.getsockname()
+
+        def guest():
+            return next((one for one in self.clients.guests if one.sock.getpeername() == name), None)
+        return sock, guest
+
+    def figures(self):
+        """What may be left behind of a txn."""
+        own = {b.ident: b.own for b in self.facade.proxy.board.all.values()}
+        return (f"errands {len(self.facade.errands)}, txns {len(self.facade.proxy.ledger.txns)}, open ids "
+                f"{len(self.clients.open_ids)}, out {own}")
+
+
+class Crossing(unittest.TestCase):
+    def setUp(self):
+        logger.remove()
+
+
+class Gate:
+    """A hook that holds whoever comes to it until it is opened; `held` says that somebody is there."""
+
+    def __init__(self):
+        self.held, self.opened = asyncio.Event(), asyncio.Event()
+
+    async def passed(self):
+        self.held.set()
+        await self.opened.wait()
+
+
+class Leaving(Crossing):
+    """A client leaves while its request waits.  The look that comes every 10 ms is put off for good: what is shown
+    is what is known right before the first byte."""
+
+    def play(self, story, name, *harbours, **more):
+        async def told(h):
+            await h.call("safe", X_Call_Id="before")
+            await story(h)
+            await h.call("safe", X_Call_Id="after")
+            await until(lambda: not h.facade.errands)
+            h.say(h.figures())
+        with mock.patch("sloeferry.net.clients.LOOK", NEVER):
+            play(self, told, name, *(harbours or [Opened({"b": answer()})]), **more)
+
+    def test_before_first_byte(self):
+        """Held right before its first byte, as after a standstill: a client that closed, that closed behind a further
+        byte or half a request, that reset, or that only ended its sending."""
+        def reset(sock):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            sock.close()
+
+        async def story(h):
+            for more, end in ((b"", socket.socket.close), (b"x", socket.socket.close), (h.head("c9")[:30], socket.socket.close),
+                              (h.head("c9"), reset), (b"", lambda sock: sock.shutdown(socket.SHUT_WR)), (None, None)):
+                held, go = asyncio.Event(), asyncio.Event()
+
+                def turned():
+                    held.set()
+                    return None if go.is_set() else asyncio.ensure_future(go.wait())
+                with mock.patch.object(h.facade, "turned", turned):
+                    sock, guest = await h.sent(h.head() + (more or b""))
+                    await held.wait()
+                    there = guest()
+                    if end:
+                        end(sock)
+                        await until(lambda: left(there.sock))
+                    h.say(f"-- behind it {more!r}, then {'it leaves' if end else 'it stays'}")
+                    go.set()
+                    await until(lambda: not h.facade.errands)
+                sock.close()
+                await until(lambda: there not in h.clients.guests)
+        self.play(story, "crossing_first_byte")
+
+    def test_while_dialled(self):
+        """Its backend's connection is still coming up."""
+        async def story(h):
+            gate, dial = Gate(), http1.dial
+
+            async def slow(*what):
+                await gate.passed()
+                return await dial(*what)
+            for link in list(h.backends.idle["b"]):
+                link.close()
+            with mock.patch("sloeferry.net.http1.dial", slow):
+                sock, guest = await h.sent(h.head() + b"x")
+                await gate.held.wait()
+                there = guest()
+                sock.close()
+                await until(lambda: left(there.sock))
+                gate.opened.set()
+                await until(lambda: not h.facade.errands)
+        self.play(story, "crossing_dial")
+
+    def test_door_shut(self):
+        """Unread, while the door is shut; with what it sent comes the end."""
+        async def story(h):
+            h.facade.door.limit = 0.0
+            sock, guest = await h.sent(h.head() + b"x")
+            await until(lambda: h.clients.lobby.waiting)
+            there = guest()
+            sock.close()
+            await until(lambda: left(there.sock))
+            h.facade.door.limit = float("inf")
+            await until(lambda: there not in h.clients.guests)
+        self.play(story, "crossing_door")
+
+    def test_full_table_and_handover(self):
+        """Behind the listener: no seat is free; another process takes clients in, and ends."""
+        async def story(h):
+            for why in ("no seat", "another process's turn"):
+                most, h.clients.seats.most = h.clients.seats.most, 0 if why == "no seat" else h.clients.seats.most
+                if why != "no seat":
+                    h.clients.hush()
+                sock, _ = await h.sent(h.head() + b"x")
+                sock.close()
+                h.say(f"-- {why}")
+                guests = len(h.clients.guests)
+                h.clients.seats.most = most
+                if why != "no seat":
+                    h.clients.open()
+                other = await h.open()           # let in behind the one that has left
+                await until(lambda: h.clients.guests and len(h.clients.guests) <= guests + 1)
+                await h.call("safe", X_Call_Id="c1", connection=other)
+        self.play(story, "crossing_listener")
+
+    def test_read_ahead(self):
+        """Two requests in one go, then the end: the second is not begun once the first is given up."""
+        held = asyncio.Event()
+
+        async def story(h):
+            sock, guest = await h.sent(h.head("c1") + h.head("c2"))
+            await until(lambda: h.asked == 2)
+            there = guest()
+            sock.close()
+            await until(lambda: left(there.sock))
+            held.set()
+            await until(lambda: there not in h.clients.guests)
+        self.play(story, "crossing_ahead", Opened({"b": lambda n: held if n == 2 else answer()}))
+
+    def test_body_half_come(self):
+        """A body that flows, not begun yet, its client gone half way: not one byte goes out."""
+        async def story(h):
+            held, go = asyncio.Event(), asyncio.Event()
+
+            def turned():
+                held.set()
+                return None if go.is_set() else asyncio.ensure_future(go.wait())
+            with mock.patch.object(h.facade, "turned", turned):
+                sock, guest = await h.sent(h.head(size=200000) + b"x" * 100000)
+                await held.wait()
+                there, out = guest(), []
+                sock.close()
+                await until(lambda: left(there.sock))
+                with mock.patch.object(backends.Link, "done", lambda link, keep: (out.append(keep), link.close())):
+                    go.set()
+                    await until(lambda: not h.facade.errands)
+                h.say(f"a connection untouched: {out}")
+        self.play(story, "crossing_body")
+
+    def test_further_attempt(self):
+        """Its posting ends without an answer after the client has left: no other is begun."""
+        held = asyncio.Event()
+
+        async def cut(h):
+            sock, guest = await h.sent(h.head() + b"x")
+            await until(lambda: h.asked == 2)
+            there = guest()
+            sock.close()
+            await until(lambda: left(there.sock))
+            held.set()
+            await until(lambda: not h.facade.errands)
+
+        class Cut(Opened):
+            async def backend(self, name, script, reader, writer):
+                if self.asked == 1:
+                    held.clear()
+                await super().backend(name, script, reader, writer)
+
+        def script(n):
+            return held if n == 2 else answer()
+        h = Cut({"b": script, "c": script})
+        with mock.patch("tests.trace.answer", lambda *what: answer("no", 500) if what == ("late",) else answer(*what)):
+            self.play(cut, "crossing_further", h)
+
+    def test_again_under_its_id(self):
+        """It leaves unnoticed and comes again under the id that it left; one that is there still keeps its id."""
+        held = asyncio.Event()
+
+        async def story(h):
+            sock, guest = await h.sent(h.head() + b"x")
+            await until(lambda: h.asked == 2)
+            there = guest()
+            await h.call("safe", X_Call_Id="c0")
+            sock.close()
+            await until(lambda: left(there.sock))
+            await h.call("safe", X_Call_Id="c0")
+            held.set()
+        self.play(story, "crossing_same_id", Opened({"b": lambda n: held if n == 2 else answer()}))
+
+
+class Ending(Crossing):
+    """Connections that end from this side."""
+
+    def test_ended_while_its_task_posts(self):
+        """A body's client gives nothing more and is ended by the sweep, while its own task carries the posting; one is
+        ended with an order that nobody has begun: nothing of either is left behind."""
+        async def story(h):
+            with mock.patch("sloeferry.net.clients.READING", 0.1):
+                sock, guest = await h.sent(h.head(size=200000) + b"x" * 100000)
+                await until(lambda: guest() and guest().pulling)
+                there = guest()
+                await until(lambda: there not in h.clients.guests)
+            await until(lambda: not h.facade.errands)
+            h.say(f"in its body: {h.figures()}")
+            sock.close()
+            gate = Gate()
+            with mock.patch.object(clients.Guest, "carry", lambda *_: gate.passed()):
+                sock, guest = await h.sent(h.head())
+                await gate.held.wait()   # taken, and its posting ordered
+                there = guest()
+                there.end()
+                await asyncio.wait([there.task])
+            h.say(f"with an order: {h.figures()}")
+            sock.close()
+        play(self, story, "crossing_ended", Opened({"b": answer()}))
+
+    def test_hurried_while_it_writes(self):
+        """Half a request's time is over just as it is told to go on: the word is not broken off, and its rest counts."""
+        async def story(h):
+            gate, send = Gate(), clients.Guest.send
+
+            async def slow(guest, data):
+                if b"100" in data:
+                    await gate.passed()
+                await send(guest, data)
+            with mock.patch.object(clients.Guest, "send", slow):
+                sock, guest = await h.sent(h.head(more="Expect: 100-continue\r\n", size=4))
+                await gate.held.wait()
+                guest().hurry()
+                gate.opened.set()
+                loop = asyncio.get_running_loop()
+                h.say(f"client gets: {await loop.sock_recv(sock, 999)!r}")
+                with contextlib.suppress(OSError):
+                    await loop.sock_sendall(sock, b"body")
+                h.say(f"client gets: {(await loop.sock_recv(sock, 999))[:15]!r}")
+                sock.close()
+        play(self, story, "crossing_hurried", Opened({"b": answer()}))
+
+    def test_answer_over_unread_bytes(self):
+        """A client that wants its connection closed sent more behind its request, and reads slowly: closed over what
+        is unread the connection would be reset, and the rest of the answer lost."""
+        async def story(h):
+            gate, send, loop, got = Gate(), clients.Guest.send, asyncio.get_running_loop(), b""
+
+            async def slow(guest, data):
+                await gate.passed()
+                await send(guest, data)
+            with mock.patch.object(clients.Guest, "send", slow):
+                sock, guest = await h.sent(h.head(more="Connection: close\r\n"))
+                await gate.held.wait()
+                there = guest()
+                await loop.sock_sendall(sock, b"more")
+                gate.opened.set()
+                await until(lambda: there.ended or h.clients.lingering)
+            with contextlib.suppress(OSError):
+                while data := await loop.sock_recv(sock, 4096):
+                    got += data
+                    await asyncio.sleep(0)
+            sock.close()
+            h.say(f"client gets all: {got.endswith(b'x' * 900000)}")
+        play(self, story, "crossing_unread", Opened({"b": answer("x" * 900000)}))
+
+    def test_sigterm_with_a_full_table(self):
+        """SIGTERM while all seats are taken and one more has connected and asked: it is let in, not reset."""
+        held = asyncio.Event()
+
+        async def story(h):
+            h.clients.seats.most = 1
+            await until(lambda: not h.clients.guests)
+            busy = asyncio.ensure_future(h.ask(h.head("c1"), quiet=True))
+            await until(lambda: h.asked)
+            sock, _ = await h.sent(h.head("last"))
+            with mock.patch("sloeferry.net.clients.STILL_COMING", 0.02), mock.patch("sloeferry.net.clients.LAST", 0.02):
+                os.kill(os.getpid(), signal.SIGTERM)
+                accept, tries = h.clients.accept, []
+                with mock.patch.object(h.clients, "accept", lambda *most: (tries.append(most), accept(*most))[1]):
+                    await until(lambda: (clients.BACKLOG,) in tries)     # the last time that it lets anybody in
+                    held.set()
+                    await busy
+                    with contextlib.suppress(OSError):
+                        h.say(f"client gets: {(await asyncio.get_running_loop().sock_recv(sock, 999))[:15]!r}")
+                    await h.proxy
+            sock.close()
+            h.say("the program has ended")
+        h = Opened({"b": lambda n: held}, sockets=64)
+        with mock.patch.object(Opened, "say", lambda h, text: h.lines.append(text) if text[:2] != "  " else None):
+            play(self, story, "crossing_sigterm_full", h)
+
+    def test_two_cancels_and_an_answer(self):
+        """Given up twice in one turn of the loop, with the answer there but not read: it may have run, its connection is
+        not kept, and the next posting gets its own answer."""
+        async def story(h):
+            told = types.SimpleNamespace(turned=lambda: None)
+            loop = asyncio.get_running_loop()
+            bank = backends.Backends(loop, told, terms.complete({"schemes.count": 1}), Seats(9), Buffers())
+            bank.told("b", ("127.0.0.1", h.ports["b"]))
+            socks, dial = [], http1.dial
+
+            async def dialled(*what):
+                socks.append(await dial(*what))
+                return socks[-1]
+            with mock.patch("sloeferry.net.http1.dial", dialled):
+                task = bank.spawn(bank.exchange("b", 1e12, lambda: True, lambda: b"GET /x HTTP/1.1\r\n\r\n"))
+                await until(lambda: h.asked == 1)
+                h.writers[-1].write(answer("first"))
+                while not select.select(socks, [], [], 0)[0]:
+                    pass                 # not one turn of the loop in between
+                task.cancel()
+                task.cancel()
+                ended = await task
+                h.say(f"reached {ended.reached}, why {ended.why}, answer {ended.answer}, kept {len(bank.idle.get('b', ()))}")
+                ended = await bank.exchange("b", 1e12, lambda: True, lambda: b"GET /y HTTP/1.1\r\n\r\n")
+                h.say(f"the next one's: {ended.answer.body()}, seats {bank.seats.taken}")
+        play(self, story, "crossing_cancels", Opened({"b": lambda n: None if n == 1 else answer("second")}))
+
+    def test_moved_while_dialled(self):
+        """A backend is listed elsewhere while its connection comes up: that address may be another's by now."""
+        async def story(h):
+            gate, dial = Gate(), http1.dial
+
+            async def slow(*what):
+                sock = await dial(*what)
+                if not gate.held.is_set():
+                    await gate.passed()
+                return sock
+            with mock.patch("sloeferry.net.http1.dial", slow):
+                asked = asyncio.ensure_future(h.call("once"))
+                await gate.held.wait()
+                h.backends.told("b", ("127.0.0.1", h.ports["c"]))
+                gate.opened.set()
+                await asked
+        play(self, story, "crossing_moved", Opened({"b": answer("from b"), "c": answer("from c")}, known=None))
+
+
+class Renewed(Crossing):
+    def test_between_head_and_last_byte(self):
+        """SIGHUP between a request's head and its last byte makes its scheme a referenced one, or drops it: it came
+        without a key, and is turned away unsent."""
+        async def story(h):
+            with tempfile.NamedTemporaryFile("w") as file, mock.patch.dict(os.environ, BALANCER_CONFIG=file.name):
+                first = await h.sent(h.head(size=4) + b"bo")
+                second = await h.sent(h.head("c1", "once", size=4) + b"bo")
+                third = await h.sent(h.head("c2", "keyed", "Idempotency-Key: k\r\n", size=4) + b"bo")
+                await until(lambda: all(one[1]() and one[1]().wire.message.asks for one in (first, second, third)))
+                told = json.loads(json.dumps(h.told))
+                told["settings"]["schemes"] = [dict(told["settings"]["schemes"][1], name=name) for name in ("safe", "keyed")]
+                json.dump(told, file)
+                file.flush()
+                os.kill(os.getpid(), signal.SIGHUP)
+                await until(lambda: len(h.clients.schemes) == 2)
+                for sock, _ in (first, second, third):
+                    loop = asyncio.get_running_loop()
+                    await loop.sock_sendall(sock, b"dy")
+                    h.say(f"client gets: {(await loop.sock_recv(sock, 999))[:28]!r}")
+                    sock.close()
+        play(self, story, "crossing_renewed", Opened({"b": answer()}))
+
+
+if __name__ == "__main__":
+    unittest.main()
