Lists in any layout, and silence by the protocol's clock whatever the settings are

Seen on by tests that fail there: an indented list, line by line taken for a message each, was ignored whole, so a drain in it went unheard (Discovery.lines). A new watch could say nothing, or only blank lines, for a quarter of must_ask_in, or for ever, with a longer must_ask_in beyond the 6 s after which what a silent watch missed counts as told; failed calls were repeated by that long patience, too. A former watch that fell silent told nobody. catch_up read the newest watch alone, and returned before the last bytes read had been taken in. An entry whose address can't be read kept its standing, also when it said that it drains. Two zones that the settings don't name shared a place, and so counted as one for rule 2. After SIGHUP patience, dial time, zones and kinds were those of the start.

Values takes whole JSON objects out of the stream, whatever white space stands in them, and drops single lines that can't be one; cut short by the end is said. Before its first list a watch has 2.5 s at most, blank lines count only where nothing is half come. Discovery.deem: from 6 s after a watch was last heard nothing is sent until a list has come. At the site's 10 s no other figure changes.

--- a/sloeferry/__main__.py
+++ b/sloeferry/__main__.py
@@ -123,7 +123,7 @@
         leave = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, leave.set)
         loop.add_signal_handler(signal.SIGINT, leave.set)
-        renewal = Renewal(berth, environ, (facade, clients, backends), discovery)
+        renewal = Renewal(berth, environ, (facade, clients, backends, discovery), discovery)
         loop.add_signal_handler(signal.SIGHUP, renewal)
         tasks = [loop.create_task(work) for work in (
             backends.probes(), backends.sweep(), discovery.run(), clients.sweep(), clients.backstop())]
--- a/sloeferry/core/decide.py
+++ b/sloeferry/core/decide.py
@@ -104,8 +104,9 @@
 
 class Discovery:
     """The list where it must be asked for: shared and of limited capacity, so calls are spread out."""
+    QUICK = 10000.0                  # ms: with more patience a failed call is repeated as soon as with this
     def __init__(self, proxy, now):
-        self.p, self.fails, self.waiting, self.deemed_old = proxy, 0, 0, INF
+        self.p, self.fails, self.waiting, self.deemed_old, self.missed = proxy, 0, 0, INF, INF
         self.asks = proxy.term("discovery") == "subscribe"
         self.patience = proxy.term("obligations.must_ask_in")
         if self.asks:
@@ -116,7 +117,7 @@
     def ask(self, now, number=None):
         if number not in (None, self.waiting):
             return                   # that call has been answered meanwhile
-        self.waiting, self.deemed_old = self.waiting + 1, now + self.patience
+        self.waiting, self.deemed_old = self.waiting + 1, min(now + self.patience, self.missed)
         self.p.host.watch()
         self.p.later(now + self.patience / 2, self.ask, self.waiting)
 
@@ -124,10 +125,14 @@
         """Any list answers the call, or shows that the subscription stands; a failure starts anew."""
         self.waiting += 1
         if not failed:
-            self.fails, self.deemed_old = 0, INF
+            self.fails, self.deemed_old, self.missed = 0, INF, INF
             return
-        self.fails, self.deemed_old = min(self.fails + 1, 3), now + 4 * self.patience
-        self.p.later(now + self.patience / 16 * 2 ** self.fails * (0.5 + self.p.rng.random()), self.ask)
+        self.fails, self.deemed_old = min(self.fails + 1, 3), min(now + 4 * self.patience, self.missed)
+        wait = min(self.patience, self.QUICK) / 16 * 2 ** self.fails
+        self.p.later(now + wait * (0.5 + self.p.rng.random()), self.ask)
+
+    def deem(self, by):              # what a subscription fallen silent missed counts as told by then
+        self.missed, self.deemed_old = min(self.missed, by), min(self.deemed_old, by)
 
 
 class Board:
@@ -141,7 +146,6 @@
     HEAVY = 0.3                      # of its SLA time: a txn that takes longer goes where it ends first
     WAY = 0.5                        # of the part that the best way has in time: one with less is bad
     FAR, SLOW = 4, 1.6               # times as many lost as of any other scheme; a pace beyond reports
-
     def __init__(self, proxy, now):
         self.p, self.home, self.all = proxy, proxy.zone, {}
         # Listed as ready, with news of late; whether probes go round; of three ends one teaches; last look.
@@ -467,7 +471,6 @@
     """Second stage: where a probe costs next to nothing, the lowest are asked before the pick, a few at
     a time until one is idle: among many backends some are, however busy the first few."""
     AT_ONCE, WAVES = 3, 4
-
     def __init__(self, proxy, after):
         self.p, self.after, self.waiting, self.purse = proxy, after, [], 0.0
         # A point and a half in a hundred, for asking in vain alone: where all are busy, more finds no place.
@@ -525,7 +528,6 @@
 class Gate:
     """Third stage: what can't meet its SLA time is held for a short while, best gain first, or declined."""
     NEAR = 0.75                      # of the odds at an idle backend: less than that is a queue too long
-
     def __init__(self, proxy, after):
         self.p, self.after, self.held, self.ticking = proxy, after, [], False
 
@@ -638,8 +640,7 @@
         self.step, self.stages = terms["step"], Stages()     # of other subsystems, as the host installs them
         self.zone, self.turn = self.term("zone"), self.ordinal * 0.618034 % 1    # spread over the bank
         self.mean_gain = sum(s.worth() for s in self.schemes) / len(self.schemes)
-        self.discovery, self.board = Discovery(self, now), Board(self, now)
-        self.reposting = Reposting(self)
+        self.discovery, self.board, self.reposting = Discovery(self, now), Board(self, now), Reposting(self)
         self.gate = Gate(self, self.reposting)
         self.ask = Ask(self, self.gate)
         self.ledger = Ledger(self, self.ask)
--- a/sloeferry/net/discovery.py
+++ b/sloeferry/net/discovery.py
@@ -6,13 +6,16 @@
 
 from loguru import logger
 
+from sloeferry.core import facade as f
 from sloeferry.net import http1
 from sloeferry.net.log import warn
+from sloeferry.net.values import Values
 
 PHASES = {"active": "ready", "leaving": "draining", "left": "gone"}
 SILENCE = 2.5                            # seconds; a watch says something every 2 s
-PASSES, MOST_PASSES = 3, 1000            # of the loop: until what was there to be read is taken in; and no more
-LINE = 1 << 22                           # the longest line that is read, in bytes
+TOLD = 6.0                               # seconds after which what a silent watch misses counts as told (protocol)
+PASSES, MOST_PASSES = 5, 1000            # of the loop: until what was there to be read is taken in; and no more
+LINE = 1 << 22                           # the longest list that is read, in characters
 
 
 class Discovery:
@@ -20,13 +23,12 @@
         self.duty = duty                 # told once a list is at hand
         self.loop, self.facade, self.backends = loop, facade, backends
         self.seats, self.buffers = seats, buffers
-        self.address, self.patience = berth.discovery, berth.terms["obligations.must_ask_in"] / 4
-        self.dial_time = berth.terms["limits.dial_timeout"]
-        self.zones, self.kinds = berth.places("zones"), berth.places("kinds")
+        self.address, self.zones, self.kinds = berth.discovery, berth.places("zones"), berth.places("kinds")
+        self.retune(berth)
         self.pushed = berth.terms["discovery"] != "subscribe"
         self.known, self.revision, self.standing = {}, None, False
         self.watching = self.former = None       # the watch, and after a move the one before until this stands
-        self.sock = None                 # of the newest watch
+        self.socks = {}                  # of the watches that stand or begin: after a move there are two
         self.witness = None              # where versions are kept account of
         if berth.known:
             self.take(berth.known, cached=True)
@@ -36,6 +38,15 @@
             if not careful and any(line[4] == "ready" for line in self.known.values()):
                 self.duty.list_came()
 
+    def retune(self, berth):
+        """The settings, at the start and as they are from now on.  How long a call may take is a quarter of what a list
+        may be old, and never longer than a watch may be silent: before its first list it is none yet."""
+        self.patience = min(berth.terms["obligations.must_ask_in"] / 4, SILENCE * 1000)
+        self.dial_time = berth.terms["limits.dial_timeout"]
+        for places, what in ((self.zones, "zones"), (self.kinds, "kinds")):
+            for name in berth.places(what):      # who has a place keeps it: what is known counts by place
+                places.setdefault(name, len(places))
+
     async def run(self):
         """One watch at the start, without being asked, where no list is at hand: until it is in, no client is
         sent here.  Then one whenever one is wanted; where changes come unasked, always."""
@@ -92,12 +103,11 @@
         try:
             sock = await self.dial()
             if sock:
+                self.socks[sock] = True
                 try:
-                    self.sock = sock
                     why = await self.lines(sock)
                 finally:
-                    if self.sock is sock:
-                        self.sock = None
+                    del self.socks[sock]
                     sock.close()
                     self.seats.give()
         except Exception as fault:       # never the end of the program: the list as known goes on serving
@@ -111,12 +121,12 @@
 
     async def catch_up(self):
         """This program stood still: goes on until what discovery wrote meanwhile is read and taken in."""
-        for _ in range(PASSES):
-            await asyncio.sleep(0)
+        quiet = 0                        # turns in a row: what was read last is yet to be taken in
         for _ in range(MOST_PASSES):
-            if self.sock is None or http1.quiet(self.sock):
-                return
             await asyncio.sleep(0)
+            quiet = quiet + 1 if all(http1.quiet(sock) for sock in self.socks) else 0
+            if quiet > PASSES:
+                return
 
     async def dial(self):
         """Dials again and again for as long as a call may take: one that never arrived cost discovery nothing,
@@ -137,16 +147,14 @@
                 self.seats.give()
 
     async def lines(self, sock):
-        """Take what comes, line by line, until it ends; why it did."""
-        rest, lines = bytearray(), []
+        """Take what comes, list by list, until it ends; why it did."""
+        values, came, alive, told = Values(), [], False, False
 
         def stream(message, data):
+            nonlocal alive
             if message.status == 200:
-                rest.extend(data)
-                if b"\n" in data:
-                    *whole, last = rest.split(b"\n")
-                    lines.extend(whole)
-                    rest[:] = last
+                came.extend(values.feed(data))
+                alive = alive or b"\n" in data and not values.held
         wire = http1.Wire(self.loop, sock, self.buffers, answers=True, stream=stream)
         after = "" if self.revision is None else f"&index={self.revision}"
         host = "{}:{}".format(*self.address).encode()
@@ -156,42 +164,46 @@
             due = self.loop.time() + self.patience / 1000
             async with asyncio.timeout_at(due):
                 await self.loop.sock_sendall(sock, ask)
-            while not wire.fault and not wire.whole and len(rest) < LINE:
+            heard = f.clock()
+            while not wire.fault and not wire.whole and len(values.held) < LINE:
                 if not await wire.waited(max(0.0, due - self.loop.time())):
                     # After this program stood still the time is over before anything is read: what lies there is
                     # news, and dropped with the watch it would be heard only when the next one stands (rule 3).
                     if http1.quiet(sock):
-                        return "silent"
-                    due = self.loop.time() + SILENCE
-                if lines:
+                        return self.silent(told, heard)
                     due = self.loop.time() + SILENCE
+                # An empty line is a sign of life of a watch that has told its list and is not half way through another.
+                if came or alive and told:
+                    due, heard = self.loop.time() + SILENCE, f.clock()
                     if self.witness:
                         self.witness.confirmed()
-                while lines:
-                    self.line(lines.pop(0))
+                alive = False
+                while came:
+                    told = self.take(came.pop(0)) or told
         except TimeoutError:
             return "silent"
         except OSError as broken:
             return str(broken)
         finally:
             wire.close()
+        if values.held:
+            warn("list", "cut short, ignored: {!r}", values.held[:120])
         return wire.fault or f"answered {wire.message.status}, ended"
 
-    def line(self, text):
-        if not text.strip():
-            return
-        try:
-            said = json.loads(text)
-        except (ValueError, RecursionError):
-            said = None
-        self.take(said)
+    def silent(self, told, heard):
+        """A watch, also one that only tells until its successor stands, is silent since `heard`: what it has missed
+        counts as told some seconds later, whether or not another list has come by then (rule 3)."""
+        if told and not self.pushed:
+            self.facade.report_silent(heard + TOLD * 1000)
+        return "silent"
 
     def take(self, said, cached=False):
-        """A list or what changed in it, in discovery's form."""
+        """A list or what changed in it, in discovery's form; whether it was one."""
         said = said if isinstance(said, dict) else {}
         revision, members = said.get("revision"), said.get("members")
         if not isinstance(revision, int) or not isinstance(members, list):
-            return warn("list", "not understood, ignored: {!r}", str(said)[:120])
+            warn("list", "not understood, ignored: {!r}", str(said)[:120])
+            return False
         whole, lines = said.get("complete") is True, {}
         for member in members:
             line = self.member(member)
@@ -214,7 +226,8 @@
             self.duty.list_came()
         if self.witness:
             self.witness.listed(revision, self.known, "known" if cached else "discovery at {}:{}".format(*self.address))
-        self.facade.report_list(whole, list(lines.values()), cached, news)
+        self.facade.report_list(whole, list(lines.values()), cached, news, ours)
+        return True
 
     def member(self, said):
         """One entry; one that can't be read stays as it was known."""
@@ -229,11 +242,17 @@
             share, started = float(said.get("size", 1.0)), float(said.get("up_since_ms") or 0)
             if not (host.count(".") == 3 and 0 < address[1] < 65536 and math.isfinite(share + started)):
                 raise ValueError
-            line = (ident, self.zones.get(said.get("locality"), len(self.zones)),
-                    self.kinds.get(said.get("flavor"), len(self.kinds)), int(said.get("cell", 0)), standing,
-                    share, started)
+            # One that the settings don't name gets a place of its own: two of them are not one zone (rule 2).
+            zone, kind = (places.setdefault(said.get(name), len(places)) for places, name in (
+                (self.zones, "locality"), (self.kinds, "flavor")))
+            line = ident, zone, kind, int(said.get("cell", 0)), standing, share, started
         except (KeyError, TypeError, ValueError, AttributeError, OSError, OverflowError):
             warn("list entry", "not understood, ignored: {!r}", str(said)[:120])
-            return self.known.get(ident)
+            known, phase = self.known.get(ident), said.get("phase")
+            if known is None or phase not in ("leaving", "left"):
+                return known
+            # What it says for certain holds: a drain must not go unheard for the sake of a spoilt address (rule 3).
+            standing, address = PHASES[phase], self.backends.addresses.get(ident)
+            line = *known[:4], standing, *known[5:]
         self.backends.told(ident, None if standing == "gone" else address)
         return line
--- /dev/null
+++ b/tests/test_watches.py
@@ -0,0 +1,173 @@
+"""The list and its watches where two events cross: each order is forced by what discovery has written or seen."""
+import asyncio
+import contextlib
+import json
+import unittest
+from unittest import mock
+
+from hypothesis import given, settings, strategies as st
+from loguru import logger
+
+from sloeferry.core import decide, ports
+from sloeferry.net.values import Values
+from tests.test_crossings import Crossing, Opened, until
+from tests.trace import Printer, answer, compare, play
+
+
+class Watches(Crossing):
+    STREAM = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+    @settings(max_examples=150, deadline=None, derandomize=True)
+    @given(st.lists(st.tuples(st.sampled_from(["list", "nested", "text", "nonsense", "3", "{ no", '{"a": [']),
+                              st.sampled_from([None, 0, 1, 4, "\t"]), st.sampled_from(["\n", "\r\n", "\n\n", " \n"])),
+                    max_size=6), st.lists(st.integers(0, 4000), max_size=8))
+    def test_any_layout(self, said, cuts):
+        """Objects come out whole and in order whatever white space stands in them and wherever their bytes are cut;
+        what can't be read takes none of them along, once another one follows it."""
+        kinds = {"list": {"revision": 3, "members": [{"id": "b", "x": [1, {}, []]}, {}]}, "nested": {"a": {"b": {}}},
+                 "text": {"id": 'a "}\\" { b', "umlaut": "ü}{", "n": None}}
+        text, wanted, bad = "", [], 0
+        for kind, indent, end in said:
+            if kind in kinds:
+                wanted.append(kinds[kind])
+                text += json.dumps(kinds[kind], indent=indent, ensure_ascii=False) + end
+            else:
+                bad += 1
+                text += kind + "\n"
+        # The last one that can't be read shows by what follows.
+        wanted += [kinds["list"], kinds["nested"]]
+        text += "".join(json.dumps(kind) + "\n" for kind in wanted[-2:])
+        data, found = text.encode(), []
+        values, at = Values(), 0
+        for cut in [*sorted(min(cut, len(data)) for cut in cuts), len(data)]:
+            found += values.feed(data[at:cut])
+            at = cut
+        self.assertEqual([value for value in found if value is not None], wanted)
+        self.assertEqual((values.held, found.count(None)), ("", bad))
+
+    def test_indented(self):
+        """A drain told over many lines, in pieces, is a drain; so is one of an entry that else can't be read; a list
+        that its end cuts short is said."""
+        async def story(h):
+            await h.call("safe")
+            out = json.dumps({"revision": 5, "complete": False, "members": h.members(("b", "leaving"))}, indent=2)
+            for at in range(0, len(out), 40):
+                h.watches[0].write(b"%x\r\n%b\r\n" % (len(out[at:at + 40]), out[at:at + 40].encode()))
+            h.tell("")
+            await until(lambda: h.discovery.known["b"][4] == "draining" or h.discovery.revision == 99)
+            await h.call("safe")
+            h.list("b", complete=False)
+            await until(lambda: h.discovery.known["b"][4] == "ready")
+            entry = dict(h.members(("b", "leaving"))[0], host_port="nowhere")
+            h.tell(json.dumps({"revision": 7, "complete": False, "members": [entry]}))
+            await until(lambda: h.discovery.revision == 7)
+            await h.call("safe")
+            said = []
+            logger.add(lambda message: said.append(message.record["message"]), level="WARNING")
+            h.tell('{"revision": 8, "complete": true, "members": [')
+            h.watches[0].write(b"0\r\n\r\n")
+            await until(lambda: not h.discovery.socks)
+            h.say(f"said: {said}")
+        play(self, story, "crossing_indented", Opened({"b": answer()}))
+
+    def silent(self, name, *moods):
+        """Watches that begin so, one after the other; then one that tells the list, whatever the patience is."""
+        async def story(h):
+            await until(lambda: len(h.calls) > len(moods) and h.discovery.standing)
+            h.say(f"{len(h.calls)} calls")
+            await h.call("safe")
+        h = Opened({"b": answer()}, ask_in=400000)
+        h.moods = list(moods)
+        with mock.patch("sloeferry.net.discovery.SILENCE", 0.05), mock.patch.object(decide.Discovery, "QUICK", 50.0):
+            play(self, story, name, h)
+
+    def test_silent_from_the_start(self):
+        """With a list that may be old for long a watch that never tells its own is given up as soon as another: no
+        head, half a head, no list, half a list."""
+        half = b'30\r\n{"revision": 7, "complete": true, "members": [\n\r\n'
+        self.silent("crossing_silent", b"", b"HTTP/1.1 200 OK\r\nTransf", self.STREAM, self.STREAM + half)
+
+    def test_blank_lines_and_no_list(self):
+        """Signs of life are no list, and none while half a list is out."""
+        async def story(h):
+            async def beat():
+                while True:
+                    for writer in h.writers:
+                        with contextlib.suppress(Exception):
+                            writer.write(b"1\r\n\n\r\n")
+                    await asyncio.sleep(0.01)
+            beats = asyncio.ensure_future(beat())
+            await until(lambda: h.discovery.standing)
+            beats.cancel()
+            h.say(f"{len(h.calls)} calls")
+        h = Opened({"b": answer()}, ask_in=400000)
+        h.moods = [self.STREAM + b"1\r\n\n\r\n", self.STREAM + b'1c\r\n{"revision": 7, "members":\n\r\n']
+        with mock.patch("sloeferry.net.discovery.SILENCE", 0.05), mock.patch.object(decide.Discovery, "QUICK", 50.0):
+            play(self, story, "crossing_blank", h)
+
+    def test_what_a_silent_watch_missed(self):
+        """From when it counts as told nothing goes out, whatever calls fail meanwhile; a list ends that."""
+        host = Printer(discovery="subscribe", obligations__must_ask_in=40000.0)
+        host.list(("a",))
+        host.take(0)
+        host.end(0, 0, ports.SETTLED, 0)
+        host.until(2500.0)
+        host.proxy.discovery.deem(6000.0)
+        host.list(scope=ports.FAILED)
+        host.until(5900.0)
+        host.take(1)
+        host.end(1, 0, ports.SETTLED, 0)
+        host.until(6100.0)
+        host.list(scope=ports.FAILED)
+        host.take(2)
+        host.until(9000.0)
+        host.list(("a",))
+        host.take(3)
+        compare(self, host, "crossing_missed")
+
+    def test_a_silent_watch_says_so(self):
+        """The watch falls silent, also the former one, with its successor not standing yet: what it missed counts."""
+        async def story(h):
+            said = []
+            with mock.patch.object(h.facade, "report_silent", said.append), \
+                    mock.patch("sloeferry.net.discovery.SILENCE", 0.05):
+                h.list("b", complete=False)
+                await until(lambda: said)
+                h.say(f"the watch: {len(said)} silent")
+                await until(lambda: len(h.calls) > 1 and h.discovery.standing)
+                h.moods = [b""] * 99
+                h.discovery.again()      # as after a move
+                h.watches[-1].write(b"1\r\n\n\r\n")
+                await until(lambda: len(said) > 1)
+                h.say(f"the former one: {len(said)} silent")
+        with mock.patch.object(decide.Discovery, "QUICK", 50.0):
+            play(self, story, "crossing_said_silent", Opened({"b": answer()}, ask_in=400000))
+
+    def test_standstill_with_a_former_watch(self):
+        """After a standstill the former watch's news are read, too, before anything is sent, however long they are."""
+        async def story(h):
+            h.moods = [b""] * 9
+            h.discovery.again()
+            await until(lambda: len(h.calls) == 2)
+            pad = [dict(line, id=f"x{n}", phase="leaving") for n in range(900) for line in h.members("b")]
+            h.tell(json.dumps({"revision": 9, "complete": False, "members": pad + h.members(("b", "leaving"))}))
+            await asyncio.sleep(0)       # it is written; of its 150 KB a turn reads 16
+            h.facade.seen -= 1e6
+            await h.facade.turned()
+            h.say(f"known of b: {h.discovery.known['b'][4]}")
+        play(self, story, "crossing_former", Opened({"b": answer()}))
+
+    def test_unnamed_zones(self):
+        """Zones that the settings don't name are not one zone: a referenced txn's copy may go to its own alone."""
+        async def story(h):
+            members = [dict(line, locality=zone) for line, zone in zip(h.members("b", "c", "b"), ("p", "q", "p"))]
+            members[2]["id"] = "d"
+            h.tell(json.dumps({"revision": 5, "complete": True, "members": members}))
+            await until(lambda: "d" in h.discovery.known)
+            zone = {ident: line[1] for ident, line in h.discovery.known.items()}
+            h.say(f"b and c are of one zone: {zone['b'] == zone['c']}, b and d: {zone['b'] == zone['d']}")
+        play(self, story, "crossing_zones", Opened({"b": answer(), "c": answer()}))
+
+
+if __name__ == "__main__":
+    unittest.main()
