The window of a referenced txn is looked at before each first byte; second answers don't cross

Read in the code, each shown by a test that fails on: - The window in which a repeat is known was looked at when a further posting was chosen. A dial, or a standstill, lies between that and its first byte: it could end in between, and the repeat ran a second time (Rules.may_post; crossing_window). The rule, Rules.may_repeat, is asked again by Facade.goes_on. - A second answer that comes some ms behind the first, over a connection that is used again at once, passes for the next txn's own: another client's bytes. Nothing tells the two apart. Once such an answer has been seen, a connection rests for 10 ms before it is used again; where none ever comes nothing changes (crossing_second). The first one of a process can still cross.

--- a/sloeferry/core/decide.py
+++ b/sloeferry/core/decide.py
@@ -5,8 +5,7 @@
   Ledger (one answer, expiry) -> Ask (fresh reports) -> Gate (hold or decline)
   -> Reposting (further postings, rule 2) -> Board.choose (the estimate).
 What comes back runs through the chain the other way.  Rules holds the four rules: every posting and
-every decline goes through it.
-"""
+every decline goes through it."""
 import functools
 from bisect import bisect
 from collections import defaultdict
@@ -65,9 +64,12 @@
     def may_post(self, txn, now, instead=None):
         """Rules 1 and 2, wherever it goes; `instead` is a posting that is about to be withdrawn."""
         out = sum(p.state == OUT and p is not instead for p in txn.postings)
-        if txn.answered or now >= txn.ends or len(txn.postings) >= txn.most or out > self.copies:
-            return False
-        if not (maybe := txn.maybe()) or txn.scheme.kind == "repeatable":
+        over = txn.answered or now >= txn.ends or len(txn.postings) >= txn.most or out > self.copies
+        return not over and self.may_repeat(txn, now)
+
+    def may_repeat(self, txn, now, before=None):
+        """Rule 2: of what was posted (`before` that one) nothing may have run, or a repeat is known or harmless."""
+        if not (maybe := txn.maybe(before)) or txn.scheme.kind == "repeatable":
             return True
         return txn.scheme.kind == "referenced" and now < maybe[0].sent + txn.scheme.window - self.p.step
 
@@ -340,8 +342,7 @@
     def figure(self, b, now):
         """Latest report + own sends begun after it - own sends it counted that have ended since.
         A report's word on others fades, by half in the time a posting takes, into the mean of fresh ones,
-        and is void past the age limit.  Else all proxies flock to whichever backend looked empty last.
-        """
+        and is void past the age limit.  Else all proxies flock to whichever backend looked empty last."""
         while b.ghosts and b.ghosts[0] <= now:
             b.ghosts.pop(0)
         own, age, mean = b.own + len(b.ghosts), now - b.heard, self.mean[b.zone == self.home]
@@ -653,7 +654,6 @@
 
     def came(self, now):
         self.gap, self.last = self.gap + (min(now - self.last, 1000.0) - self.gap) / 100, now
-
     def rushed(self): return self.gap < 4 * self.step    # txns come faster than a question is answered
 
     def settle(self, terms):
--- a/sloeferry/core/facade.py
+++ b/sloeferry/core/facade.py
@@ -202,13 +202,15 @@
     def caught_up(self, task):
         self.catching = None
 
-    def goes_on(self, errand, backend):
+    def goes_on(self, errand, seq, backend):
         """Whether a posting may still begin: asked right before its first byte, whatever the txn has waited for since
         it came (the door, a body, a dial, a failed posting).  The one place that sees to it that nothing is sent on
-        for a client who has left."""
+        for a client who has left; and that the window in which a repeat is known has not ended meanwhile (rule 2)."""
         if not errand.over and errand.gone and errand.gone():
             self.report_left(errand)
-        return not errand.over and self.stands(backend)
+        txn = self.proxy.ledger.txns.get(errand.ref)
+        known = txn is None or self.proxy.rules.may_repeat(txn, clock(), seq)
+        return not errand.over and known and self.stands(backend)
 
     def stands(self, backend):
         """Rule 3, once more before the first byte: a dial takes time, and the list may have changed."""
--- a/sloeferry/core/records.py
+++ b/sloeferry/core/records.py
@@ -180,9 +180,9 @@
     def out(self):
         return any(p.state == OUT for p in self.postings)
 
-    def maybe(self):
-        """The postings that may have run: out, or ended without proof that they didn't."""
-        return [p for p in self.postings if p.state != NEVER]
+    def maybe(self, before=None):
+        """The postings (`before` that one, if any) that may have run: out, or ended without proof that they didn't."""
+        return [p for p in self.postings[:before] if p.state != NEVER]
 
 
 class Make:
--- a/sloeferry/net/backends.py
+++ b/sloeferry/net/backends.py
@@ -15,6 +15,7 @@
 
 
 LOADS = 512                              # load reports that are kept read
+SETTLED = 0.01                           # seconds: a second answer may come so much later (some ms, by the protocol)
 
 
 class Ended(NamedTuple):
@@ -36,7 +37,10 @@
         """Whether it still stands, and its backend won't close it for idleness any moment."""
         if machine.monotonic() - self.since > self.backends.idle_limit:
             return False
-        return http1.quiet(self.sock)    # else an end, or bytes that nobody asked for
+        if http1.quiet(self.sock):
+            return True
+        self.backends.doubled |= not machine.ended(self.sock)    # no end: bytes that nobody asked for
+        return False
 
     def rest(self):
         self.since = machine.monotonic()
@@ -67,6 +71,7 @@
         self.loop, self.facade, self.seats, self.buffers = loop, facade, seats, buffers
         self.addresses, self.idle, self.tasks, self.alarms = {}, {}, set(), Alarms(loop)
         self.loads = {}                  # load reports as they came, read
+        self.doubled = False             # whether answers were seen that came a second time, behind the first
         self.settle(terms)
         self.fields = [name for name in terms["load_info.fields"].split(",") if name]
         self.status = b"/status/load" if self.fields else b"/health"
@@ -97,7 +102,12 @@
     def kept(self, ident):
         """A kept connection found alive, or None."""
         while kept := self.idle.get(ident):
-            link = kept[-1]
+            # The newest, which its backend will close last; where second answers come, one that has none to expect any
+            # more: there is no telling it from the next one's.
+            latest = machine.monotonic() - SETTLED if self.doubled else math.inf
+            link = next((link for link in reversed(kept) if link.since <= latest), None)
+            if link is None:
+                return None
             if link.usable():
                 link.wake()
                 return link
@@ -229,7 +239,7 @@
             return b"%b%bX-Budget-Ms: %d\r\n\r\n%b" % (opening, acted, max(1, errand.ends - f.clock()), start)
 
         def wanted():
-            return self.facade.goes_on(errand, ident) and (not upload or upload.claim(seq))
+            return self.facade.goes_on(errand, seq, ident) and (not upload or upload.claim(seq))
         ended = await self.exchange(ident, errand.ends, wanted, write, upload, seq)
         if upload and not upload.bound:
             upload.release(seq)          # it is all there still: another may have it
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -401,6 +401,40 @@
         play(self, story, "crossing_moved", Opened({"b": answer("from b"), "c": answer("from c")}, known=None))
 
 
+class Posting(Crossing):
+    def test_window_ends_while_dialled(self):
+        """A referenced txn's second posting is dialled as the window in which a repeat is known ends: not begun."""
+        async def story(h):
+            gate, dial = Gate(), http1.dial
+
+            async def slow(*what):
+                if h.asked:
+                    await gate.passed()
+                return await dial(*what)
+            with mock.patch("sloeferry.net.http1.dial", slow):
+                asked = asyncio.ensure_future(h.call("keyed"))
+                await gate.held.wait()
+                [txn] = h.facade.proxy.ledger.txns.values()
+                txn.postings[0].sent -= 2 * txn.scheme.window
+                gate.opened.set()
+                await asked
+            h.say(h.figures().partition(", out")[0])
+        play(self, story, "crossing_window", Opened({"b": b"", "c": b""}))
+
+    def test_second_answer(self):
+        """Where an answer came a second time, behind the first, a connection just used is not used for the next one:
+        its second answer, on its way still, would pass for that one's."""
+        async def story(h):
+            await h.call("safe", X_Call_Id="c1")
+            [link] = h.backends.idle["b"]
+            h.writers[-1].write(answer("again"))     # the backend's
+            await until(lambda: not http1.quiet(link.sock))
+            await h.call("safe", X_Call_Id="c2")
+            await h.call("safe", X_Call_Id="c3")
+        with mock.patch("sloeferry.net.backends.SETTLED", NEVER, create=True):
+            play(self, story, "crossing_second", Opened({"b": lambda n: answer(f"answer {n}")}))
+
+
 class Renewed(Crossing):
     def test_between_head_and_last_byte(self):
         """SIGHUP between a request's head and its last byte makes its scheme a referenced one, or drops it: it came
