--- a/sloeferry/rig/planted.py
+++ b/sloeferry/rig/planted.py
@@ -1,7 +1,8 @@
 """Builds of the daemon with one wrong line each: what the rig has to convict.
 
 A planted build is this tree's own `sloeferry`, copied, with one text put in the place of another that stands there
-exactly once; where it does not, that is said, for then the table here is behind the code.
+exactly once; where it does not, that is said, for then the table here is behind the code.  Where a second guard would hold
+what the first lets through, it is taken out as well: a build that breaks no rule shows nothing of the first.
 """
 import pathlib
 import shutil
@@ -19,6 +20,7 @@
     path: str
     right: str
     wrong: str
+    also: tuple = ()                     # the second guard in that file: (right, wrong)
 
 
 PLANTED = {
@@ -27,14 +29,16 @@
         '"leaving": "draining"', '"leaving": "ready"'),
     "changes-unheard": Wrong(
         "lists", "3", "what changes in the list is not passed on to the decisions", "net/discovery.py",
-        "        self.facade.report_list(whole, list(lines.values()), cached, news)",
-        "        whole and self.facade.report_list(whole, list(lines.values()), cached, news)"),
+        "        self.facade.report_list(whole, list(lines.values()), cached, news, ours)",
+        "        whole and self.facade.report_list(whole, list(lines.values()), cached, news, ours)"),
     "news-dropped": Wrong(
         "zombies", "3", "after it stood still, what discovery wrote is dropped with the watch", "net/discovery.py",
         "if http1.quiet(sock):", "if True:"),
     "late-taken-for-new": Wrong(
         "zombies", "1", "after it stood still, what lies unread is taken for new", "net/clients.py",
-        "if self.facade.door.stood(late):", "if False:"),
+        "if self.facade.door.stood(late):", "if False:",
+        # Its clients have left at their expiry, which a look before the first byte sees.
+        ("return self.ended or machine.ended(self.sock)", "return self.ended")),
     "past-expiry": Wrong(
         "errors", "1", "a txn's time is taken for longer than it is", "core/facade.py",
         "left -= min(self.proxy.late, left / 2)", "left += 400"),
@@ -80,7 +84,9 @@
     shutil.copytree(PACKAGE, tree / "sloeferry", ignore=shutil.ignore_patterns("__pycache__", "rig", "rehearsal", "load"))
     path = tree / "sloeferry" / one.path
     text = path.read_text()
-    if text.count(one.right) != 1:
-        raise Fault(f"--plant: {name}: its line stands {text.count(one.right)} times in {one.path}")
-    path.write_text(text.replace(one.right, one.wrong))
+    for right, wrong in filter(None, ((one.right, one.wrong), one.also)):
+        if text.count(right) != 1:
+            raise Fault(f"--plant: {name}: its line stands {text.count(right)} times in {one.path}")
+        text = text.replace(right, wrong)
+    path.write_text(text)
     return str(tree)
