--- a/sloeferry/core/facade.py
+++ b/sloeferry/core/facade.py
@@ -144,15 +144,15 @@
 
     def abandon(self, errand):
         """Nobody carries out its orders any more: its client's connection ends from this side, and with it what was
-        ordered and not begun.  Such a posting would count as out for ever."""
+        ordered and not begun.  Such a posting would count as out for ever.  Returns the answers that nobody passes on."""
         errand.abandoned = True
         self.report_left(errand)
-        links = [what[0].link for order, *what in errand.orders if order == SETTLE and what[0].link]
+        answers = [what[0] for order, *what in errand.orders if order == SETTLE]
         for order, *what in list(errand.orders):
             if order == POST:
                 self.report(errand, what[0], NOTHING, VOID, 0.0)
         errand.orders.clear()
-        return links
+        return answers
 
     def report_probe(self, backend, reached, why, took, load=()):
         self.proxy.probed(clock(), backend, outcome(reached, why), took, load)
--- a/sloeferry/net/discovery.py
+++ b/sloeferry/net/discovery.py
@@ -172,14 +172,16 @@
                     if http1.quiet(sock):
                         return self.silent(told, heard)
                     due = self.loop.time() + SILENCE
-                # An empty line is a sign of life of a watch that has told its list and is not half way through another.
-                if came or alive and told:
+                alive = alive or bool(came)
+                while came:
+                    told = self.take(came.pop(0)) or told
+                # A sign of life, an empty line or what can't be read, is one of a watch that has told its list and is
+                # not half way through another.
+                if alive and told:
                     due, heard = self.loop.time() + SILENCE, f.clock()
                     if self.witness:
                         self.witness.confirmed()
                 alive = False
-                while came:
-                    told = self.take(came.pop(0)) or told
         except TimeoutError:
             return "silent"
         except OSError as broken:
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -101,7 +101,7 @@
             beats.cancel()
             h.say(f"{len(h.calls)} calls")
         h = Opened({"b": answer()}, ask_in=400000)
-        h.moods = [self.STREAM + b"1\r\n\n\r\n", self.STREAM + b'1c\r\n{"revision": 7, "members":\n\r\n']
+        h.moods = [self.STREAM + b"1\r\n\n\r\n", self.STREAM + b"3\r\nno\n\r\n", self.STREAM + b'1c\r\n{"revision": 7, "members":\n\r\n']
         with mock.patch("sloeferry.net.discovery.SILENCE", 0.05), mock.patch.object(decide.Discovery, "QUICK", 50.0):
             play(self, story, "crossing_blank", h)
 
