--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -355,6 +355,37 @@
         with mock.patch.object(Opened, "say", lambda h, text: h.lines.append(text) if text[:2] != "  " else None):
             play(self, story, "crossing_sigterm_full", h)
 
+    def test_hurried_as_its_last_byte_comes(self):
+        """Half a request's time is over, and its last byte is there: a final answer, and nothing was sent on."""
+        async def story(h):
+            sock, guest = await h.sent(h.head(size=4) + b"bod")
+            await until(lambda: guest() and guest().wire.message.size == 3 and guest().reading)
+            there = guest()
+            sock.send(b"y")
+            select.select([there.sock], [], [])  # it is there, and not read: not one turn of the loop in between
+            there.hurry()
+            h.say(f"client gets: {(await asyncio.get_running_loop().sock_recv(sock, 999))[:28]!r}")
+            sock.close()
+        play(self, story, "crossing_last_byte", Opened({"b": answer()}))
+
+    def test_signals_together_and_a_shut_door(self):
+        """SIGTERM twice and SIGHUP in one moment, the door shut and a request parked there unread: it is answered, and
+        the program ends."""
+        async def story(h):
+            with tempfile.NamedTemporaryFile("w") as file, mock.patch.dict(os.environ, BALANCER_CONFIG=file.name):
+                json.dump(h.told, file)
+                file.flush()
+                h.facade.door.limit = 0.0
+                sock, _ = await h.sent(h.head())
+                await until(lambda: h.clients.lobby.waiting)
+                for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+                    os.kill(os.getpid(), number)
+                h.say(f"client gets: {(await asyncio.get_running_loop().sock_recv(sock, 999))[:15]!r}")
+                await h.proxy
+                sock.close()
+            h.say("the program has ended")
+        play(self, story, "crossing_signals", Opened({"b": answer()}))
+
     def test_two_cancels_and_an_answer(self):
         """Given up twice in one turn of the loop, with the answer there but not read: it may have run, its connection is
         not kept, and the next posting gets its own answer."""
