After a silence the list is dialled for until it is there

Read: where a watch fell silent because of a cut, nothing is sent from 6 s after it was last heard until a list has come, but dials were given up after 2.5 s and begun again after the growing pause of a failed call (1.25 to 3.75 s by then), in which the cut may have ended. crossing_dials counts the failed calls before the connection comes up: one a dial before, none now.

--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -8,7 +8,8 @@
 from hypothesis import given, settings, strategies as st
 from loguru import logger
 
-from sloeferry.core import decide, ports
+from sloeferry.core import decide, facade, ports
+from sloeferry.net import http1
 from sloeferry.net.values import Values
 from tests.test_crossings import Crossing, Opened, until
 from tests.trace import Printer, answer, compare, play
@@ -143,6 +144,24 @@
         with mock.patch.object(decide.Discovery, "QUICK", 50.0):
             play(self, story, "crossing_said_silent", Opened({"b": answer()}, ask_in=400000))
 
+    def test_dials_until_it_is_through(self):
+        """A watch fell silent, and no connection comes up: it goes on dialling, without the pauses of failed calls."""
+        async def story(h):
+            failed, dials, dial = [], [], http1.dial
+
+            async def cut(loop, address, patience):
+                dials.append(address)
+                return None if len(dials) < 6 else await dial(loop, address, patience)
+            with mock.patch.object(h.facade, "report_no_list", lambda: (failed.append(len(dials)), h.proxied())), \
+                    mock.patch("sloeferry.net.http1.dial", cut), mock.patch("sloeferry.net.discovery.SILENCE", 0.05):
+                h.list("b", complete=False)
+                await until(lambda: len(h.calls) == 2 and h.discovery.standing)
+            h.say(f"failed calls, by dials before them: {failed}")
+        h = Opened({"b": answer()}, ask_in=400000, dial_timeout=5000)
+        h.proxied = lambda: h.facade.proxy.listed(facade.clock(), ports.FAILED, ())
+        with mock.patch.object(decide.Discovery, "QUICK", 50.0):
+            play(self, story, "crossing_dials", h)
+
     def test_standstill_with_a_former_watch(self):
         """After a standstill the former watch's news are read, too, before anything is sent, however long they are."""
         async def story(h):
