--- a/sloeferry/core/decide.py
+++ b/sloeferry/core/decide.py
@@ -68,7 +68,7 @@
         return not over and self.may_repeat(txn, now)
 
     def may_repeat(self, txn, now, before=None):
-        """Rule 2: of what was posted (`before` that one) nothing may have run, or a repeat is known or harmless."""
+        """Rule 2: of what was posted (`before` that one) nothing may have run, or repeats do no harm."""
         if not (maybe := txn.maybe(before)) or txn.scheme.kind == "repeatable":
             return True
         return txn.scheme.kind == "referenced" and now < maybe[0].sent + txn.scheme.window - self.p.step
