Zones that the settings don't name stand for themselves, alike at every proxy

Found on reading this change again: they had got places in the order in which a proxy met them, and the digest by which versions of the list are compared is over those lines. Two proxies that met two such zones in another order would have looked at odds.

--- a/sloeferry/net/discovery.py
+++ b/sloeferry/net/discovery.py
@@ -23,6 +23,7 @@
         self.duty = duty                 # told once a list is at hand
         self.loop, self.facade, self.backends = loop, facade, backends
         self.seats, self.buffers = seats, buffers
+        # Of the start, for as long as it runs: what is known counts by their places.
         self.address, self.zones, self.kinds = berth.discovery, berth.places("zones"), berth.places("kinds")
         self.retune(berth)
         self.pushed = berth.terms["discovery"] != "subscribe"
@@ -44,9 +45,6 @@
         may be old, and never longer than a watch may be silent: before its first list it is none yet."""
         self.patience = min(berth.terms["obligations.must_ask_in"] / 4, SILENCE * 1000)
         self.dial_time = berth.terms["limits.dial_timeout"]
-        for places, what in ((self.zones, "zones"), (self.kinds, "kinds")):
-            for name in berth.places(what):      # who has a place keeps it: what is known counts by place
-                places.setdefault(name, len(places))
 
     async def run(self):
         """One watch at the start, without being asked, where no list is at hand: until it is in, no client is
@@ -74,8 +72,8 @@
         zones, kinds = ({at: name for name, at in names.items()} for names in (self.zones, self.kinds))
         phases = {ours: theirs for theirs, ours in PHASES.items()}
         return {"revision": self.revision or 0, "complete": True, "members": [
-            {"id": ident, "host_port": "{}:{}".format(*self.backends.addresses[ident]), "locality": zones.get(zone),
-             "flavor": kinds.get(kind), "cell": cell, "phase": phases[standing], "size": share, "up_since_ms": started}
+            {"id": ident, "host_port": "{}:{}".format(*self.backends.addresses[ident]),
+             "locality": zones.get(zone, zone), "flavor": kinds.get(kind, kind), "cell": cell, "phase": phases[standing], "size": share, "up_since_ms": started}
             for ident, zone, kind, cell, standing, share, started in self.known.values()
             if ident in self.backends.addresses]}
 
@@ -248,9 +246,10 @@
             share, started = float(said.get("size", 1.0)), float(said.get("up_since_ms") or 0)
             if not (host.count(".") == 3 and 0 < address[1] < 65536 and math.isfinite(share + started)):
                 raise ValueError
-            # One that the settings don't name gets a place of its own: two of them are not one zone (rule 2).
-            zone, kind = (places.setdefault(said.get(name), len(places)) for places, name in (
-                (self.zones, "locality"), (self.kinds, "flavor")))
+            # One that the settings don't name stands for itself: two of them are not one zone (rule 2), and each proxy
+            # tells them apart alike, whichever it met first.
+            zone, kind = (places.get(name, str(name)) for places, name in (
+                (self.zones, said.get("locality")), (self.kinds, said.get("flavor"))))
             line = ident, zone, kind, int(said.get("cell", 0)), standing, share, started
         except (KeyError, TypeError, ValueError, AttributeError, OSError, OverflowError):
             warn("list entry", "not understood, ignored: {!r}", str(said)[:120])
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -185,6 +185,7 @@
             await until(lambda: "d" in h.discovery.known)
             zone = {ident: line[1] for ident, line in h.discovery.known.items()}
             h.say(f"b and c are of one zone: {zone['b'] == zone['c']}, b and d: {zone['b'] == zone['d']}")
+            h.say(f"whichever a proxy met first: {zone['b']}, {zone['c']}")      # versions.py digests these lines
         play(self, story, "crossing_zones", Opened({"b": answer(), "c": answer()}))
 
 
