One fact in one place: who missed news, who stands where, which messages nobody has taken

Read again; nothing behaves otherwise. Whether a silent watch's news may be missing was kept by the network and by the module: the module is asked (Facade.unheard). A list that answers no call went past Proxy.listed to the board: Proxy.listed is told. Link.done and exchange asked in two ways whether a backend has moved: Link.stands. SIGHUP looked for untaken messages by walking one list twice: Framing.untaken. Facade.abandon walks the orders once; Values makes its decoder once.

--- a/sloeferry/core/decide.py
+++ b/sloeferry/core/decide.py
@@ -679,10 +679,10 @@
             for one in (*txn.kinds, *posting.backend.ways):
                 one.ended(now, posting, None)
 
-    def listed(self, now, scope, lines):
+    def listed(self, now, scope, lines, answers=True):
         if scope != ports.FAILED:
             self.board.listed(now, scope, lines)
-        if scope != ports.CACHED and self.discovery.asks:
+        if answers and scope != ports.CACHED and self.discovery.asks:
             self.discovery.answer(now, scope == ports.FAILED)
 
     def take(self, now, ref, scheme, tenant, key, left, work, repeat):
--- a/sloeferry/core/facade.py
+++ b/sloeferry/core/facade.py
@@ -147,11 +147,13 @@
         ordered and not begun.  Such a posting would count as out for ever.  Returns the answers that nobody passes on."""
         errand.abandoned = True
         self.report_left(errand)
-        answers = [what[0] for order, *what in errand.orders if order == SETTLE]
-        for order, *what in list(errand.orders):
+        orders, answers = list(errand.orders), []
+        errand.orders.clear()
+        for order, *what in orders:
             if order == POST:
                 self.report(errand, what[0], NOTHING, VOID, 0.0)
-        errand.orders.clear()
+            elif order == SETTLE:
+                answers.append(what[0])
         return answers
 
     def report_probe(self, backend, reached, why, took, load=()):
@@ -166,8 +168,7 @@
         for line in lines:
             if line[4] == ports.GONE:
                 self.starts.pop(line[0], None)
-        heard = self.proxy.listed if ours else self.proxy.board.listed
-        heard(clock(), ports.CACHED if cached else ports.WHOLE if whole else ports.CHANGES, lines)
+        self.proxy.listed(clock(), ports.CACHED if cached else ports.WHOLE if whole else ports.CHANGES, lines, ours)
 
     def launched(self, ident, started, news):
         """When a backend started, on this clock.  The wall clock here may be hours off: nothing has started later than
@@ -189,6 +190,10 @@
         """A watch fell silent: what it missed counts as told `by` that time, ms of this clock."""
         self.proxy.discovery.deem(by)
 
+    def unheard(self):
+        """Whether a watch fell silent and no list has come since."""
+        return self.proxy.discovery.missed < INF
+
     def turned(self):
         """This loop turns, which it says again and again.  After it stood still (stopped, starved) a list may lie
         unread that counts as told when it was written (rule 3): until it is read, a task, nothing is sent."""
--- a/sloeferry/net/backends.py
+++ b/sloeferry/net/backends.py
@@ -42,6 +42,10 @@
         self.backends.doubled |= not machine.ended(self.sock)    # no end: bytes that nobody asked for
         return False
 
+    def stands(self):
+        """Whether its backend still listens where this leads: it may have moved meanwhile."""
+        return self.backends.addresses.get(self.ident) == self.address
+
     def rest(self):
         self.since = machine.monotonic()
         self.backends.idle.setdefault(self.ident, []).append(self)
@@ -53,8 +57,8 @@
 
     def done(self, keep):
         """An exchange has ended.  What more there is belongs to no posting: the next would take it for its answer."""
-        if keep and not (self.wire.whole or self.wire.begun) and self.backends.addresses.get(self.ident) == self.address:
-            self.rest()                  # it may have moved meanwhile
+        if keep and not (self.wire.whole or self.wire.begun) and self.stands():
+            self.rest()
         else:
             self.close()
 
@@ -165,8 +169,8 @@
                 return Ended(f.NOTHING, link)
             while catching := self.facade.turned():
                 await asyncio.wait([catching])
-            # What stood when the dial began may have moved since, and its address be another's by now.
-            if f.clock() >= until or self.addresses.get(ident) != link.address or not wanted():
+            # A dial takes time: the address may be another's by now.
+            if f.clock() >= until or not link.stands() or not wanted():
                 why = f.VOID
             else:
                 reached = f.PART
--- a/sloeferry/net/clients.py
+++ b/sloeferry/net/clients.py
@@ -382,9 +382,8 @@
         # Heads that were read under the former settings and are not taken yet: a scheme may be gone, or want a key
         # that the client had no cause to send.  Turned away unsent, it may ask anew (rule 2).
         for guest in self.guests:
-            for message in (*guest.wire.whole, guest.wire.message):
-                begun = guest.wire.begun and not message.flows
-                if message.asks and (begun or message in guest.wire.whole) and not self.wanted(message):
+            for message in guest.wire.untaken():
+                if message.asks and not self.wanted(message):
                     message.barred = message.asks[2] if berth.terms["limits.retry_after"] else 0.0
 
     def figures(self):
@@ -467,9 +466,9 @@
             self.sock.close()
 
     def accept(self, most=AT_ONCE):
-        """Those for whom there is no seat wait outside; whether nobody does any more.  Of a crowd the last may have asked long before they are let
-        in, and their clients' time runs from then (rule 1): a request that is there with its connection counts as
-        waiting since the crowd was first met."""
+        """Those for whom there is no seat wait outside; whether nobody does any more.  Of a crowd the last may have
+        asked long before they are let in, and their clients' time runs from then (rule 1): a request that is there with
+        its connection counts as waiting since the crowd was first met."""
         for _ in range(most):
             if not self.seats.take():
                 self.crowd = self.crowd or f.clock()
@@ -482,7 +481,7 @@
                 if isinstance(fault, BlockingIOError):
                     self.crowd, self.stalled = None, 0
                     return True
-                elif not isinstance(fault, ConnectionAbortedError):
+                if not isinstance(fault, ConnectionAbortedError):
                     warn("accept", "{}", fault)
                     self.pause()
                 return False
--- a/sloeferry/net/discovery.py
+++ b/sloeferry/net/discovery.py
@@ -29,7 +29,6 @@
         self.pushed = berth.terms["discovery"] != "subscribe"
         self.known, self.revision, self.standing = {}, None, False
         self.watching = self.former = None       # the watch, and after a move the one before until this stands
-        self.missed = False              # whether a watch fell silent, and no list has come since
         self.socks = {}                  # of the watches that stand or begin: after a move there are two
         self.witness = None              # where versions are kept account of
         if berth.known:
@@ -139,7 +138,7 @@
             while not (sock := await http1.dial(self.loop, self.address, self.dial_time)):
                 if self.known:
                     self.duty.list_came()     # with the list as last held
-                if self.loop.time() >= until and not self.missed:
+                if self.loop.time() >= until and not self.facade.unheard():
                     return None
                 await asyncio.sleep(self.dial_time / 1000)
             return sock
@@ -197,7 +196,6 @@
         """A watch, also one that only tells until its successor stands, is silent since `heard`: what it has missed
         counts as told some seconds later, whether or not another list has come by then (rule 3)."""
         if told and not self.pushed:
-            self.missed = True
             self.facade.report_silent(heard + TOLD * 1000)
         return "silent"
 
@@ -226,7 +224,7 @@
         if ours and not cached:
             if self.former:              # its list is whole now
                 self.former.cancel()
-            self.former, self.standing, self.missed = None, True, False
+            self.former, self.standing = None, True
             self.duty.list_came()
         if self.witness:
             self.witness.listed(revision, self.known, "known" if cached else "discovery at {}:{}".format(*self.address))
--- a/sloeferry/net/http1.py
+++ b/sloeferry/net/http1.py
@@ -139,6 +139,10 @@
         long = self.answers and (message.length or 0) > KEPT
         return message if long or message.size >= KEPT else None
 
+    def untaken(self):
+        """The messages that are whole or under way and that nobody has taken yet."""
+        return self.whole + [self.message] * (self.begun and not self.message.flows)
+
     def unmeasured(self):
         """Whether an answer is under way of which nobody knows how long it is."""
         message = self.message
--- a/sloeferry/net/values.py
+++ b/sloeferry/net/values.py
@@ -5,6 +5,7 @@
 
 # Where an object may have ended: nothing follows, or the next one.  Within an object a comma or a bracket would.
 ENDED = re.compile(r"}\s*(?:{|\Z)")
+first = json.JSONDecoder().raw_decode    # of a text: the value that it begins with, and where that ends
 
 
 class Values:
@@ -24,7 +25,7 @@
                 if not ENDED.search(self.held, looked):
                     break
                 try:
-                    value, end = json.JSONDecoder().raw_decode(self.held)
+                    value, end = first(self.held)
                     said.append(value)
                     self.held, looked = self.held[end:].lstrip(), 0
                     continue
