--- a/sloeferry/fleet/roll.py
+++ b/sloeferry/fleet/roll.py
@@ -1,8 +1,7 @@
 """The fleet's roll: a file that names every proxy's operators' address, and discovery where it may be asked."""
-import tomllib
 from typing import NamedTuple
 
-from sloeferry import terms
+from sloeferry import tables, terms
 from sloeferry.faults import Unusable
 
 
@@ -19,18 +18,12 @@
 def read(path):
     """The roll in a TOML file; Unusable names the key that can't be used."""
     try:
-        with open(path, "rb") as file:
-            told = tomllib.load(file)
-    except OSError as fault:
-        raise Unusable(f"--fleet: {path} can't be read: {fault.strerror}") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as fault:
-        raise Unusable(f"--fleet: {path} is no TOML: {fault}") from None
-
-    def address(key, said):
-        try:
-            return terms.address(f"{path}: {key}", said)
-        except terms.Fault as fault:
-            raise Unusable(str(fault)) from None
+        return checked(path, tables.read("--fleet", path))
+    except terms.Fault as fault:
+        raise Unusable(str(fault)) from None
+
+
+def checked(path, told):
     for key in told:
         if key not in ("discovery", "proxy"):
             raise Unusable(f"{path}: {key}: is neither discovery nor proxy")
@@ -40,10 +33,10 @@
     for at, entry in enumerate(entries):
         if not isinstance(entry, dict) or set(entry) != {"name", "at"} or not isinstance(entry["name"], str):
             raise Unusable(f"{path}: proxy[{at}]: has to be a name and an address, at")
-        place = address(f"proxy[{at}].at", entry["at"])
+        place = terms.address(f"{path}: proxy[{at}].at", entry["at"])
         if place in places:
             raise Unusable(f"{path}: proxy[{at}].at: {entry['at']} stands there twice, as {places[place]} and {entry['name']}")
         places[place] = entry["name"]
         found.append(Proxy(entry["name"], place))
-    discovery = address("discovery", told["discovery"]) if "discovery" in told else None
+    discovery = terms.address(f"{path}: discovery", told["discovery"]) if "discovery" in told else None
     return Roll(tuple(found), discovery)
--- a/sloeferry/operators.py
+++ b/sloeferry/operators.py
@@ -1,7 +1,6 @@
 """The operators' own file: which subsystems that the platform knows nothing of are on.  Its path is in
 SLOEFERRY_OPERATOR; without it nothing of them is imported.  A table a subsystem; a fault names its key."""
-import tomllib
-
+from sloeferry import tables
 from sloeferry.terms import Fault
 
 # Table, key -> what it is where nothing is said; the kind of a value is that of its default.
@@ -10,13 +9,7 @@
 
 def read(path):
     """All tables, complete."""
-    try:
-        with open(path, "rb") as file:
-            told = tomllib.load(file)
-    except OSError as fault:
-        raise Fault(f"SLOEFERRY_OPERATOR: {path} can't be read: {fault.strerror}") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as fault:
-        raise Fault(f"SLOEFERRY_OPERATOR: {path} is no TOML: {fault}") from None
+    told = tables.read("SLOEFERRY_OPERATOR", path)
     for table, said in told.items():
         if table not in TABLES or not isinstance(said, dict):
             raise Fault(f"{path}: {table}: is none of the tables {', '.join(TABLES)}")
--- a/sloeferry/rehearsal/cli.py
+++ b/sloeferry/rehearsal/cli.py
@@ -29,6 +29,14 @@
     return show
 
 
+def say_shipped(kind, wide):
+    """A line for each that `kind`, a module of scenarios or of plans, has shipped."""
+    for name in kind.shipped():
+        told = kind.read(name)
+        click.echo(f"{name:{wide}s} {told.seconds:4.0f} s  {told.bank.proxies:3d} proxies  "
+                   f"{sum(nodes.count for nodes in told.nodes):3d} nodes  {told.about}")
+
+
 def clear():
     if sys.stderr.isatty():
         click.echo("\r\033[K", nl=False, err=True)
@@ -100,10 +108,7 @@
 @rehearse.command("list")
 def list_all():
     """The scenarios that are shipped."""
-    for name in s.shipped():
-        told = s.read(name)
-        click.echo(f"{name:20s} {told.seconds:4.0f} s  {told.bank.proxies:3d} proxies  "
-                   f"{sum(nodes.count for nodes in told.nodes):3d} nodes  {told.about}")
+    say_shipped(s, 20)
 
 
 @rehearse.command("check")
--- a/sloeferry/rig/cli.py
+++ b/sloeferry/rig/cli.py
@@ -9,7 +9,7 @@
 import click
 
 from sloeferry.rehearsal import scenario as s
-from sloeferry.rehearsal.cli import keep, short as told_short
+from sloeferry.rehearsal.cli import keep, say_shipped, short as told_short
 from sloeferry.rig import plan as p
 
 MEMORY = "/dev/shm"
@@ -98,10 +98,7 @@
 @rig.command("list")
 def list_all():
     """The plans that are shipped."""
-    for name in p.shipped():
-        told = p.read(name)
-        click.echo(f"{name:16s} {told.seconds:4.0f} s  {told.bank.proxies:3d} proxies  "
-                   f"{sum(nodes.count for nodes in told.nodes):3d} nodes  {told.about}")
+    say_shipped(p, 16)
 
 
 @rig.command()
--- a/sloeferry/rig/plan.py
+++ b/sloeferry/rig/plan.py
@@ -29,7 +29,6 @@
     """What the plan holds its proxies to, beside the four rules."""
     service: Part = 0.0                  # the least part of the gain that is settled in time
     lost: Annotated[int, Meta(ge=0)] = 0             # txns with no answer, whoever is to blame, at the most
-    current_s: Above | None = None       # after the last fault every proxy posts on the newest list within this
 
 
 class Struck(Table):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -35,6 +35,17 @@
         await asyncio.sleep(0.001)
 
 
+class Gate:
+    """A hook that holds whoever comes to it until it is opened; `held` says that somebody is there."""
+
+    def __init__(self):
+        self.held, self.opened = asyncio.Event(), asyncio.Event()
+
+    async def passed(self):
+        self.held.set()
+        await self.opened.wait()
+
+
 class Opened(Harbour):
     """A harbour whose proxy's parts can be reached; its backends write down each head as it comes."""
 
@@ -65,6 +76,23 @@
             return next((one for one in self.clients.guests if one.sock.getpeername() == name), None)
         return sock, guest
 
+    @staticmethod
+    async def leaves(sock, there, end=socket.socket.close):
+        """That client goes, and the machine knows; its guest does not look."""
+        end(sock)
+        await until(lambda: left(there.sock))
+
+    @contextlib.contextmanager
+    def before_first_byte(self):
+        """A gate right before each first byte, as where the list is caught up with after a standstill."""
+        gate = Gate()
+
+        def turned():
+            gate.held.set()
+            return None if gate.opened.is_set() else asyncio.ensure_future(gate.opened.wait())
+        with mock.patch.object(self.facade, "turned", turned):
+            yield gate
+
     def figures(self):
         """What may be left behind of a txn."""
         own = {b.ident: b.own for b in self.facade.proxy.board.all.values()}
@@ -77,17 +105,6 @@
         logger.remove()
 
 
-class Gate:
-    """A hook that holds whoever comes to it until it is opened; `held` says that somebody is there."""
-
-    def __init__(self):
-        self.held, self.opened = asyncio.Event(), asyncio.Event()
-
-    async def passed(self):
-        self.held.set()
-        await self.opened.wait()
-
-
 class Leaving(Crossing):
     """A client leaves while its request waits.  The look that comes every 10 ms is put off for good: what is shown
     is what is known right before the first byte."""
@@ -112,20 +129,14 @@
         async def story(h):
             for more, end in ((b"", socket.socket.close), (b"x", socket.socket.close), (h.head("c9")[:30], socket.socket.close),
                               (h.head("c9"), reset), (b"", lambda sock: sock.shutdown(socket.SHUT_WR)), (None, None)):
-                held, go = asyncio.Event(), asyncio.Event()
-
-                def turned():
-                    held.set()
-                    return None if go.is_set() else asyncio.ensure_future(go.wait())
-                with mock.patch.object(h.facade, "turned", turned):
+                with h.before_first_byte() as gate:
                     sock, guest = await h.sent(h.head() + (more or b""))
-                    await held.wait()
+                    await gate.held.wait()
                     there = guest()
                     if end:
-                        end(sock)
-                        await until(lambda: left(there.sock))
+                        await h.leaves(sock, there, end)
                     h.say(f"-- behind it {more!r}, then {'it leaves' if end else 'it stays'}")
-                    go.set()
+                    gate.opened.set()
                     await until(lambda: not h.facade.errands)
                 sock.close()
                 await until(lambda: there not in h.clients.guests)
@@ -144,9 +155,7 @@
             with mock.patch("sloeferry.net.http1.dial", slow):
                 sock, guest = await h.sent(h.head() + b"x")
                 await gate.held.wait()
-                there = guest()
-                sock.close()
-                await until(lambda: left(there.sock))
+                await h.leaves(sock, guest())
                 gate.opened.set()
                 await until(lambda: not h.facade.errands)
         self.play(story, "crossing_dial")
@@ -158,8 +167,7 @@
             sock, guest = await h.sent(h.head() + b"x")
             await until(lambda: h.clients.lobby.waiting)
             there = guest()
-            sock.close()
-            await until(lambda: left(there.sock))
+            await h.leaves(sock, there)
             h.facade.door.limit = float("inf")
             await until(lambda: there not in h.clients.guests)
         self.play(story, "crossing_door")
@@ -191,8 +199,7 @@
             sock, guest = await h.sent(h.head("c1") + h.head("c2"))
             await until(lambda: h.asked == 2)
             there = guest()
-            sock.close()
-            await until(lambda: left(there.sock))
+            await h.leaves(sock, there)
             held.set()
             await until(lambda: there not in h.clients.guests)
         self.play(story, "crossing_ahead", Opened({"b": lambda n: held if n == 2 else answer()}))
@@ -200,19 +207,13 @@
     def test_body_half_come(self):
         """A body that flows, not begun yet, its client gone half way: not one byte goes out."""
         async def story(h):
-            held, go = asyncio.Event(), asyncio.Event()
-
-            def turned():
-                held.set()
-                return None if go.is_set() else asyncio.ensure_future(go.wait())
-            with mock.patch.object(h.facade, "turned", turned):
+            with h.before_first_byte() as gate:
                 sock, guest = await h.sent(h.head(size=200000) + b"x" * 100000)
-                await held.wait()
-                there, out = guest(), []
-                sock.close()
-                await until(lambda: left(there.sock))
+                await gate.held.wait()
+                out = []
+                await h.leaves(sock, guest())
                 with mock.patch.object(backends.Link, "done", lambda link, keep: (out.append(keep), link.close())):
-                    go.set()
+                    gate.opened.set()
                     await until(lambda: not h.facade.errands)
                 h.say(f"a connection untouched: {out}")
         self.play(story, "crossing_body")
@@ -224,18 +225,11 @@
         async def cut(h):
             sock, guest = await h.sent(h.head() + b"x")
             await until(lambda: h.asked == 2)
-            there = guest()
-            sock.close()
-            await until(lambda: left(there.sock))
+            await h.leaves(sock, guest())
             held.set()
             await until(lambda: not h.facade.errands)
 
         class Cut(Opened):
-            async def backend(self, name, script, reader, writer):
-                if self.asked == 1:
-                    held.clear()
-                await super().backend(name, script, reader, writer)
-
             def say(self, text):         # which of the two is asked first is left to how long the first answer took
                 super().say(re.sub(r"backend \d, connection \d", "a backend", text))
 
@@ -254,8 +248,7 @@
             await until(lambda: h.asked == 2)
             there = guest()
             await h.call("safe", X_Call_Id="c0")
-            sock.close()
-            await until(lambda: left(there.sock))
+            await h.leaves(sock, there)
             await h.call("safe", X_Call_Id="c0")
             held.set()
         self.play(story, "crossing_same_id", Opened({"b": lambda n: held if n == 2 else answer()}))
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings, strategies as st
 from loguru import logger
 
-from sloeferry.core import decide, facade, ports
+from sloeferry.core import decide, ports
 from sloeferry.net import http1
 from sloeferry.net.values import Values
 from tests.test_crossings import Crossing, Opened, until
@@ -71,8 +71,12 @@
             h.say(f"said: {said}")
         play(self, story, "crossing_indented", Opened({"b": answer()}))
 
-    def silent(self, name, *moods):
-        """Watches that begin so, one after the other; then one that tells the list, whatever the patience is."""
+    def test_silent_from_the_start(self):
+        """With a list that may be old for long a watch that never tells its own is given up as soon as another: no
+        head, half a head, no list, half a list."""
+        half = b'30\r\n{"revision": 7, "complete": true, "members": [\n\r\n'
+        moods = [b"", b"HTTP/1.1 200 OK\r\nTransf", self.STREAM, self.STREAM + half]
+
         async def story(h):
             await until(lambda: len(h.calls) > len(moods) and h.discovery.standing)
             h.say(f"{len(h.calls)} calls")
@@ -80,13 +84,7 @@
         h = Opened({"b": answer()}, ask_in=400000)
         h.moods = list(moods)
         with mock.patch("sloeferry.net.discovery.SILENCE", 0.05), mock.patch.object(decide.Discovery, "QUICK", 50.0):
-            play(self, story, name, h)
-
-    def test_silent_from_the_start(self):
-        """With a list that may be old for long a watch that never tells its own is given up as soon as another: no
-        head, half a head, no list, half a list."""
-        half = b'30\r\n{"revision": 7, "complete": true, "members": [\n\r\n'
-        self.silent("crossing_silent", b"", b"HTTP/1.1 200 OK\r\nTransf", self.STREAM, self.STREAM + half)
+            play(self, story, "crossing_silent", h)
 
     def test_blank_lines_and_no_list(self):
         """Signs of life are no list, and none while half a list is out."""
@@ -148,19 +146,18 @@
         """A watch fell silent, and no connection comes up: it goes on dialling, without the pauses of failed calls."""
         async def story(h):
             failed, dials, dial, h.discovery.patience = [], [], http1.dial, 50.0
+            report = h.facade.report_no_list
 
             async def cut(loop, address, patience):
                 dials.append(address)
                 return None if len(dials) < 60 else await dial(loop, address, patience)
-            with mock.patch.object(h.facade, "report_no_list", lambda: (failed.append(len(dials)), h.proxied())), \
+            with mock.patch.object(h.facade, "report_no_list", lambda: (failed.append(len(dials)), report())), \
                     mock.patch("sloeferry.net.http1.dial", cut), mock.patch("sloeferry.net.discovery.SILENCE", 0.05):
                 h.list("b", complete=False)
                 await until(lambda: len(h.calls) == 2 and h.discovery.standing)
             h.say(f"failed calls, by dials before them: {failed}")
-        h = Opened({"b": answer()}, ask_in=400000, dial_timeout=5000)
-        h.proxied = lambda: h.facade.proxy.listed(facade.clock(), ports.FAILED, ())
         with mock.patch.object(decide.Discovery, "QUICK", 50.0):
-            play(self, story, "crossing_dials", h)
+            play(self, story, "crossing_dials", Opened({"b": answer()}, ask_in=400000, dial_timeout=5000))
 
     def test_standstill_with_a_former_watch(self):
         """After a standstill the former watch's news are read, too, before anything is sent, however long they are."""
