The rig writes a link's fault down before its relay hears of it

A loss that a relay's fault caused could stand in the records before the fault, and was then held against a proxy.

--- a/sloeferry/rig/crew.py
+++ b/sloeferry/rig/crew.py
@@ -284,9 +284,8 @@
         some, links = self.struck[at]
         self.judge.note(self.loop.time(), "fault", at, p.word(fault), some, len(links))
         if links:
-            told = {name: getattr(fault, name) for name in ("way", "ms", "bytes") if hasattr(fault, name)}
-            self.relay.do("do", links, p.word(fault), told)
-            self.loop.call_later(fault.lasts, self.relay.do, "do", links, "", {})
+            # Written down before the relay hears of it: what it does is seen by others within a ms, and a loss that
+            # stands in the records before its cause is held against a proxy.
             if fault.between == "discovery":
                 for number in some:
                     self.judge.note(self.loop.time(), "unfed", f"p{number}", self.loop.time() + fault.lasts)
@@ -294,6 +293,9 @@
                 for number in some:
                     self.judge.stopped(f"p{number}", self.loop.time(), self.loop.time() + fault.lasts)
                     self.judge.note(self.loop.time(), "apart", f"p{number}", self.loop.time() + fault.lasts + 0.1)
+            told = {name: getattr(fault, name) for name in ("way", "ms", "bytes") if hasattr(fault, name)}
+            self.relay.do("do", links, p.word(fault), told)
+            self.loop.call_later(fault.lasts, self.relay.do, "do", links, "", {})
             return
         getattr(self, type(fault).__name__.lower())(fault, some)
         self.loop.call_later(fault.lasts, self.judge.note, self.loop.time() + fault.lasts, "over", at)
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -17,6 +17,7 @@
 from sloeferry.rehearsal import scenario as s
 from sloeferry.rig import plan as p, planted, verdict
 from sloeferry.rig.cli import rig
+from sloeferry.rig.crew import Crew
 from sloeferry.rig.relay import Link
 from sloeferry.rig.scribe import Scribe, read
 from sloeferry.standins.processes import free_ports
@@ -224,6 +225,19 @@
             self.assertEqual([event[2] for event in read(paths)], list(range(6)))
 
 
+class Strikes(unittest.TestCase):
+    def test_written_down_first(self):
+        """Guards Crew.strike: what a link's fault excuses stands in the record before the relay hears of the fault."""
+        for between, excuse in (("callers", "apart"), ("discovery", "unfed")):
+            said = []
+            crew = types.SimpleNamespace(
+                struck={0: ([8], [f"{between}/8"])}, loop=types.SimpleNamespace(time=lambda: 5.0, call_later=lambda *_: None),
+                judge=types.SimpleNamespace(note=lambda at, what, *_: said.append(what), stopped=lambda *_: None),
+                relay=types.SimpleNamespace(do=lambda *what: said.append(what[0])))
+            Crew.strike(crew, 0, p.Cut(at=1.0, between=between))
+            self.assertEqual(said, ["fault", excuse, "do"])
+
+
 class Processes(unittest.TestCase):
     """Real proxies, each a process; two plays side by side, each with its own addresses."""
     TRUE = ("zombies", "lists", "links", "deaths", "colds", "doors", "settings", "errors")
