Pushed lists: a new process waits for the agent's, a reset watch is dialled within the grace

Discovery.__init__ took the list as last held for good there, and sent by it; run() slept patience / 8 and dial() the whole dial time, together 0.56 s, beside a grace of 0.25 s. Now the list as last held is taken when none is to be had, and a dial and both pauses are parts of the grace. And a call that is silent before its first list starts the 6 s of a silent watch (Discovery.silent). Seen to fail on: pushed_and_a_new_process (200 of the drained backend), pushed_and_a_watch_reset, silent_from_the_start (0 silent of 4).

--- a/sloeferry/net/discovery.py
+++ b/sloeferry/net/discovery.py
@@ -15,6 +15,7 @@
 SILENCE = 2.5                            # seconds; a watch says something every 2 s
 TOLD = 6.0                               # seconds after which what a silent watch misses counts as told (protocol)
 PASSES, MOST_PASSES = 5, 1000            # of the loop: until what was there to be read is taken in; and no more
+SHORT = 40.0                             # ms: a shorter grace than that paces no dials
 LINE = 1 << 22                           # the longest list that is read, in characters
 
 
@@ -25,13 +26,16 @@
         self.seats, self.buffers = seats, buffers
         # Of the start, for as long as it runs: what is known counts by their places.
         self.address, self.zones, self.kinds = berth.discovery, berth.places("zones"), berth.places("kinds")
-        self.retune(berth)
         self.pushed = berth.terms["discovery"] != "subscribe"
+        self.retune(berth)
         self.known, self.revision, self.standing = {}, None, False
         self.watching = self.former = None       # the watch, and after a move the one before until this stands
         self.socks = {}                  # of the watches that stand or begin: after a move there are two
         self.witness = None              # where versions are kept account of
-        if berth.known:
+        # Where changes come unasked, what was told before this process began binds it from its first moment (rule 3):
+        # the list as last held is no list until it is known that there is none to be had.
+        self.held = berth.known if self.pushed else None
+        if berth.known and not self.pushed:
             self.take(berth.known, cached=True)
             # A bank that restarts as one asks a discovery that has no time for all: who knows whom to send to
             # serves on that, under rule 3 as ever, and calls when its turn comes.
@@ -43,7 +47,12 @@
         """The settings, at the start and as they are from now on.  How long a call may take is a quarter of what a list
         may be old, and never longer than a watch may be silent: before its first list it is none yet."""
         self.patience = min(berth.terms["obligations.must_ask_in"] / 4, SILENCE * 1000)
-        self.dial_time = berth.terms["limits.dial_timeout"]
+        self.dial_time = self.pause = berth.terms["limits.dial_timeout"]
+        if self.pushed:
+            # What the agent has counts as told, watch or no watch: a dial and the pause behind it are over, and a list
+            # is read, within the grace that a drain has.
+            grace = max(SHORT, berth.terms["obligations.drain_grace"])
+            self.dial_time, self.pause = min(self.dial_time, grace / 2), min(self.pause, grace / 4)
 
     async def run(self):
         """One watch at the start, without being asked, where no list is at hand: until it is in, no client is
@@ -53,7 +62,7 @@
         while True:
             if self.pushed:
                 await asyncio.wait([self.watching])
-                await asyncio.sleep(self.patience / 8000)
+                await asyncio.sleep(self.pause / 1000)
             else:
                 await self.facade.pick(self.facade.listing)
             if not self.watching or self.watching.done():
@@ -63,6 +72,8 @@
 
     def late(self):
         """The list has not come in the time there is: the one as last held has to do, under rule 3 as ever."""
+        if self.held:
+            self.take(self.held, cached=True)
         if self.known:
             self.duty.list_came()
 
@@ -114,6 +125,7 @@
         if asyncio.current_task() is not self.watching:
             return                       # its successor is on its way, and will say how that went
         self.standing = False
+        self.late()
         self.duty.list_came()
         self.facade.report_no_list()
 
@@ -136,11 +148,10 @@
         until, sock = self.loop.time() + self.patience / 1000, None
         try:
             while not (sock := await http1.dial(self.loop, self.address, self.dial_time)):
-                if self.known:
-                    self.duty.list_came()     # with the list as last held
+                self.late()
                 if self.loop.time() >= until and not self.facade.unheard():
                     return None
-                await asyncio.sleep(self.dial_time / 1000)
+                await asyncio.sleep(self.pause / 1000)
             return sock
         finally:
             if not sock:
@@ -170,7 +181,7 @@
                     # After this program stood still the time is over before anything is read: what lies there is
                     # news, and dropped with the watch it would be heard only when the next one stands (rule 3).
                     if http1.quiet(sock):
-                        return self.silent(told, heard)
+                        return self.silent(heard)
                     due = self.loop.time() + SILENCE
                 alive = alive or bool(came)
                 while came:
@@ -192,10 +203,11 @@
             warn("list", "cut short, ignored: {!r}", values.held[:120])
         return wire.fault or f"answered {wire.message.status}, ended"
 
-    def silent(self, told, heard):
-        """A watch, also one that only tells until its successor stands, is silent since `heard`: what it has missed
-        counts as told some seconds later, whether or not another list has come by then (rule 3)."""
-        if told and not self.pushed:
+    def silent(self, heard):
+        """A watch, also one that only tells until its successor stands or that has not told its list yet, is silent
+        since `heard`: what it has missed counts as told some seconds later, whether or not another list has come by
+        then (rule 3)."""
+        if not self.pushed:
             self.facade.report_silent(heard + TOLD * 1000)
         return "silent"
 
@@ -218,7 +230,7 @@
         ours = cached or asyncio.current_task() is self.watching
         if ours:
             self.revision = revision
-        self.known = {ident: line for ident, line in known.items() if line[4] != "gone"}
+        self.known, self.held = {ident: line for ident, line in known.items() if line[4] != "gone"}, None
         for ident in [ident for ident in self.backends.addresses if ident not in self.known]:
             self.backends.told(ident, None)
         if ours and not cached:
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -73,17 +73,20 @@
 
     def test_silent_from_the_start(self):
         """With a list that may be old for long a watch that never tells its own is given up as soon as another: no
-        head, half a head, no list, half a list."""
-        half = b'30\r\n{"revision": 7, "complete": true, "members": [\n\r\n'
+        head, half a head, no list, half a list.  What it missed counts as told like any silent one's."""
+        half = b'2f\r\n{"revision": 7, "complete": true, "members": [\n\r\n'
         moods = [b"", b"HTTP/1.1 200 OK\r\nTransf", self.STREAM, self.STREAM + half]
 
+        said = []
+
         async def story(h):
             await until(lambda: len(h.calls) > len(moods) and h.discovery.standing)
-            h.say(f"{len(h.calls)} calls")
+            h.say(f"{len(h.calls)} calls, {len(said)} silent")
             await h.call("safe")
         h = Opened({"b": answer()}, ask_in=400000)
         h.moods = list(moods)
-        with mock.patch("sloeferry.net.discovery.SILENCE", 0.05), mock.patch.object(decide.Discovery, "QUICK", 50.0):
+        with mock.patch("sloeferry.core.facade.Facade.report_silent", lambda facade, by: said.append(by)), \
+                mock.patch("sloeferry.net.discovery.SILENCE", 0.05), mock.patch.object(decide.Discovery, "QUICK", 50.0):
             play(self, story, "crossing_silent", h)
 
     def test_blank_lines_and_no_list(self):
@@ -159,6 +162,47 @@
         with mock.patch.object(decide.Discovery, "QUICK", 50.0):
             play(self, story, "crossing_dials", Opened({"b": answer()}, ask_in=400000, dial_timeout=5000))
 
+    def test_pushed_and_a_new_process(self):
+        """Where changes come unasked, what was told while no process was there binds the new one from its first moment:
+        a list as last held names a backend that has drained since.  It says yes, and sends, with the list in hand."""
+        class Pushed(Opened):
+            async def discovery(self, reader, writer):
+                await reader.readuntil(b"\r\n\r\n")
+                await self.refused.wait()
+                writer.write(Watches.STREAM)
+                self.watches[:] = [writer]
+                self.list(("b", "leaving"), "c")
+
+            async def ask(self, text, connection=None, quiet=False):
+                came = await super().ask(text, connection, quiet)
+                if "503" in came:
+                    self.refused.set()
+                return came
+
+        h = Pushed({"b": answer("of b"), "c": answer("of c")}, known=["b", "c"], more={"discovery": "automatic"})
+        h.refused = asyncio.Event()
+        play(self, lambda h: h.call("safe"), "crossing_pushed", h)
+
+    def test_pushed_and_a_watch_reset(self):
+        """What the agent gets counts as told, watch or no watch: a dial that fails, the pause behind a watch's end and
+        the one behind a dial are over within the grace of a drain."""
+        async def story(h):
+            sleeps, dials, wait = [], [], asyncio.sleep
+
+            async def sleep(seconds):
+                sleeps.append(seconds)
+                await wait(0)
+
+            async def dial(loop, address, patience):
+                dials.append(patience)
+            with mock.patch("sloeferry.net.discovery.asyncio.sleep", sleep), mock.patch("sloeferry.net.http1.dial", dial):
+                h.watches[0].close()
+                await until(lambda: len(dials) > 3)
+            grace = h.facade.proxy.term("obligations.drain_grace")
+            h.say(f"a dial and two pauses within the grace of a drain: {dials[0] + 2000 * max(sleeps) <= grace}")
+        play(self, story, "crossing_pushed_reset", Opened({"b": answer()}, more={
+            "discovery": "automatic", "obligations": {"drain_grace": 250000}}))
+
     def test_standstill_with_a_former_watch(self):
         """After a standstill the former watch's news are read, too, before anything is sent, however long they are."""
         async def story(h):
