SIGTERM: late requests are answered before SIGKILL may come, read-ahead ones are taken

A request half sent at SIGTERM may be whole as late as 3 s after; its own expiry then lasts beyond the 0.7 s and the longest expiry after which SIGKILL may come, and unanswered it is lost (PROTOCOL). Its time, and that of a body that flows, ends before that now (Clients.in_time). A connection with a further request read already was closed behind the first answer, since Guest.reply looked at the signal alone: both are answered now (Guest.keeps). A socket spoilt as it is accepted raised in Clients.accept and kept its seat; in leave() it would have ended the program. Seen to fail on: last_byte_long_after_sigterm, read_ahead_and_sigterm (one answer of two), gone_as_it_is_let_in.

--- a/sloeferry/net/clients.py
+++ b/sloeferry/net/clients.py
@@ -1,9 +1,9 @@
 """The clients: the listener, one connection each, /ready, and the way out after SIGTERM."""
 import asyncio
 import functools
+import math
 import re
 import socket
-import struct
 
 from loguru import logger
 
@@ -22,6 +22,8 @@
 STALE = 0.2                              # seconds after which a quarter of the seats being idle is too many
 # Seconds after SIGTERM: for connections (0.4 and the slack, protocol: the last is still on its way), then for what they ask.
 STILL_COMING, LAST = 0.45, 0.2
+# Seconds after SIGTERM, beside the longest expiry: the end may come from there on (0.7, protocol, less the slack).
+KILLED = 0.65
 BACKLOG, AT_ONCE = 1024, 16              # connections: that wait outside, that are let in in a row
 PASSES = 3                               # of the loop: until what was there to be read is read
 PAUSE = 0.01                             # seconds until a full table is tried again
@@ -121,18 +123,17 @@
             message.barred = self.clients.facade.bars(scheme, tenant, message.header(b"x-again") == b"1", True)
         if message.barred is not None:   # more than its body was to be read, or it was no plain one
             self.barred = message.barred
-            return await self.dismiss(message.keep and message.done and not self.clients.duty.sends_away()
-                                      and not wire.fault)
+            return await self.dismiss(self.keeps(message))
         return await self.reply(message, await self.answer(message, waited))
 
     async def reply(self, message, said):
         """Writes the answer; whether another request may follow."""
         if said is None:
             return None
-        (status, body, headers), wire = said, self.wire
+        status, body, headers = said
         if 400 <= status < 500:          # whoever asks so once does it again: not on a connection that is kept
             return await self.refuse(status)
-        keep = message.keep and message.done and not self.clients.duty.sends_away() and not wire.fault
+        keep = self.keeps(message)
         if isinstance(body, Download):
             keep = await self.pass_on(message, body, headers, keep)
         else:
@@ -142,6 +143,12 @@
         self.busy, self.since = False, machine.monotonic()
         return keep
 
+    def keeps(self, message):
+        """Whether the connection goes on behind the answer to `message`.  One that has been read already is taken: who
+        sends clients away ends the connection behind the last of these, not before it (rule 1)."""
+        wire = self.wire
+        return message.keep and message.done and not wire.fault and bool(wire.whole or not self.clients.duty.sends_away())
+
     async def pass_on(self, message, download, headers, keep):
         """An answer as it comes.  Where its backend breaks off the client can tell: the connection ends before
         the length that was said, or without the last chunk; to one that knows neither it is reset."""
@@ -154,7 +161,7 @@
         except Broken:
             warn("answer", "broke off on its way: {}", download.link.wire.fault)
             if not framing:
-                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                http1.reset(self.sock)
             return False
         finally:
             self.download = None
@@ -368,6 +375,7 @@
         self.stalled = 0                 # so many more who wait outside may have come while this loop stood still
         self.crowd = None                # since when more wait outside than are let in in a row
         self.left = False                # it leaves, and who never asked has had his time
+        self.killed = math.inf           # by then (ms) whatever is taken has its answer
         self.inherited, self.listening = berth.inherited, False
         self.retune(berth)
         self.sock = None
@@ -424,9 +432,14 @@
         if message.done:                 # one read ahead of its turn has waited here already
             left -= (machine.monotonic() - message.at) * 1000
         key = self.warm_keys and ENTITY.search(message.header(b"x-call-info") or b"")
-        return self.facade.take(scheme, tenant, max(1.0, left), message.header(b"x-again") == b"1",
+        return self.facade.take(scheme, tenant, self.in_time(left), message.header(b"x-again") == b"1",
                                 key[1].decode("latin-1") if key else 0)
 
+    def in_time(self, left):
+        """Of so many ms from now those in which a txn has to be answered.  Of one whose last byte comes late after
+        SIGTERM the time may last longer than this process: SIGKILL would find it unanswered (rule 1)."""
+        return max(1.0, min(left, self.killed - f.clock()))
+
     # The listener
 
     def bind(self, address):
@@ -485,8 +498,13 @@
                     warn("accept", "{}", fault)
                     self.pause()
                 return False
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            try:
+                sock.setblocking(False)
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            except OSError:              # it has gone already
+                self.seats.give()
+                sock.close()
+                continue
             guest = Guest(self, sock)
             if not self.stalled:
                 guest.outside = self.crowd
@@ -593,6 +611,7 @@
     async def leave(self):
         """Takes what still comes for a while, ends what is idle, waits for the rest."""
         self.duty.leave()                # asks who else is there
+        self.killed = f.clock() + max(self.expiry.values()) + 1000 * KILLED
         logger.info("{}, {} connections", self.duty.state(len(self.guests)), len(self.guests))
         if not self.duty.accepts():
             self.hush()                  # whoever connects now is the other process's
--- a/sloeferry/net/flow.py
+++ b/sloeferry/net/flow.py
@@ -57,6 +57,7 @@
                 data = self.framed(data) if data else b""
                 if done:
                     self.whole, self.began, self.task = True, f.clock(), None
+                    self.left = self.guest.clients.in_time(self.left)
                     self.facade.whole(self.errand, self.left)
                     data += b"" if self.message.length is not None else b"0\r\n\r\n"
                 return data
--- a/sloeferry/net/http1.py
+++ b/sloeferry/net/http1.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 on one socket, with httptools.  What goes wrong is a value, never an exception."""
 import asyncio
 import socket
+import struct
 
 import httptools
 
@@ -226,6 +227,12 @@
     return False
 
 
+def reset(sock):
+    """Has the machine throw away what of this side's bytes is not out yet once the socket is closed, and say so to
+    the other side.  Closed without that they go on whenever they can, be it seconds later, with the end behind them."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 async def dial(loop, address, patience):
     """A connected socket, or None; an OSError if this machine has no socket to give."""
     sock = machine.tcp()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -352,6 +352,70 @@
         with mock.patch.object(Opened, "say", lambda h, text: h.lines.append(text) if text[:2] != "  " else None):
             play(self, story, "crossing_sigterm_full", h)
 
+    def test_read_ahead_and_sigterm(self):
+        """SIGTERM while a txn is out and the next request of its connection has been read: it is taken, and answered;
+        the connection ends behind that."""
+        held = asyncio.Event()
+
+        async def story(h):
+            loop = asyncio.get_running_loop()
+            sock, guest = await h.sent(h.head("c1") + h.head("c2"))
+            await until(lambda: h.asked)
+            os.kill(os.getpid(), signal.SIGTERM)
+            await until(lambda: h.clients.duty.leaving)
+            held.set()
+            came = b""
+            while more := await loop.sock_recv(sock, 999):
+                came += more
+            sock.close()
+            h.say(f"client gets: {re.findall(rb'HTTP.*|Connection.*', came)}")
+        play(self, story, "crossing_ahead_sigterm", Opened({"b": lambda n: held if n == 1 else answer()}))
+
+    def test_last_byte_long_after_sigterm(self):
+        """Its last byte comes when SIGKILL may come before its time is over: it has its answer by then, also where its
+        body flows."""
+        async def story(h):
+            for size, body in ((4, b"body"), (200000, b"x" * 200000)):
+                sock, guest = await h.sent(h.head(f"c{size}", size=size) + body[:-1])
+                await until(lambda: guest() and guest().wire.begun)
+                h.waiting = [*getattr(h, "waiting", ()), (sock, body)]
+            await until(lambda: h.facade.errands)
+            budgets, take, whole = [], h.facade.take, h.facade.whole
+            with mock.patch("sloeferry.net.clients.KILLED", -h.expiry / 2000, create=True), \
+                    mock.patch.object(h.facade, "take", lambda *what: (budgets.append(what[2]), take(*what))[1]), \
+                    mock.patch.object(h.facade, "whole", lambda *what: (budgets.append(what[1]), whole(*what))):
+                os.kill(os.getpid(), signal.SIGTERM)
+                await until(lambda: h.clients.duty.leaving)
+                for sock, body in h.waiting:
+                    sock.send(body[-1:])
+                    h.say(f"client gets: {(await asyncio.get_running_loop().sock_recv(sock, 999))[:15]!r}")
+                    sock.close()
+            h.say(f"in half of their time: {[budget <= h.expiry / 2 for budget in budgets]}")
+        h = Opened({"b": answer()})
+        with mock.patch.object(Opened, "say", lambda h, text: h.lines.append(text) if text[:2] != "  " else None):
+            play(self, story, "crossing_killed", h)
+
+    def test_gone_as_it_is_let_in(self):
+        """Its socket is spoilt as it is taken from the listener: its seat is free again, and the next one is let in."""
+        async def story(h):
+            await until(lambda: not h.clients.guests)
+            option, spoilt = socket.socket.setsockopt, []
+
+            def setsockopt(sock, *what):
+                if not spoilt and sock.getsockname()[1] == h.port:
+                    spoilt.append(sock)
+                    raise OSError(22, "Invalid argument")
+                option(sock, *what)
+            with mock.patch.object(socket.socket, "setsockopt", setsockopt):
+                sock = socket.create_connection(("127.0.0.1", h.port))
+                await until(lambda: spoilt)
+                await h.call("safe")
+            sock.close()
+            h.connections[-1][1].close()
+            await until(lambda: not h.clients.guests)
+            h.say(f"seats taken: {h.clients.seats.taken}")
+        play(self, story, "crossing_let_in", Opened({"b": answer()}))
+
     def test_hurried_as_its_last_byte_comes(self):
         """Half a request's time is over, and its last byte is there: a final answer, and nothing was sent on."""
         async def story(h):
