Settings at their ends: a step over 12.5 ms, no drain grace and gains of nought start and serve

Proxy.__init__: with 4 steps over the 50 ms supposed between txns Board.smooth asked for Ask, which is built after it: AttributeError, no start. Facade.blink was half of the grace: at nought each look at the list was due again at once, and nothing was ever sent (503). Gate.drain divided by the mean gain (504 on each). The module's decisions are the same for steps up to 12.5 ms and gains above nought.

--- a/sloeferry/core/decide.py
+++ b/sloeferry/core/decide.py
@@ -546,7 +546,7 @@
                 self.p.ledger.end(txn)
             if txn.answered:
                 continue
-            waited = now - txn.born > txn.scheme.sla / 4 * min(2.0, txn.gain / self.p.mean_gain)
+            waited = now - txn.born > txn.scheme.sla / 4 * min(2.0, txn.gain / (self.p.mean_gain or 1.0))
             # Little time: after three in vain the next event looks further; one that is behind bounds all.
             look = misses < 3 or waited and looks < most
             looks += look
@@ -634,7 +634,7 @@
     def __init__(self, host, now, seed, terms):
         super().__init__(host)
         # gap: between txns taken; processes: that are this one proxy, while one takes over from another
-        self.gap, self.last, self.processes, self.rng = 50.0, now, 1, Random(seed)
+        self.gap, self.last, self.processes, self.rng = max(50.0, 4 * terms["step"]), now, 1, Random(seed)
         self.schemes, self.kinds = [], ([], [])
         self.settle(terms)
         self.instances, self.ordinal = int(self.term("instances")), int(self.term("ordinal"))
--- a/sloeferry/core/facade.py
+++ b/sloeferry/core/facade.py
@@ -22,6 +22,7 @@
 NOTHING, PART, WHOLE, BEGUN = range(4)
 # Why it ended there; spoilt is an answer that can't be read or doesn't end, on a connection that stands.
 SERVED, ERRED, REJECTED, BROKEN, LATE, WITHDRAWN, VOID, SPOILT = range(8)
+SLACK = 50.0                             # ms by which each limit is longer on sockets (protocol)
 STANDINGS = {"ready": ports.READY, "draining": ports.DRAINING, "gone": ports.GONE}
 
 
@@ -29,6 +30,12 @@
     return machine.monotonic() * 1000
 
 
+def blink(terms):
+    """For how long (ms) this loop may stand before what is known is looked at again: half of what a drain may go unheard,
+    on sockets.  Without that slack a grace of nought would have it look for ever, and nothing be sent."""
+    return (terms["obligations.drain_grace"] + SLACK) / 2
+
+
 class Errand:
     """One txn, or one of the standing errands: where its orders wait."""
 
@@ -58,7 +65,7 @@
         self.probing, self.listing = Errand(), Errand()
         self.unix = machine.unix() * 1000 - clock()
         # When this loop last turned; how long it may stand before what is known is looked at again; that look.
-        self.seen, self.blink, self.catching = clock(), terms["obligations.drain_grace"] / 2, None
+        self.seen, self.blink, self.catching = clock(), blink(terms), None
         self.starts = {}                 # backend -> its start as told, and as taken
         self.catch_up = None             # the network's: reads what discovery wrote meanwhile
         self.proxy = decide.Proxy(self, clock(), seed, terms)
@@ -69,7 +76,7 @@
         """Other settings, between two events: what is taken from now on is under these."""
         self.proxy.retune(berth.terms)
         self.door.retune()
-        self.blink = berth.terms["obligations.drain_grace"] / 2
+        self.blink = blink(berth.terms)
 
     def divided(self, processes):
         """So many processes are this one proxy for now: each keeps to its part of what the rules allow it."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -591,6 +591,18 @@
 
 
 class Renewed(Crossing):
+    def test_settings_at_their_ends(self):
+        """A drain without grace, a step longer than the time between txns that is supposed at first, gains of nought:
+        each starts, and serves."""
+        for name, settings, gain in (("grace", {"obligations": {"must_ask_in": 4000000, "drain_grace": 0}}, 1.0),
+                                     ("step", {"step": 20000}, 1.0), ("gain", {}, 0.0)):
+            class Odd(Opened):
+                def say(self, text):
+                    self.lines.append(f"{name}: {text}")
+
+            with mock.patch.dict(terms.SCHEME, gain=gain):
+                play(self, lambda h: h.call("once"), f"crossing_{name}", Odd({"b": answer()}, expiry=500, more=settings))
+
     def test_names(self):
         """Names that Latin-1 lacks are each their own: by one sign for all such letters two schemes were one."""
         async def story(h):
