--- a/sloeferry/net/clients.py
+++ b/sloeferry/net/clients.py
@@ -518,12 +518,8 @@
                     warn("accept", "{}", fault)
                     self.pause()
                 return False
-            try:
-                sock.setblocking(False)
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            except OSError:              # it has gone already
+            if not http1.let_in(sock):
                 self.seats.give()
-                sock.close()
                 continue
             guest = Guest(self, sock)
             if not self.stalled:
--- a/sloeferry/net/desk.py
+++ b/sloeferry/net/desk.py
@@ -78,7 +78,8 @@
                 if not isinstance(fault, (BlockingIOError, ConnectionAbortedError)):
                     warn("operators", "{}", fault)
                 return
-            sock.setblocking(False)
+            if not http1.let_in(sock):
+                continue
             task = self.loop.create_task(self.serve(sock))
             self.callers[task] = machine.monotonic(), sock
             task.add_done_callback(lambda task: self.callers.pop(task, None))
--- a/sloeferry/net/http1.py
+++ b/sloeferry/net/http1.py
@@ -227,6 +227,18 @@
     return False
 
 
+def let_in(sock):
+    """Makes a socket just accepted one that never blocks and holds no small writes back: what is held back goes when
+    it is closed over unread bytes.  False, and closed, if it is spoilt already."""
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return True
+    except OSError:
+        sock.close()
+        return False
+
+
 def reset(sock):
     """Has the machine throw away what of this side's bytes is not out yet once the socket is closed, and say so to
     the other side.  Closed without that they go on whenever they can, be it seconds later, with the end behind them."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,7 +16,7 @@
 from loguru import logger
 
 from sloeferry import __main__ as start, terms
-from sloeferry.net import backends, clients, http1
+from sloeferry.net import backends, clients, desk, http1
 from sloeferry.net.buffers import Buffers, Seats
 from tests.trace import Harbour, answer, play
 
@@ -352,6 +352,24 @@
         with mock.patch.object(Opened, "say", lambda h, text: h.lines.append(text) if text[:2] != "  " else None):
             play(self, story, "crossing_sigterm_full", h)
 
+    def test_operators_answer_is_not_held_back(self):
+        """An operators' answer behind a 100 Continue, its caller's bytes unread: the machine holds no small write back,
+        or it would go with the close."""
+        async def story(h):
+            serve, found = desk.Desk.serve, []
+
+            def served(there, sock):
+                found.append(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY) > 0)
+                return serve(there, sock)
+            with mock.patch.object(desk.Desk, "serve", served):
+                reader, writer = await asyncio.open_connection("127.0.0.1", h.ops)
+                writer.write(b"POST /admin/resume HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n")
+                h.say(f"caller gets: {await reader.readline()}")
+                writer.write(b"xGET")
+                h.say(f"caller gets: {(await reader.read()).splitlines()[1]}, sent at once: {found}")
+                writer.close()
+        play(self, story, "crossing_operators", Opened({"b": answer()}, ops=True))
+
     def test_turned_out_half_way(self):
         """Half a request, and its seat is needed, or the rest of its body stays out: told so, since its last byte may be
         on its way.  What has its answer under way is not told another."""
