A call that brings no list is followed by one for the whole list

Where discovery begins anew while its watch is down, nothing may ever have changed after the version that the call names: accepted and silent, or 4xx, it was repeated as it was, until the list was too old to send by. After a 503 or a reset the version still holds, so a discovery with too many callers is asked for no more than before. Seen to fail on: three calls with index=2.

--- a/sloeferry/net/discovery.py
+++ b/sloeferry/net/discovery.py
@@ -196,6 +196,9 @@
         except OSError as broken:
             return str(broken)
         finally:
+            # It may know nothing of the version named, having begun anew: nothing would ever have changed after that.
+            if not told and 200 <= wire.message.status < 500:
+                self.revision = None
             wire.close()
         if values.held:
             warn("list", "cut short, ignored: {!r}", values.held[:120])
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -217,6 +217,21 @@
         with mock.patch("sloeferry.net.discovery.SILENCE", 60.0):     # the former one is not to end by itself
             play(self, story, "crossing_pushed_former", Opened({"b": answer()}, more={"discovery": "automatic"}))
 
+    def test_discovery_begins_anew(self):
+        """Discovery has lost its versions: the call after ours' is accepted, and brings nothing, or is turned down.  The
+        next one asks for the whole list."""
+        async def story(h):
+            for mood in (self.STREAM + b"1\r\n\n\r\n", b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n",
+                         b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"):
+                h.moods, there = [mood], len(h.calls)
+                for watch in h.watches:
+                    watch.close()
+                h.watches.clear()
+                await until(lambda: len(h.calls) == there + 2 and h.discovery.standing)
+                h.say(f"calls after {mood[9:12].decode()}: {h.calls[there:]}")
+        with mock.patch("sloeferry.net.discovery.SILENCE", 0.3), mock.patch.object(decide.Discovery, "QUICK", 50.0):
+            play(self, story, "crossing_anew", Opened({"b": answer()}, ask_in=400000))
+
     def test_standstill_with_a_former_watch(self):
         """After a standstill the former watch's news are read, too, before anything is sent, however long they are."""
         async def story(h):
