--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -551,6 +551,33 @@
             h.say(h.figures().partition(", out")[0])
         play(self, story, "crossing_window", Opened({"b": b"", "c": b""}))
 
+    def test_given_up_while_it_pulls(self):
+        """Its posting is withdrawn as the next piece of its body is waited for: the wait is forgotten with it, or the
+        sweep would end the answer under way 3 s later."""
+        async def story(h):
+            sock, guest = await h.sent(h.head(size=200000) + b"x" * 100000)
+            await until(lambda: guest() and guest().pulling)
+            there = guest()
+            h.facade.withdraw(there.errand.ref, 0)
+            await until(lambda: not h.facade.errands)
+            h.say(f"its body is waited for still: {bool(there.pulling)}")
+            sock.close()
+        play(self, story, "crossing_pull", Opened({"b": answer()}))
+
+    def test_new_at_the_same_address(self):
+        """A backend is told to leave, vanishes, and another is listed at its address: it is none of the former's."""
+        async def story(h):
+            await h.call("safe")
+            h.list(("b", "leaving"))
+            await until(lambda: h.discovery.known["b"][4] == "draining")
+            await h.call("safe")
+            h.ports["new"] = h.ports["b"]
+            h.list("new")
+            await until(lambda: "new" in h.discovery.known)
+            await h.call("safe")
+            h.say(f"kept connections of {list(h.backends.idle)}; known {list(h.facade.proxy.board.all)}")
+        play(self, story, "crossing_new", Opened({"b": answer()}, expiry=300))
+
     def test_given_up_behind_a_cut(self):
         """A backend reads nothing, as behind a cut; its txn is given up and answered; then the cut is over.  What the
         machine still held of the request does not reach the backend any more."""
