--- a/sloeferry/__main__.py
+++ b/sloeferry/__main__.py
@@ -138,7 +138,7 @@
             if told["versions"]["bring_up"]:
                 discovery.witness.brings_up(desk, discovery, renewal)
             if discovery.known:
-                discovery.witness.listed(discovery.revision, discovery.known, "known")
+                discovery.witness.listed(discovery.revision, discovery.known)
         if handover:
             handover.join(facade, duty, discovery, clients)
             tasks.append(loop.create_task(handover.run()))
--- a/sloeferry/net/discovery.py
+++ b/sloeferry/net/discovery.py
@@ -241,7 +241,7 @@
             self.former, self.standing = None, True
             self.duty.list_came()
         if self.witness:
-            self.witness.listed(revision, self.known, "known" if cached else "discovery at {}:{}".format(*self.address))
+            self.witness.listed(revision, self.known, None if cached else "discovery at {}:{}".format(*self.address))
         self.facade.report_list(whole, list(lines.values()), cached, news, ours)
         return True
 
--- a/sloeferry/rig/scribe.py
+++ b/sloeferry/rig/scribe.py
@@ -29,6 +29,8 @@
 
     def beat(self, loop, role, due=None):
         """Writes down how late this process runs, whenever it does, from now on."""
+        if self.file.closed:             # what the loop still had to call when this process ended
+            return
         if due is not None and (late := loop.time() - due) > BEAT:
             self.note(loop.time(), "late", role, late * 1000)
         loop.call_later(BEAT, self.beat, loop, role, loop.time() + BEAT)
--- a/sloeferry/versions/ledger.py
+++ b/sloeferry/versions/ledger.py
@@ -8,6 +8,7 @@
 from sloeferry.versions.order import List, Settings, compare
 
 MOST = 64
+HELD = "known"                           # the source of a list as last held: nobody has confirmed that it still stands
 
 
 class Entry:
@@ -37,13 +38,13 @@
 
     def list(self, now, revision, digest, by):
         """A list, or a change of it, has come and acts."""
+        if by != HELD:
+            self.confirm(now)
         before = self.lists[-1].version if self.lists else List(1, revision, "")
         if before.revision == revision and before.digest == digest:
-            self.confirm(now)
             return
         back = revision < before.revision or revision == before.revision and before.digest and digest != before.digest
         self.enter(self.lists, List(before.incarnation + bool(back), revision, digest), now, by)
-        self.confirm(now)
 
     def confirm(self, now):
         """Whoever tells the list says that it still stands."""
--- a/sloeferry/versions/witness.py
+++ b/sloeferry/versions/witness.py
@@ -3,7 +3,7 @@
 from urllib.parse import parse_qs
 
 from sloeferry.core.facade import clock
-from sloeferry.versions.ledger import Ledger
+from sloeferry.versions.ledger import HELD, Ledger
 from sloeferry.versions.order import digest, of_files
 
 EVER = 1e15                              # ms
@@ -64,8 +64,9 @@
     def refused(self, what, why):
         self.ledger.refuse(clock(), what, why)
 
-    def listed(self, revision, known, by):
-        self.ledger.list(clock(), revision, digest(sorted(known.values())), by)
+    def listed(self, revision, known, source=None):
+        """A list acts from now on; `source` is who told it, None for one as last held."""
+        self.ledger.list(clock(), revision, digest(sorted(known.values())), source or HELD)
 
     def confirmed(self):
         self.ledger.confirm(clock())
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -224,6 +224,16 @@
             other.close()
             self.assertEqual([event[2] for event in read(paths)], list(range(6)))
 
+    def test_beat_after_the_end(self):
+        """A look at how late the process runs that comes due after its record is closed writes nothing, and is the last."""
+        with tempfile.TemporaryDirectory() as folder:
+            scribe = Scribe(p.checked(SMALL, "small"), 1, pathlib.Path(folder, "a"), lambda: 0.0)
+            calls = []
+            loop = types.SimpleNamespace(time=lambda: 5.0, call_later=lambda *what: calls.append(what))
+            scribe.close()
+            scribe.beat(loop, "nodes", 1.0)
+            self.assertEqual(calls, [])
+
 
 class Strikes(unittest.TestCase):
     def test_written_down_first(self):
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -96,6 +96,14 @@
         lines.lines.append(f"of the last 15 ms: {[one['revision'] for one in ledger.acted(140.0, 15.0)['lists']]}")
         kept(self, lines, "versions_ledger")
 
+    def test_held_is_not_confirmed(self):
+        """A list as last held is nobody's word that it stands: how long this process has been up tells nothing of it."""
+        ledger = Ledger(0.0, "program")
+        ledger.list(10.0, 41, "l-a", "known")
+        self.assertIsNone(ledger.now_held(20.0)["confirmed_ms"])
+        ledger.list(30.0, 41, "l-a", "discovery")
+        self.assertEqual(ledger.now_held(40.0)["confirmed_ms"], 10)
+
     @settings(max_examples=60, deadline=None)
     @given(st.lists(st.tuples(st.sampled_from(["set", "list", "take", "end", "post", "refuse"]), st.integers(0, 9)),
                     max_size=400))
--- a/tests/trace.py
+++ b/tests/trace.py
@@ -160,6 +160,9 @@
         self.proxy = asyncio.get_running_loop().create_task(start.serve(
             berth, {**os.environ, **self.environ} if self.environ else os.environ))
         while "200" not in await self.ask("GET /ready HTTP/1.1\r\n\r\n", quiet=True):
+            if self.proxy.done():        # it will never be ready: its own exception says why
+                self.proxy.result()
+                raise AssertionError("the proxy ended before it was ready")
             await asyncio.sleep(0.01)
         return self
 
