--- a/sloeferry/core/facade.py
+++ b/sloeferry/core/facade.py
@@ -67,6 +67,7 @@
         # When this loop last turned; how long it may stand before what is known is looked at again; that look.
         self.seen, self.blink, self.catching = clock(), blink(terms), None
         self.starts = {}                 # backend -> its start as told, and as taken
+        self.stale_since = None          # since when the list counts as stale, and nothing is sent
         self.catch_up = None             # the network's: reads what discovery wrote meanwhile
         self.proxy = decide.Proxy(self, clock(), seed, terms)
         self.door, self.beats = Door(self.proxy), False
@@ -209,8 +210,19 @@
             self.catching = get_running_loop().create_task(self.catch_up())
             self.catching.add_done_callback(self.caught_up)
         self.seen = now
+        self.log_staleness(now)
         return self.catching
 
+    def log_staleness(self, now):
+        """A line when the list becomes stale, and one when a newer one has come: no line a request tells of either."""
+        deadline = self.proxy.discovery.deemed_old
+        if now > deadline and self.stale_since is None:
+            self.stale_since = deadline
+            logger.info("the list is stale since {:.0f} ms: nothing is sent until another comes", now - deadline)
+        elif now <= deadline and self.stale_since is not None:
+            logger.info("the list is good again, after {:.0f} ms in which nothing was sent", now - self.stale_since)
+            self.stale_since = None
+
     def caught_up(self, task):
         self.catching = None
 
--- a/sloeferry/net/discovery.py
+++ b/sloeferry/net/discovery.py
@@ -16,6 +16,7 @@
 TOLD = 6.0                               # seconds after which what a silent watch misses counts as told (protocol)
 PASSES, MOST_PASSES = 5, 1000            # of the loop: until what was there to be read is taken in; and no more
 SHORT = 40.0                             # ms: a shorter grace than that paces no dials
+LOGGED = 20                              # backends named in the log line of a list, at the most
 LINE = 1 << 22                           # the longest list that is read, in characters
 
 
@@ -31,6 +32,7 @@
         self.known, self.revision, self.standing = {}, None, False
         self.watching = self.former = None       # the watch, and after a move the one before until this stands
         self.socks = {}                  # of the watches that stand or begin: after a move there are two
+        self.calls = 0                   # so many were begun: each call's number in the log
         self.witness = None              # where versions are kept account of
         # Where changes come unasked, what was told before this process began binds it from its first moment (rule 3):
         # the list as last held is no list until it is known that there is none to be had.
@@ -105,20 +107,22 @@
 
     async def watch(self):
         """One watch, from its dial to its end; its end is a failed call."""
-        why = "no connection"
+        self.calls += 1
+        number, began, why = self.calls, f.clock(), "no connection"
+        logger.info("call {} for the list begins, at {}:{}, after revision {}", number, *self.address, self.revision)
         try:
             sock = await self.dial()
             if sock:
                 self.socks[sock] = True
                 try:
-                    why = await self.lines(sock)
+                    why = await self.lines(sock, number)
                 finally:
                     del self.socks[sock]
                     sock.close()
                     self.seats.give()
         except Exception as fault:       # never the end of the program: the list as known goes on serving
             why = repr(fault)
-        logger.info("watch ended: {}", why)
+        logger.info("call {} ended after {:.0f} ms: {}", number, f.clock() - began, why)
         if asyncio.current_task() is not self.watching:
             return                       # its successor is on its way, and will say how that went
         self.standing = False
@@ -156,7 +160,7 @@
             if not sock:
                 self.seats.give()
 
-    async def lines(self, sock):
+    async def lines(self, sock, number):
         """Take what comes, list by list, until it ends; why it did."""
         values, came, alive, told = Values(), [], False, False
 
@@ -184,7 +188,7 @@
                     due = self.loop.time() + SILENCE
                 alive = alive or bool(came)
                 while came:
-                    told = self.take(came.pop(0)) or told
+                    told = self.take(came.pop(0), number) or told
                 # A sign of life, an empty line or what can't be read, is one of a watch that has told its list and is
                 # not half way through another.
                 if alive and told:
@@ -213,8 +217,8 @@
             self.facade.report_silent(heard + TOLD * 1000)
         return "silent"
 
-    def take(self, said, cached=False):
-        """A list or what changed in it, in discovery's form; whether it was one."""
+    def take(self, said, number=0, cached=False):
+        """A list or what changed in it, in discovery's form, as call `number` brought it; whether it was one."""
         said = said if isinstance(said, dict) else {}
         revision, members = said.get("revision"), said.get("members")
         if not isinstance(revision, int) or not isinstance(members, list):
@@ -235,6 +239,7 @@
         self.known, self.held = {ident: line for ident, line in known.items() if line[4] != "gone"}, None
         for ident in [ident for ident in self.backends.addresses if ident not in self.known]:
             self.backends.told(ident, None)
+        self.log_list(number, revision, whole, lines)
         if ours and not cached:
             if self.former:              # its list is whole now
                 self.former.cancel()
@@ -245,6 +250,15 @@
         self.facade.report_list(whole, list(lines.values()), cached, news, ours)
         return True
 
+    @staticmethod
+    def log_list(number, revision, whole, lines):
+        """One line a list: its source, its revision, and the backends that it says are to get nothing new."""
+        source = f"call {number}" if number else "as last held"
+        leaving = [f"{ident} {line[4]}" for ident, line in lines.items() if line[4] != "ready"]
+        logger.info("list taken in ({}): revision {}, {}, {} entries; {}", source, revision, "whole" if whole else "changes",
+                    len(lines), ", ".join(leaving[:LOGGED]) + (f" and {len(leaving) - LOGGED} more" if len(leaving) > LOGGED else "")
+                    or "none leaves")
+
     def member(self, said):
         """One entry; one that can't be read stays as it was known."""
         ident = said.get("id") if isinstance(said, dict) else None
