--- a/sloeferry/rig/crew.py
+++ b/sloeferry/rig/crew.py
@@ -24,6 +24,7 @@
 from sloeferry.rig import plan as p
 from sloeferry.rig.scribe import Scribe
 from sloeferry.standins import processes
+from sloeferry.standins.call_failures import CallFailure
 from sloeferry.standins.callers import OPS, Front
 from sloeferry.standins.roster import Roster
 
@@ -345,6 +346,8 @@
     # Faults of discovery
 
     def listout(self, fault, some):
+        for at in range(self.plan.bank.proxies):
+            self.judge.note(self.loop.time(), "unreached", f"p{at}", self.loop.time() + fault.lasts)
         self.roster.out()
         self.loop.call_later(fault.lasts, lambda: self.loop.create_task(self.roster.back()))
 
@@ -362,6 +365,14 @@
     def listanew(self, fault, some):
         self.roster.anew()
 
+    def listfail(self, fault, some):
+        failure = CallFailure(fault.how)
+        for at in some:
+            if not failure.reachable:
+                self.judge.note(self.loop.time(), "unreached", f"p{at}", self.loop.time() + fault.lasts)
+            self.loop.create_task(self.roster.fail_calls(f"p{at}", failure))
+            self.loop.call_later(fault.lasts, lambda at=at: self.loop.create_task(self.roster.fail_calls(f"p{at}", None)))
+
     async def end(self):
         for proxy in self.proxies:
             proxy.over = True
--- a/sloeferry/rig/plan.py
+++ b/sloeferry/rig/plan.py
@@ -105,13 +105,18 @@
     by_s: Above = 5.0
 
 
+class ListFail(Struck, tag_field="what", tag="list-fail"):
+    """Their watches end, and each of their calls fails in that way (CallFailure)."""
+    how: Literal["refused", "late-refused", "reset", "silent", "half", "unreachable"] = "refused"
+
+
 class ListAnew(Struck, tag_field="what", tag="list-anew"):
     """Discovery starts anew, with its count at 1."""
 
 
 PROCESS = Kill | Stop | Term | Hup | Clock
 BETWEEN = Hold | Delay | Cut | HalfOpen | Break
-LIST = ListOut | ListLag | ListOlder | ListAnew
+LIST = ListOut | ListLag | ListOlder | ListAnew | ListFail
 # What the rehearsal kit has too, and as what.
 TWIN = {Kill: s.ProxiesDie, Stop: s.ProxiesStop, Term: s.ProxiesRoll, ListOut: s.DiscoveryOut}
 # Troubles of scenarios that a rig of processes has not: they live in the nodes' ways and the virtual network.
--- a/sloeferry/rig/verdict.py
+++ b/sloeferry/rig/verdict.py
@@ -20,6 +20,7 @@
         super().__post_init__()
         self.entered, self.apart, self.hows, self.crossed = {}, defaultdict(list), {}, set()
         self.after, self.unfed, self.deferred = {}, defaultdict(list), []
+        self.unreached = defaultdict(list)       # proxy -> spans in which discovery could not be reached from there
         self.audit, self.auditing, self.history, self.old = None, None, defaultdict(list), []
         self.late, self.by_ident, self.about, self.lists = defaultdict(float), defaultdict(list), [], {}
 
@@ -149,6 +150,18 @@
     def on_audited(self, at, said):
         self.audit, self.after = said, dict(self.lists)
 
+    def on_unreached(self, at, proxy, until):
+        self.unreached[proxy].append((at, until))
+
+    def deemed_when(self, proxy, node):
+        """What discovery could not have told counts as told so long after it could."""
+        deemed = super().deemed_when(proxy, node)
+        if deemed is None:
+            return None
+        span = self.scenario.discovery.deemed_s
+        could = max((until for since, until in self.unreached[proxy] if since <= deemed - span < until), default=None)
+        return deemed if could is None else could + span
+
     def on_unfed(self, at, proxy, until):
         self.unfed[proxy].append((at, until))
 
