--- a/sloeferry/core/decide.py
+++ b/sloeferry/core/decide.py
@@ -18,6 +18,7 @@
 from sloeferry.core.records import (BLAMELESS, BOUNDS, OUT, Backend, Curve, Make, Posting, Prompt, Scheme,
                                     Txn, compare)
 from sloeferry.core.stages import Stages
+from sloeferry.core.staleness import AT_ONCE, Limits, ListStaleness
 from sloeferry.core.timers import Timers
 
 
@@ -75,7 +76,11 @@
 
     def in_use(self, b, now):
         """Rule 3: known to run, not draining, and the list no older than it may be."""
-        return b.standing == ports.READY and now <= self.p.discovery.deemed_old
+        return b.standing == ports.READY and self.list_usable(now)
+
+    def list_usable(self, now):
+        """Rule 3: whether the list is young enough to send by; the one reader of its staleness."""
+        return self.p.discovery.staleness.usable(now)
 
     def post(self, txn, b, now, expected):
         """The one place that sends; None where a rule forbids it."""
@@ -105,36 +110,49 @@
 
 
 class Discovery:
-    """The list where it must be asked for: shared and of limited capacity, so calls are spread out."""
+    """When the list is asked for: discovery is shared and of limited capacity, so calls are spread out.  How long the
+    list may be used meanwhile is decided by `staleness`."""
     QUICK = 10000.0                  # ms: with more patience a failed call is repeated as soon as with this
-    def __init__(self, proxy, now):
-        self.p, self.fails, self.waiting, self.deemed_old, self.missed = proxy, 0, 0, INF, INF
+    TRIES = 3                        # calls that fit, in the mean, into the time after which news counts as told
+    def __init__(self, proxy, now, limits):
+        self.p, self.fails, self.waiting = proxy, 0, 0
+        self.told_since = None       # since when the watch that stands has told its list
         self.asks = proxy.term("discovery") == "subscribe"
         self.patience = proxy.term("obligations.must_ask_in")
+        self.staleness = ListStaleness(now, self.patience, self.asks, limits)
         if self.asks:
-            self.deemed_old = now + self.patience
             proxy.later(now + (proxy.ordinal + proxy.rng.random()) / proxy.instances * self.patience / 4,
                         self.ask)
 
+    def retune(self, patience):
+        self.patience = self.staleness.must_ask_in = patience
+
     def ask(self, now, number=None):
         if number not in (None, self.waiting):
             return                   # that call has been answered meanwhile
-        self.waiting, self.deemed_old = self.waiting + 1, min(now + self.patience, self.missed)
+        self.waiting += 1
+        self.staleness.call_began(now)
         self.p.host.watch()
         self.p.later(now + self.patience / 2, self.ask, self.waiting)
 
-    def answer(self, now, failed):
+    def answer(self, now, scope):
         """Any list answers the call, or shows that the subscription stands; a failure starts anew."""
         self.waiting += 1
-        if not failed:
-            self.fails, self.deemed_old, self.missed = 0, INF, INF
+        if scope not in (ports.FAILED, ports.ENDED):
+            self.fails, self.told_since = 0, self.told_since or now
+            self.staleness.answered(now)
             return
-        self.fails, self.deemed_old = min(self.fails + 1, 3), min(now + 4 * self.patience, self.missed)
-        wait = min(self.patience, self.QUICK) / 16 * 2 ** self.fails
+        self.staleness.unanswered(now)
+        stood, self.told_since = self.told_since is not None and now - self.told_since > self.pause(), None
+        if scope == ports.ENDED and stood:
+            # Whatever ended it, news may have come meanwhile; and whether discovery is there shows at once.
+            return self.p.later(now + self.p.rng.random() * AT_ONCE / 2, self.ask)
+        self.fails = min(self.fails + 1, 3)
+        wait = min(self.pause() * 2 ** self.fails, self.staleness.limits.news / self.TRIES)
         self.p.later(now + wait * (0.5 + self.p.rng.random()), self.ask)
 
-    def deem(self, by):              # what a subscription fallen silent missed counts as told by then
-        self.missed, self.deemed_old = min(self.missed, by), min(self.deemed_old, by)
+    def pause(self):
+        return min(self.patience, self.QUICK) / 16
 
 
 class Board:
@@ -269,7 +287,7 @@
         if now < self.looked + self.fresh_for:
             return self.fit
         passed, self.looked = now - self.looked, now
-        listed = self.open if now <= self.p.discovery.deemed_old else []
+        listed = self.open if self.p.rules.list_usable(now) else []
         self.known = known = {ident: b for ident, b in self.known.items() if b.own or b.ghosts or b.probes_out
                               or b.fails or now - b.heard <= self.age_limit}
         sick = {b.ident for b in known.values() if b.standing == ports.READY
@@ -631,7 +649,7 @@
 
 class Proxy(Timers):
     """One instance: takes the host's calls, keeps the timers and the chain."""
-    def __init__(self, host, now, seed, terms):
+    def __init__(self, host, now, seed, terms, limits=Limits()):
         super().__init__(host)
         # gap: between txns taken; processes: that are this one proxy, while one takes over from another
         self.gap, self.last, self.processes, self.rng = max(50.0, 4 * terms["step"]), now, 1, Random(seed)
@@ -641,7 +659,7 @@
         self.step, self.stages = terms["step"], Stages()     # of other subsystems, as the host installs them
         self.zone, self.turn = self.term("zone"), self.ordinal * 0.618034 % 1    # spread over the bank
         self.mean_gain = sum(s.worth() for s in self.schemes) / len(self.schemes)
-        self.discovery, self.board, self.reposting = Discovery(self, now), Board(self, now), Reposting(self)
+        self.discovery, self.board, self.reposting = Discovery(self, now, limits), Board(self, now), Reposting(self)
         self.gate = Gate(self, self.reposting)
         self.ask = Ask(self, self.gate)
         self.ledger = Ledger(self, self.ask)
@@ -668,7 +686,7 @@
 
     def retune(self, terms):
         self.settle(terms)
-        self.discovery.patience = self.term("obligations.must_ask_in")
+        self.discovery.retune(self.term("obligations.must_ask_in"))
         self.board.smooth()
 
     def flows(self, now, ref, seq):
@@ -680,10 +698,10 @@
                 one.ended(now, posting, None)
 
     def listed(self, now, scope, lines, answers=True):
-        if scope != ports.FAILED:
+        if scope not in (ports.FAILED, ports.ENDED):
             self.board.listed(now, scope, lines)
         if answers and scope != ports.CACHED and self.discovery.asks:
-            self.discovery.answer(now, scope == ports.FAILED)
+            self.discovery.answer(now, scope)
 
     def take(self, now, ref, scheme, tenant, key, left, work, repeat):
         scheme = self.schemes[scheme]
--- a/sloeferry/core/facade.py
+++ b/sloeferry/core/facade.py
@@ -14,6 +14,7 @@
 from sloeferry import machine
 from sloeferry.core import decide, ports
 from sloeferry.core.overload import Door
+from sloeferry.core.staleness import ON_SOCKETS
 
 # Orders: (POST, seq, backend), (WITHDRAW, seq), (SETTLE, answer), (DECLINE, pause), (REVERSE,), (LEAVE,),
 # and for the standing errands (PROBE, backend) and (WATCH,).
@@ -68,8 +69,9 @@
         self.seen, self.blink, self.catching = clock(), blink(terms), None
         self.starts = {}                 # backend -> its start as told, and as taken
         self.stale_since = None          # since when the list counts as stale, and nothing is sent
+        self.before_stall = clock()      # when this loop last turned before it stood still
         self.catch_up = None             # the network's: reads what discovery wrote meanwhile
-        self.proxy = decide.Proxy(self, clock(), seed, terms)
+        self.proxy = decide.Proxy(self, clock(), seed, terms, ON_SOCKETS)
         self.door, self.beats = Door(self.proxy), False
         self.proxy.stages.all.append(self.door)
 
@@ -190,23 +192,56 @@
         self.starts[ident] = started, at
         return at
 
+    # Facts about the list's age (core/staleness.py)
+
+    @property
+    def staleness(self):
+        return self.proxy.discovery.staleness
+
+    def report_confirmed(self):
+        """The watch that stands said something, a list or a sign of life.  What is read after this program stood still
+        may have been written at any time since it last turned."""
+        now = clock()
+        if self.catching:
+            now = self.before_stall
+        elif now - self.seen > self.blink:
+            now = self.seen
+        self.staleness.confirmed(now)
+
+    def report_call_failed(self, how, began):
+        """A call that brought no list has ended; `began`: when the last attempt at it did, ms of this clock."""
+        self.staleness.call_failed(clock(), how, began)
+
+    def report_watch_ended(self):
+        """A watch that had told its list has ended."""
+        self.staleness.watch_ended(clock())
+
+    def report_silent(self, since):
+        """A watch is given up that has said nothing since then, ms of this clock."""
+        self.staleness.watch_silent(since)
+
     def report_no_list(self):
-        """A watch that was asked for, or stood, has failed."""
+        """The call that was asked for brought no list: another is due."""
         self.proxy.listed(clock(), ports.FAILED, ())
 
-    def report_silent(self, by):
-        """A watch fell silent: what it missed counts as told `by` that time, ms of this clock."""
-        self.proxy.discovery.deem(by)
+    def report_no_watch(self):
+        """The watch that stood has ended: another is due."""
+        self.proxy.listed(clock(), ports.ENDED, ())
+
+    def report_moved(self):
+        """Discovery is elsewhere from now on."""
+        self.staleness.moved(clock())
 
     def unheard(self):
         """Whether a watch fell silent and no list has come since."""
-        return self.proxy.discovery.missed < INF
+        return self.staleness.overdue
 
     def turned(self):
         """This loop turns, which it says again and again.  After it stood still (stopped, starved) a list may lie
         unread that counts as told when it was written (rule 3): until it is read, a task, nothing is sent."""
         now = clock()
         if now - self.seen > self.blink and self.catch_up and not self.catching:
+            self.before_stall = self.seen
             self.catching = get_running_loop().create_task(self.catch_up())
             self.catching.add_done_callback(self.caught_up)
         self.seen = now
@@ -215,12 +250,14 @@
 
     def log_staleness(self, now):
         """A line when the list becomes stale, and one when a newer one has come: no line a request tells of either."""
-        deadline = self.proxy.discovery.deemed_old
-        if now > deadline and self.stale_since is None:
-            self.stale_since = deadline
-            logger.info("the list is stale since {:.0f} ms: nothing is sent until another comes", now - deadline)
-        elif now <= deadline and self.stale_since is not None:
-            logger.info("the list is good again, after {:.0f} ms in which nothing was sent", now - self.stale_since)
+        staleness = self.staleness
+        if not staleness.usable(now) and self.stale_since is None:
+            self.stale_since = staleness.usable_until
+            logger.info("the list is stale ({}), known to be true until {:.0f} ms ago: nothing is sent until another comes",
+                        staleness.cause.value, now - staleness.trusted_until)
+        elif self.stale_since is not None and staleness.usable(now):
+            logger.info("the list is good again ({}), after {:.0f} ms in which nothing was sent", staleness.cause.value,
+                        now - self.stale_since)
             self.stale_since = None
 
     def caught_up(self, task):
--- a/sloeferry/core/ports.py
+++ b/sloeferry/core/ports.py
@@ -13,8 +13,9 @@
 SETTLED, ERRED, TURNED_AWAY, LATE, UNREACHED, CUT, WITHDRAWN, NEVER_SENT, UNKNOWN = range(9)
 # How a backend stands in the list.
 GONE, READY, DRAINING = range(3)
-# What a list is: all, only changes, all as last held by an earlier life, or none because the call failed.
-WHOLE, CHANGES, CACHED, FAILED = range(4)
+# What a list is: all, only changes, all as last held by an earlier life, or none because the call failed, or because
+# the watch that had told it ended.
+WHOLE, CHANGES, CACHED, FAILED, ENDED = range(5)
 
 # One line of a list: (backend, zone, kind, cell, standing, share, launched); launched 0 = long past.
 Line = tuple[Any, int, int, int, int, float, float]
--- a/sloeferry/net/discovery.py
+++ b/sloeferry/net/discovery.py
@@ -3,23 +3,49 @@
 import json
 import math
 import socket
+from dataclasses import dataclass
 
 from loguru import logger
 
 from sloeferry.core import facade as f
+from sloeferry.core.staleness import CallEnd
 from sloeferry.net import http1
 from sloeferry.net.log import warn
 from sloeferry.net.values import Values
 
 PHASES = {"active": "ready", "leaving": "draining", "left": "gone"}
 SILENCE = 2.5                            # seconds; a watch says something every 2 s
-TOLD = 6.0                               # seconds after which what a silent watch misses counts as told (protocol)
+WAITED = 0.25                            # of a call's patience: discovery that ends it sooner is there, and has no time
 PASSES, MOST_PASSES = 5, 1000            # of the loop: until what was there to be read is taken in; and no more
 SHORT = 40.0                             # ms: a shorter grace than that paces no dials
 LOGGED = 20                              # backends named in the log line of a list, at the most
 LINE = 1 << 22                           # the longest list that is read, in characters
 
 
+@dataclass
+class Call:
+    """One call for the list, from its dial to its end.  Times are ms of `facade.clock`."""
+
+    number: int                          # in the log
+    began: float
+    tried: float                         # when its last dial began, or its request was written
+    dialled: bool = False                # whether a socket was to be had at all
+    connected: bool = False
+    answered: bool = False               # whether anything of an answer with status 200 came
+    told: bool = False                   # whether it brought its list: a watch from then on
+    silent_since: float | None = None    # when it was last heard, if it was given up as silent
+
+    def end(self, now: float, patience: float) -> CallEnd:
+        """How it failed, for one that brought no list; `patience` is for how long (ms) a call may take."""
+        if not self.dialled:
+            return CallEnd.NOT_MADE
+        if not self.connected:
+            return CallEnd.UNREACHABLE
+        if self.answered or now - self.tried < WAITED * patience:
+            return CallEnd.REFUSED
+        return CallEnd.UNANSWERED
+
+
 class Discovery:
     def __init__(self, loop, facade, berth, seats, buffers, backends, duty, careful=False):
         self.duty = duty                 # told once a list is at hand
@@ -98,6 +124,7 @@
     def again(self):
         """The whole list is asked for on another watch; the one that stands goes on telling until that has come."""
         self.revision = None
+        self.facade.report_moved()
         if self.standing:
             self.former = self.watching
         elif self.watching:
@@ -108,30 +135,46 @@
     async def watch(self):
         """One watch, from its dial to its end; its end is a failed call."""
         self.calls += 1
-        number, began, why = self.calls, f.clock(), "no connection"
-        logger.info("call {} for the list begins, at {}:{}, after revision {}", number, *self.address, self.revision)
+        began, why = f.clock(), "no connection"
+        call = Call(self.calls, began, began)
+        logger.info("call {} for the list begins, at {}:{}, after revision {}", call.number, *self.address, self.revision)
         try:
-            sock = await self.dial()
+            sock = await self.dial(call)
             if sock:
                 self.socks[sock] = True
                 try:
-                    why = await self.lines(sock, number)
+                    why = await self.lines(sock, call)
                 finally:
                     del self.socks[sock]
                     sock.close()
                     self.seats.give()
         except Exception as fault:       # never the end of the program: the list as known goes on serving
             why = repr(fault)
-        logger.info("call {} ended after {:.0f} ms: {}", number, f.clock() - began, why)
+        self.ended(call, why)
         if asyncio.current_task() is not self.watching:
             return                       # its successor is on its way, and will say how that went
         self.standing = False
         self.late()
         self.duty.list_came()
-        self.facade.report_no_list()
+        if call.told and call.silent_since is None:
+            self.facade.report_no_watch()
+        else:
+            self.facade.report_no_list()
         if self.pushed:                  # the newest: a former one may stand on, and tells nothing of the new place
             self.loop.call_later(self.pause / 1000, self.facade.watch)
 
+    def ended(self, call, why):
+        """A call or watch has ended: what that tells of the list's age."""
+        now, current = f.clock(), asyncio.current_task() is self.watching
+        logger.info("call {} ended after {:.0f} ms: {}", call.number, now - call.began, why)
+        if call.silent_since is not None:
+            self.facade.report_silent(call.silent_since)
+        elif call.told:
+            if current or not self.standing:     # else its successor has told the list meanwhile
+                self.facade.report_watch_ended()
+        elif current:
+            self.facade.report_call_failed(call.end(now, self.patience), call.tried)
+
     async def catch_up(self):
         """This program stood still: goes on until what discovery wrote meanwhile is read and taken in."""
         quiet = 0                        # turns in a row: what was read last is yet to be taken in
@@ -141,32 +184,35 @@
             if quiet > PASSES:
                 return
 
-    async def dial(self):
+    async def dial(self, call):
         """Dials again and again for as long as a call may take: one that never arrived cost discovery nothing,
         and after a cut every second without the list is one in which drains go unheard (rule 3).  Where one may have
         been missed nothing is sent from some time on, and it dials until it is through: a pause between two calls would
         go on when the cut is over."""
         if not self.seats.take():
             return None
-        until, sock = self.loop.time() + self.patience / 1000, None
+        until, sock, call.dialled = self.loop.time() + self.patience / 1000, None, True
         try:
             while not (sock := await http1.dial(self.loop, self.address, self.dial_time)):
                 self.late()
+                call.tried = f.clock()
                 if self.loop.time() >= until and not self.facade.unheard():
                     return None
                 await asyncio.sleep(self.pause / 1000)
+            call.connected = True
             return sock
         finally:
             if not sock:
                 self.seats.give()
 
-    async def lines(self, sock, number):
+    async def lines(self, sock, call):
         """Take what comes, list by list, until it ends; why it did."""
-        values, came, alive, told = Values(), [], False, False
+        values, came, alive = Values(), [], False
 
         def stream(message, data):
             nonlocal alive
             if message.status == 200:
+                call.answered = True
                 came.extend(values.feed(data))
                 alive = alive or b"\n" in data and not values.held
         wire = http1.Wire(self.loop, sock, self.buffers, answers=True, stream=stream)
@@ -178,21 +224,24 @@
             due = self.loop.time() + self.patience / 1000
             async with asyncio.timeout_at(due):
                 await self.loop.sock_sendall(sock, ask)
-            heard = f.clock()
+            heard = call.tried = f.clock()
             while not wire.fault and not wire.whole and len(values.held) < LINE:
                 if not await wire.waited(max(0.0, due - self.loop.time())):
                     # After this program stood still the time is over before anything is read: what lies there is
                     # news, and dropped with the watch it would be heard only when the next one stands (rule 3).
                     if http1.quiet(sock):
-                        return self.silent(heard)
+                        call.silent_since = heard
+                        return "silent"
                     due = self.loop.time() + SILENCE
                 alive = alive or bool(came)
                 while came:
-                    told = self.take(came.pop(0), number) or told
+                    call.told = self.take(came.pop(0), call.number) or call.told
                 # A sign of life, an empty line or what can't be read, is one of a watch that has told its list and is
                 # not half way through another.
-                if alive and told:
+                if alive and call.told:
                     due, heard = self.loop.time() + SILENCE, f.clock()
+                    if asyncio.current_task() is self.watching:
+                        self.facade.report_confirmed()
                     if self.witness:
                         self.witness.confirmed()
                 alive = False
@@ -202,21 +251,13 @@
             return str(broken)
         finally:
             # It may know nothing of the version named, having begun anew: nothing would ever have changed after that.
-            if not told and 200 <= wire.message.status < 500:
+            if not call.told and 200 <= wire.message.status < 500:
                 self.revision = None
             wire.close()
         if values.held:
             warn("list", "cut short, ignored: {!r}", values.held[:120])
         return wire.fault or f"answered {wire.message.status}, ended"
 
-    def silent(self, heard):
-        """A watch, also one that only tells until its successor stands or that has not told its list yet, is silent
-        since `heard`: what it has missed counts as told some seconds later, whether or not another list has come by
-        then (rule 3)."""
-        if not self.pushed:
-            self.facade.report_silent(heard + TOLD * 1000)
-        return "silent"
-
     def take(self, said, number=0, cached=False):
         """A list or what changed in it, in discovery's form, as call `number` brought it; whether it was one."""
         said = said if isinstance(said, dict) else {}
@@ -248,6 +289,8 @@
         if self.witness:
             self.witness.listed(revision, self.known, None if cached else "discovery at {}:{}".format(*self.address))
         self.facade.report_list(whole, list(lines.values()), cached, news, ours)
+        if ours and not cached:
+            self.facade.report_confirmed()
         return True
 
     @staticmethod
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -15,7 +15,7 @@
 from sloeferry.core import decide, facade
 from sloeferry.net.backends import Backends
 from sloeferry.net.buffers import Buffers, Seats
-from sloeferry.net.discovery import Discovery
+from sloeferry.net.discovery import Call, Discovery
 from sloeferry.ops.duty import Duty
 from tests.trace import NAMES, Harbour, Lines, answer, compare, play
 
@@ -260,7 +260,7 @@
             duty = Duty()
             discovery = Discovery(loop, None, berth, seats, Buffers(), Backends(loop, None, told, seats, None), duty)
             discovery.known = {"b": ()}
-            dialled = loop.create_task(discovery.dial())
+            dialled = loop.create_task(discovery.dial(Call(1, 0.0, 0.0)))
             while not duty.ready():
                 await asyncio.sleep(0.01)
             h.say(f"ready, connected: {dialled.done()}")
--- a/tests/test_staleness.py
+++ b/tests/test_staleness.py
@@ -1,8 +1,153 @@
 """How long the list of backends may be used once nobody confirms it any more (rule 3)."""
+import math
 import unittest
 
+from hypothesis import given, settings, strategies as st
+
+from sloeferry.core.staleness import AT_ONCE, NEWS, ON_SOCKETS, SPREAD, WAIT_OVER, CallEnd, Cause, Limits, ListStaleness
 from tests.test_rig import Processes
 
+MUST_ASK_IN = 10000.0                    # ms
+AWAY = (CallEnd.UNREACHABLE, CallEnd.UNANSWERED)
+
+
+def watched(at=10000.0, must_ask_in=MUST_ASK_IN, asked=True):
+    """The staleness of a list whose watch last said something at that time, and the moment until which it is trusted."""
+    staleness = ListStaleness(0.0, must_ask_in, asked, ON_SOCKETS)
+    staleness.confirmed(at)
+    return staleness, at - SPREAD
+
+
+class Deadlines(unittest.TestCase):
+    """Each way in which word of changes stops starts the same clock."""
+
+    def test_watch_that_stands(self):
+        """A standing watch is trusted from one sign of life to the next, and for the time of news after the last."""
+        staleness, trusted = watched()
+        self.assertEqual((staleness.usable_until, staleness.cause), (trusted + NEWS, Cause.WATCHED))
+
+    def test_watch_ended(self):
+        """A watch may end instead of telling: what ended it counts as told soon, and a later call does not undo that."""
+        staleness, trusted = watched()
+        staleness.watch_ended(10100.0)
+        self.assertEqual((staleness.usable_until, staleness.cause), (trusted + WAIT_OVER, Cause.WATCH_ENDED))
+        staleness.call_began(10200.0)
+        staleness.call_failed(trusted + WAIT_OVER + 1, CallEnd.REFUSED, 10200.0)
+        self.assertEqual(staleness.usable_until, trusted + WAIT_OVER)
+
+    def test_call_refused(self):
+        """Discovery can be reached and refuses, whatever else follows: the time of news, no more."""
+        staleness, trusted = watched()
+        staleness.watch_ended(10100.0)
+        for at, end in ((10200.0, CallEnd.REFUSED), (12000.0, CallEnd.UNANSWERED), (14000.0, CallEnd.UNREACHABLE)):
+            staleness.call_failed(at, end, at - 50.0)
+            self.assertEqual(staleness.usable_until, trusted + NEWS)
+        self.assertFalse(staleness.usable(trusted + NEWS + 1))
+
+    def test_outage(self):
+        """Out of reach from the watch's end on: nothing is told meanwhile; back, the clock runs from the last such call."""
+        for end in AWAY:
+            staleness, _ = watched()
+            staleness.watch_ended(10100.0)
+            for began in (10150.0, 14000.0, 18000.0):
+                staleness.call_failed(began + 1000.0, end, began)
+                self.assertEqual((staleness.usable_until, staleness.cause), (began + NEWS, Cause.OUT_OF_REACH))
+            staleness.call_failed(21000.0, CallEnd.REFUSED, 20999.0)
+            staleness.call_failed(23000.0, end, 22000.0)
+            self.assertEqual(staleness.usable_until, 18000.0 + NEWS)
+
+    def test_outage_known_late(self):
+        """It takes a call to know of it: the list, stale meanwhile, is good again."""
+        staleness, trusted = watched()
+        staleness.watch_ended(10100.0)
+        self.assertFalse(staleness.usable(trusted + WAIT_OVER + 1))
+        staleness.call_failed(12300.0, CallEnd.UNANSWERED, 10150.0)
+        self.assertTrue(staleness.usable(12300.0))
+
+    def test_gap_before_the_outage(self):
+        """Between the watch's end and the first call news may have been there: no outage is taken for granted."""
+        staleness, trusted = watched()
+        staleness.watch_ended(10100.0)
+        staleness.call_failed(11500.0, CallEnd.UNANSWERED, 10100.0 + AT_ONCE + 1)
+        self.assertEqual(staleness.usable_until, trusted + NEWS)
+
+    def test_silent(self):
+        """A silent watch is broken, not away: no failed call gives more time, and it is called for without pauses."""
+        staleness, trusted = watched()
+        staleness.watch_silent(10000.0)
+        self.assertTrue(staleness.overdue)
+        for end in CallEnd:
+            staleness.call_failed(13000.0, end, 12900.0)
+        self.assertEqual(staleness.usable_until, trusted + NEWS)
+
+    def test_call_silent(self):
+        """A call that is let in and never answered is a silent watch from its request on."""
+        staleness, trusted = watched()
+        staleness.watch_ended(10100.0)
+        staleness.call_failed(10200.0, CallEnd.REFUSED, 10150.0)
+        staleness.call_failed(13000.0, CallEnd.SILENT, 10400.0)
+        self.assertEqual((staleness.usable_until, staleness.overdue), (trusted + NEWS, True))
+
+    def test_moved(self):
+        """After a move the former watch's word counts no more; where lists are pushed the time is shorter."""
+        for asked, least in ((True, NEWS), (False, 4000.0)):
+            staleness, trusted = watched(asked=asked)
+            staleness.moved(10200.0)
+            self.assertEqual(staleness.usable_until, trusted + least)
+
+    def test_started_on_a_held_list(self):
+        """From the start; calls that fail since the very beginning show an outage."""
+        staleness = ListStaleness(500.0, MUST_ASK_IN, True, ON_SOCKETS)
+        self.assertEqual((staleness.usable_until, staleness.cause), (500.0 + NEWS, Cause.HELD))
+        staleness.call_failed(3000.0, CallEnd.REFUSED, 2900.0)
+        self.assertEqual(staleness.usable_until, 500.0 + NEWS)
+        staleness = ListStaleness(500.0, MUST_ASK_IN, True, ON_SOCKETS)
+        staleness.call_failed(3000.0, CallEnd.UNANSWERED, 2000.0)
+        self.assertEqual(staleness.usable_until, 2000.0 + NEWS)
+
+    def test_settings_that_allow_less(self):
+        """The settings' own limit holds where it is the earlier one: from the last word, four times after a failed call."""
+        staleness, trusted = watched(must_ask_in=1000.0)
+        staleness.watch_ended(10100.0)
+        self.assertEqual(staleness.usable_until, trusted + 1000.0)
+        staleness.call_failed(10300.0, CallEnd.REFUSED, 10200.0)
+        self.assertEqual(staleness.usable_until, 10200.0 + 4000.0)
+
+    def test_simulator(self):
+        """Where the platform sets no limit of its own the settings' limits run from calls alone."""
+        staleness = ListStaleness(0.0, MUST_ASK_IN, True, Limits())
+        staleness.call_began(100.0)
+        self.assertEqual(staleness.usable_until, 100.0 + MUST_ASK_IN)
+        staleness.unanswered(200.0)
+        self.assertEqual(staleness.usable_until, 200.0 + 4 * MUST_ASK_IN)
+        staleness.answered(300.0)
+        self.assertEqual(staleness.usable_until, math.inf)
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(st.lists(st.tuples(st.sampled_from(["ended", "silent", "moved", "began", *CallEnd]), st.floats(0, 3000)),
+                    max_size=12))
+    def test_never_past_news(self, facts):
+        """Whatever happens without word from discovery: never longer than the time of news after the last moment at
+        which it can have been out of reach."""
+        staleness, trusted = watched()
+        now, reach = 10000.0, trusted
+        for what, after in facts:
+            began, now = now, now + after
+            if what in AWAY:
+                reach = max(reach, began)
+                staleness.call_failed(now, what, began)
+            elif isinstance(what, CallEnd):
+                staleness.call_failed(now, what, began)
+            elif what == "ended":
+                staleness.watch_ended(now)
+            elif what == "silent":
+                staleness.watch_silent(now)
+            elif what == "moved":
+                staleness.moved(now)
+            else:
+                staleness.call_began(now)
+            self.assertLessEqual(staleness.usable_until, reach + NEWS)
+
 
 class FailingCalls(unittest.TestCase):
     """Real proxies on loopback, their discovery reachable and each call for the list failing."""
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from sloeferry.core import decide, ports
+from sloeferry.core.staleness import ON_SOCKETS, SPREAD, CallEnd
 from sloeferry.net import http1
 from sloeferry.net.values import Values
 from tests.test_crossings import Crossing, Opened, until
@@ -109,21 +110,25 @@
 
     def test_what_a_silent_watch_missed(self):
         """From when it counts as told nothing goes out, whatever calls fail meanwhile; a list ends that."""
-        host = Printer(discovery="subscribe", obligations__must_ask_in=40000.0)
+        host = Printer(discovery="subscribe", obligations__must_ask_in=40000.0, limits=ON_SOCKETS)
+        staleness = host.proxy.discovery.staleness
         host.list(("a",))
+        staleness.confirmed(SPREAD)      # what it says is true for certain until the beginning
         host.take(0)
         host.end(0, 0, ports.SETTLED, 0)
         host.until(2500.0)
-        host.proxy.discovery.deem(6000.0)
+        staleness.watch_silent(SPREAD)
         host.list(scope=ports.FAILED)
         host.until(5900.0)
         host.take(1)
         host.end(1, 0, ports.SETTLED, 0)
         host.until(6100.0)
+        staleness.call_failed(6100.0, CallEnd.REFUSED, 6100.0)
         host.list(scope=ports.FAILED)
         host.take(2)
         host.until(9000.0)
         host.list(("a",))
+        staleness.confirmed(9000.0)
         host.take(3)
         compare(self, host, "crossing_missed")
 
--- a/tests/trace.py
+++ b/tests/trace.py
@@ -14,6 +14,7 @@
 
 from sloeferry import __main__ as start, terms
 from sloeferry.core import decide, ports
+from sloeferry.core.staleness import Limits
 from sloeferry.net import backends
 
 SETTLED = backends.SETTLED               # as it is outside the tests
@@ -32,7 +33,7 @@
 
     def __init__(self, **more):
         self.lines, self.now, self.wakes, self.sent = [], 0.0, [], {}
-        seed = more.pop("seed", 7)
+        seed, limits = more.pop("seed", 7), more.pop("limits", Limits())
         told = {"schemes.count": len(SCHEMES), "instances": 1, "step": 1.0, "limits.most_postings": 4,
                 "limits.cancel": True, "load_info.fields": "inflight", "load_info.via": "answers"}
         for at, (kind, group) in enumerate(SCHEMES):
@@ -40,7 +41,7 @@
                 ("idempotency", kind), ("group", group), ("sla_time", 700.0), ("expiry", 1000.0),
                 ("gain", 1.0), ("dedup_window", 300.0))})
         told.update({name.replace("__", "."): value for name, value in more.items()})
-        self.proxy = decide.Proxy(self, 0.0, seed, terms.complete(told))
+        self.proxy = decide.Proxy(self, 0.0, seed, terms.complete(told), limits)
 
     def say(self, text):
         self.lines.append(f"{self.now:7.1f}  {text}")
@@ -194,6 +195,8 @@
     def tell(self, text):
         """One line to all watches."""
         for writer in self.watches:
+            if writer.is_closing():
+                continue
             writer.write(b"%x\r\n%b\n\r\n" % (len(text) + 1, text.encode()))
 
     def list(self, *lines, complete=True):
