--- a/sloeferry/core/decide.py
+++ b/sloeferry/core/decide.py
@@ -143,7 +143,7 @@
             self.staleness.answered(now)
             return
         self.staleness.unanswered(now)
-        stood, self.told_since = self.told_since is not None and now - self.told_since > self.pause(), None
+        stood, self.told_since = self.told_since is not None and now - self.told_since >= AT_ONCE, None
         if scope == ports.ENDED and stood:
             # Whatever ended it, news may have come meanwhile; and whether discovery is there shows at once.
             return self.p.later(now + self.p.rng.random() * AT_ONCE / 2, self.ask)
