--- a/sloeferry/core/decide.py
+++ b/sloeferry/core/decide.py
@@ -113,7 +113,9 @@
     """When the list is asked for: discovery is shared and of limited capacity, so calls are spread out.  How long the
     list may be used meanwhile is decided by `staleness`."""
     QUICK = 10000.0                  # ms: with more patience a failed call is repeated as soon as with this
-    TRIES = 3                        # calls that fit, in the mean, into the time after which news counts as told
+    # Of the time after which news counts as told, the longest mean pause: with the longest wait for an answer before and
+    # behind it (QUICK's quarter is more than discovery takes) an outage is known to go on before that time is over.
+    PAUSE = 2 / 9
     def __init__(self, proxy, now, limits):
         self.p, self.fails, self.waiting = proxy, 0, 0
         self.told_since = None       # since when the watch that stands has told its list
@@ -148,7 +150,7 @@
             # Whatever ended it, news may have come meanwhile; and whether discovery is there shows at once.
             return self.p.later(now + self.p.rng.random() * AT_ONCE / 2, self.ask)
         self.fails = min(self.fails + 1, 3)
-        wait = min(self.pause() * 2 ** self.fails, self.staleness.limits.news / self.TRIES)
+        wait = min(self.pause() * 2 ** self.fails, self.PAUSE * self.staleness.limits.news)
         self.p.later(now + wait * (0.5 + self.p.rng.random()), self.ask)
 
     def pause(self):
--- a/sloeferry/core/staleness.py
+++ b/sloeferry/core/staleness.py
@@ -15,7 +15,7 @@
 NEWS = 6000.0                            # a change counts as told so long after discovery had it and could be reached
 MOVED_NEWS = 4000.0                      # the same where lists are pushed and discovery has moved
 WAIT_OVER = 2000.0                       # the same for a change that ended a watch instead of being told on it
-SPREAD = NEWS / 12                       # a change may be so much older than the watch's word that does not tell it
+SPREAD = NEWS / 15                       # a change may be so much older than the watch's word that does not tell it
 AT_ONCE = NEWS / 24                      # a call so soon after a watch's end, or a failed call, leaves no gap behind it
 
 
@@ -102,7 +102,9 @@
             self.cause, self.usable_until = Cause.CALL_FAILED, now + 4 * self.must_ask_in
 
     def watch_ended(self, now: float) -> None:
-        """A watch that had told its list ended.  It may have ended instead of telling a change."""
+        """A watch that had told its list ended.  It may have ended instead of telling a change, made just before."""
+        if self.cause is Cause.WATCHED:
+            self.trusted_until = max(self.trusted_until, now - SPREAD)
         self._outage_since = now
         self._limit(Cause.WATCH_ENDED, self.limits.wait_over if self.asked else self.limits.news)
 
