--- a/sloeferry/__main__.py
+++ b/sloeferry/__main__.py
@@ -120,7 +120,7 @@
     facade.catch_up = discovery.catch_up
     told = operators_of(environ)
     clients = Clients(loop, facade, berth, seats, buffers, backends, duty)
-    desk = Desk(loop, duty, buffers, clients.figures)
+    desk = Desk(loop, duty, buffers, clients.figures, facade.guarded)
     try:
         await berthed(clients.bind, "listen", berth.listen)
         if berth.ops:
@@ -154,6 +154,7 @@
             if task.done():
                 logger.error("ended by itself: {!r}", task)
         await clients.leave()
+        logger.info("guard of sending: {}", facade.guarded())
     finally:
         if handover:
             handover.close()
--- a/sloeferry/core/facade.py
+++ b/sloeferry/core/facade.py
@@ -14,6 +14,7 @@
 from sloeferry import machine
 from sloeferry.core import decide, ports
 from sloeferry.core.overload import Door
+from sloeferry.core.send_guard import Refusal, SendGuard
 from sloeferry.core.staleness import ON_SOCKETS
 
 # Orders: (POST, seq, backend), (WITHDRAW, seq), (SETTLE, answer), (DECLINE, pause), (REVERSE,), (LEAVE,),
@@ -73,6 +74,7 @@
         self.catch_up = None             # the network's: reads what discovery wrote meanwhile
         self.proxy = decide.Proxy(self, clock(), seed, terms, ON_SOCKETS)
         self.door, self.beats = Door(self.proxy), False
+        self.guard = SendGuard(self.proxy, SLACK)
         self.proxy.stages.all.append(self.door)
 
     def retune(self, berth):
@@ -175,10 +177,15 @@
         another goes on."""
         lines = [(ident, zone, kind, cell, STANDINGS[standing], share, self.launched(ident, started, ident in news))
                  for ident, zone, kind, cell, standing, share, started in lines]
+        now = clock()
+        if whole:                        # who is missing from a whole list is gone
+            for ident in self.proxy.board.all.keys() - {line[0] for line in lines}:
+                self.guard.listed(now, ident, False)
         for line in lines:
+            self.guard.listed(now, line[0], line[4] == ports.READY)
             if line[4] == ports.GONE:
                 self.starts.pop(line[0], None)
-        self.proxy.listed(clock(), ports.CACHED if cached else ports.WHOLE if whole else ports.CHANGES, lines, ours)
+        self.proxy.listed(now, ports.CACHED if cached else ports.WHOLE if whole else ports.CHANGES, lines, ours)
 
     def launched(self, ident, started, news):
         """When a backend started, on this clock.  The wall clock here may be hours off: nothing has started later than
@@ -194,6 +201,13 @@
 
     # Facts about the list's age (core/staleness.py)
 
+    def guarded(self):
+        """The guard's counters and the list's age now, for operators and the log."""
+        now = clock()
+        return self.guard.figures() | {"list": {
+            "usable": self.staleness.usable(now), "cause": self.staleness.cause.value,
+            "known_true_ms_ago": round(now - self.staleness.trusted_until)}}
+
     @property
     def staleness(self):
         return self.proxy.discovery.staleness
@@ -269,14 +283,18 @@
         for a client who has left; and that the window in which a repeat is known has not ended meanwhile (rule 2)."""
         if not errand.over and errand.gone and errand.gone():
             self.report_left(errand)
-        txn = self.proxy.ledger.txns.get(errand.ref)
-        known = txn is None or self.proxy.rules.may_repeat(txn, clock(), seq)
-        return not errand.over and known and self.stands(backend)
+            self.guard.refuse(Refusal.CLIENT_GONE)
+        now = clock()
+        return self.guard.refuse(self.guard.request_refusal(now, errand, seq) or self.guard.backend_refusal(now, backend))
 
     def stands(self, backend):
-        """Rule 3, once more before the first byte: a dial takes time, and the list may have changed."""
-        known = self.proxy.board.all.get(backend)
-        return known is not None and self.proxy.rules.in_use(known, clock())
+        """Rule 3, once more before a probe's first byte: a dial takes time, and the list may have changed."""
+        return self.guard.refuse(self.guard.backend_refusal(clock(), backend))
+
+    def sent(self, errand, seq, backend):
+        """A posting's first bytes are being handed over: a look at the rules by facts of its own."""
+        if broken := self.guard.check_written(clock(), errand, seq, backend):
+            logger.error("request {} attempt {}: {} ({})", errand.ref, seq, broken.value, backend)
 
     def tick(self):
         """Fire what is due; the time of the next, or None."""
@@ -312,6 +330,8 @@
         self.errands[ref].order(WITHDRAW, seq)
 
     def decline(self, ref, pause):
+        if not self.staleness.usable(clock()):
+            self.guard.refuse(Refusal.LIST_STALE)
         if ref in self.errands:
             self.finish(self.errands[ref], DECLINE, pause)
 
--- a/sloeferry/net/backends.py
+++ b/sloeferry/net/backends.py
@@ -165,10 +165,10 @@
             return f.VOID
         return None
 
-    async def exchange(self, ident, until, wanted, write, upload=None, seq=0, waits=False):
+    async def exchange(self, ident, until, wanted, write, upload=None, seq=0, waits=False, sending=None):
         """One request and its answer.  `write` makes the request once the connection stands; `wanted` says,
         right before the first byte, whether it still may go out; `upload` is a body that is longer than what is
-        written at first; `waits`: see `kept`."""
+        written at first; `waits`: see `kept`; `sending` is called as the first byte goes out."""
         link, reached, why, answer = None, f.NOTHING, f.BROKEN, None
         # No asyncio.timeout, nor a timer of the loop: either takes as long as all the parsing.
         task, last = asyncio.current_task(), (until - f.clock()) / 1000 + self.loop.time()
@@ -185,7 +185,10 @@
                 why = f.VOID
             else:
                 reached = f.PART
-                await self.loop.sock_sendall(link.sock, write())
+                request = write()
+                if sending:
+                    sending()
+                await self.loop.sock_sendall(link.sock, request)
                 cut = None
                 if upload:
                     alarm.off()
@@ -257,7 +260,8 @@
 
         def wanted():
             return self.facade.goes_on(errand, seq, ident) and (not upload or upload.claim(seq))
-        ended = await self.exchange(ident, errand.ends, wanted, write, upload, seq, waits=True)
+        ended = await self.exchange(ident, errand.ends, wanted, write, upload, seq, waits=True,
+                                    sending=lambda: self.facade.sent(errand, seq, ident))
         if upload and not upload.bound:
             upload.release(seq)          # it is all there still: another may have it
         elif upload and upload.began:
--- a/sloeferry/net/desk.py
+++ b/sloeferry/net/desk.py
@@ -18,12 +18,12 @@
 
 
 class Desk:
-    def __init__(self, loop, duty, buffers, figures):
-        """`figures`: what to tell beside the state, as a map."""
+    def __init__(self, loop, duty, buffers, figures, guard=dict):
+        """`figures`: what to tell beside the state, as a map; `guard`: the counters of the guard of sending."""
         self.loop, self.duty, self.buffers, self.figures = loop, duty, buffers, figures
         self.callers, self.sock, self.timer = {}, None, None
         self.calls = {b"/admin/health": (b"GET", self.health), b"/admin/quiesce": (b"POST", self.quiesce),
-                      b"/admin/resume": (b"POST", self.resume)}
+                      b"/admin/resume": (b"POST", self.resume), b"/admin/guard": (b"GET", lambda query=b"": (200, guard()))}
 
     # The calls: status, and what is told
 
--- a/tests/test_duty.py
+++ b/tests/test_duty.py
@@ -152,7 +152,7 @@
     def test_calls(self):
         """One answer to each call; who says nothing, or half a call, keeps nobody out."""
         async def story(h):
-            for call in ("GET /admin/health", "POST /admin/health", "GET /admin/nothing", "POST /admin/resume",
+            for call in ("GET /admin/health", "POST /admin/health", "GET /admin/nothing", "GET /admin/guard", "POST /admin/resume",
                          "GET http://x/admin/health", "GET /admin/health?x=1", "BREW /admin/health"):
                 await self.ops(h, call + " HTTP/1.1\r\nHost: x\r\n\r\n")
             await self.ops(h, "POST /admin/resume HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}")
