--- a/sloeferry/core/facade.py
+++ b/sloeferry/core/facade.py
@@ -16,6 +16,7 @@
 from sloeferry.core.overload import Door
 from sloeferry.core.send_guard import Refusal, SendGuard
 from sloeferry.core.staleness import ON_SOCKETS
+from sloeferry.core.start_times import StartTimes
 
 # Orders: (POST, seq, backend), (WITHDRAW, seq), (SETTLE, answer), (DECLINE, pause), (REVERSE,), (LEAVE,),
 # and for the standing errands (PROBE, backend) and (WATCH,).
@@ -65,10 +66,9 @@
         self.hurry = hurry               # called with a time: be back by then
         self.timers, self.errands, self.refs, self.next = [], {}, 0, None
         self.probing, self.listing = Errand(), Errand()
-        self.unix = machine.unix() * 1000 - clock()
         # When this loop last turned; how long it may stand before what is known is looked at again; that look.
         self.seen, self.blink, self.catching = clock(), blink(terms), None
-        self.starts = {}                 # backend -> its start as told, and as taken
+        self.start_times = StartTimes(clock(), machine.unix() * 1000, terms["obligations.cold"])
         self.stale_since = None          # since when the list counts as stale, and nothing is sent
         self.before_stall = clock()      # when this loop last turned before it stood still
         self.catch_up = None             # the network's: reads what discovery wrote meanwhile
@@ -80,6 +80,7 @@
     def retune(self, berth):
         """Other settings, between two events: what is taken from now on is under these."""
         self.proxy.retune(berth.terms)
+        self.start_times.cold = berth.terms["obligations.cold"]
         self.door.retune()
         self.blink = blink(berth.terms)
 
@@ -175,30 +176,20 @@
         """A list: (backend, zone, kind, cell, standing, share, started in Unix time), all or what changed; `news` are
         those whose start was told just as it was listed; not `ours`: a former watch told it, and the call for
         another goes on."""
-        lines = [(ident, zone, kind, cell, STANDINGS[standing], share, self.launched(ident, started, ident in news))
-                 for ident, zone, kind, cell, standing, share, started in lines]
         now = clock()
+        lines = [(ident, zone, kind, cell, STANDINGS[standing], share,
+                  self.start_times.taken(now, ident, started, ident in news))
+                 for ident, zone, kind, cell, standing, share, started in lines]
         if whole:                        # who is missing from a whole list is gone
+            self.start_times.keep_only({line[0] for line in lines})
             for ident in self.proxy.board.all.keys() - {line[0] for line in lines}:
                 self.guard.listed(now, ident, False)
         for line in lines:
             self.guard.listed(now, line[0], line[4] == ports.READY)
             if line[4] == ports.GONE:
-                self.starts.pop(line[0], None)
+                self.start_times.forget(line[0])
         self.proxy.listed(now, ports.CACHED if cached else ports.WHOLE if whole else ports.CHANGES, lines, ours)
 
-    def launched(self, ident, started, news):
-        """When a backend started, on this clock.  The wall clock here may be hours off: nothing has started later than
-        now, and what is told as news not longer ago than a list may be old, or a cold one would pass for warm (rule 4)."""
-        if not started:
-            return started
-        if (known := self.starts.get(ident)) and known[0] == started:
-            return known[1]              # once told it stays, or each list would tell of another start
-        now, at = clock(), started - self.unix
-        at = min(now, max(at, now - self.proxy.discovery.patience) if news else at)
-        self.starts[ident] = started, at
-        return at
-
     # Facts about the list's age (core/staleness.py)
 
     def guarded(self):
@@ -242,6 +233,10 @@
         """The watch that stood has ended: another is due."""
         self.proxy.listed(clock(), ports.ENDED, ())
 
+    def report_time(self, unix):
+        """Discovery's own word of what time it is, in ms since the epoch."""
+        self.start_times.told_time(clock(), unix)
+
     def report_moved(self):
         """Discovery is elsewhere from now on."""
         self.staleness.moved(clock())
--- a/sloeferry/handover/folder.py
+++ b/sloeferry/handover/folder.py
@@ -10,11 +10,20 @@
 import os
 import secrets
 
-VERSION = 1
+VERSION = 2
 LARGEST = 4 << 20                        # bytes of a snapshot; more is neither written nor read
 OLDEST = 60_000.0                        # ms: what is older tells nothing of a minute that is gone
 
 
+def boot():
+    """What tells this run of the machine from others; wall clocks may be stepped meanwhile.  Empty where nothing does."""
+    try:
+        with open("/proc/sys/kernel/random/boot_id", encoding="ascii") as file:
+            return file.read().strip()
+    except OSError:
+        return ""
+
+
 class Folder:
     def __init__(self, path, name, site):
         """`name` of the proxy and `site`, a digest of what its settings call by place: others' files are not ours."""
@@ -22,6 +31,7 @@
         self.name, self.site = name, site
         os.makedirs(self.path, exist_ok=True)
         self.ident = secrets.token_hex(8)        # not the process's number: that may be another's in the next room
+        self.boot = boot()               # the monotonic clock goes on from process to process, until the machine starts anew
         self.own, self.shown = os.path.join(self.path, f"process-{self.ident}"), None
         self.lock = self.locked()
 
@@ -63,10 +73,10 @@
                 os.close(fd)
         return alive, ready
 
-    def write(self, now, unix, known, memory):
-        """A snapshot, whole or not at all; whether it is there.  Times in ms."""
+    def write(self, now, known, memory):
+        """A snapshot, whole or not at all; whether it is there.  `now` in ms of the machine's monotonic clock."""
         try:
-            text = json.dumps({"v": VERSION, "name": self.name, "site": self.site, "now": now, "epoch": unix - now,
+            text = json.dumps({"v": VERSION, "name": self.name, "site": self.site, "now": now, "boot": self.boot,
                                "known": known, "memory": memory}, allow_nan=False).encode()
             if len(text) > LARGEST:
                 return False
@@ -78,7 +88,7 @@
         except (OSError, ValueError):
             return False
 
-    def read(self, now, unix):
+    def read(self, now):
         """The snapshot's list and memory; a text that says why there is none."""
         try:
             with open(f"{self.path}/snapshot", "rb") as file:
@@ -90,8 +100,8 @@
         said = json.loads(text)          # it is what its writer wrote
         if (said["v"], said["name"], said["site"]) != (VERSION, self.name, self.site):
             return "of another version or proxy"
-        if abs(unix - now - said["epoch"]) > 1000 or not 0 <= now - said["now"] < OLDEST:
-            return "too old, or from another clock"
+        if said["boot"] != self.boot or not 0 <= now - said["now"] < OLDEST:
+            return "too old, or from another boot"
         return said["known"], said["memory"]
 
     def close(self):
--- a/sloeferry/net/discovery.py
+++ b/sloeferry/net/discovery.py
@@ -1,9 +1,11 @@
 """The list of backends: a watch on discovery, whenever the decisions ask for one."""
 import asyncio
+import contextlib
 import json
 import math
 import socket
 from dataclasses import dataclass
+from email.utils import parsedate_to_datetime
 
 from loguru import logger
 
@@ -212,6 +214,8 @@
         def stream(message, data):
             nonlocal alive
             if message.status == 200:
+                if not call.answered:
+                    self.told_time(message)
                 call.answered = True
                 came.extend(values.feed(data))
                 alive = alive or b"\n" in data and not values.held
@@ -258,6 +262,12 @@
             warn("list", "cut short, ignored: {!r}", values.held[:120])
         return wire.fault or f"answered {wire.message.status}, ended"
 
+    def told_time(self, message):
+        """What time discovery says it is, where it says so (RFC 9110, 6.6.1)."""
+        if date := message.header(b"date"):
+            with contextlib.suppress(ValueError, OverflowError):
+                self.facade.report_time(parsedate_to_datetime(date.decode("latin-1")).timestamp() * 1000)
+
     def take(self, said, number=0, cached=False):
         """A list or what changed in it, in discovery's form, as call `number` brought it; whether it was one."""
         said = said if isinstance(said, dict) else {}
--- a/sloeferry/net/handover.py
+++ b/sloeferry/net/handover.py
@@ -24,7 +24,7 @@
         self.loop, self.folder = loop, Folder(folder, berth.name, hashlib.sha256(repr(site).encode()).hexdigest())
         self.facade = self.duty = self.discovery = self.clients = None
         self.alive, self.span = 0, berth.terms["obligations.fall"] / 1000
-        said = self.folder.read(f.clock(), machine.unix() * 1000)
+        said = self.folder.read(f.clock())
         self.known, self.memory = (None, None) if isinstance(said, str) else said
         if isinstance(said, str):
             logger.info("no snapshot of a process before this one: {}", said)
@@ -72,8 +72,7 @@
             now = machine.monotonic()
             if now - wrote >= WRITE and self.duty.listed and not self.duty.leaving:
                 wrote = now
-                self.folder.write(now * 1000, machine.unix() * 1000, self.discovery.told(),
-                                  memory.told(self.facade.proxy))
+                self.folder.write(now * 1000, self.discovery.told(), memory.told(self.facade.proxy))
 
     def close(self):
         self.folder.close()
--- a/tests/test_duty.py
+++ b/tests/test_duty.py
@@ -228,11 +228,13 @@
             out.lines.append(f"others: {first.mates()}, {second.mates()}, {other.mates()}")
             os.close(second.lock)        # it was killed: nothing is tidied up
             out.lines.append(f"after one was killed: {first.mates()}")
-            out.lines.append(f"nothing yet: {first.read(0.0, 5.0)}")
-            first.write(100.0, 1100.0, {"revision": 1}, {"x": [1.5]})
+            out.lines.append(f"nothing yet: {first.read(0.0)}")
+            first.write(100.0, {"revision": 1}, {"x": [1.5]})
             third = Folder(path, "n", "s")
-            for now, unix in ((200.0, 1200.0), (200.0, 9200.0), (99.0, 1099.0), (1e6, 1e6 + 1000)):
-                out.lines.append(f"at {now:.0f}, {unix:.0f}: {third.read(now, unix)}")
+            for now in (200.0, 99.0, 1e6):
+                out.lines.append(f"at {now:.0f}: {third.read(now)}")
+            with mock.patch.object(third, "boot", "another"):
+                out.lines.append(f"at 200, the machine started anew: {third.read(200.0)}")
             file = f"{third.path}/snapshot"
             with open(file, "rb") as opened:
                 whole = opened.read()
@@ -240,8 +242,8 @@
                                ("of another", whole.replace(b'"n"', b'"k"'))):
                 with open(file, "wb") as opened:
                     opened.write(text)
-                out.lines.append(f"{name}: {third.read(200.0, 1200.0)}")
-            out.lines.append(f"no number: {third.write(1.0, 1.0, {}, {'x': float('nan')})}")
+                out.lines.append(f"{name}: {third.read(200.0)}")
+            out.lines.append(f"no number: {third.write(1.0, {}, {'x': float('nan')})}")
             for folder in (first, third, other):
                 folder.close()
         compare(self, out, "handover_folder")
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -13,7 +13,7 @@
 from click.testing import CliRunner
 
 from sloeferry import machine, terms
-from sloeferry.core.facade import Facade
+from sloeferry.core.start_times import StartTimes
 from sloeferry.rehearsal import scenario as s
 from sloeferry.rig import plan as p, planted, verdict
 from sloeferry.rig.cli import rig
@@ -78,18 +78,22 @@
 
 class Clocks(unittest.TestCase):
     def test_starts(self):
-        """Guards Facade.launched: a wall clock that is hours off makes no cold backend pass for warm, nor any cold for
-        ever; a right one changes nothing, and what was told once stays."""
-        lines, now = trace.Lines(), 1_000_000.0
-        for off in (0, 2 * 3600e3, -2 * 3600e3):
-            with mock.patch.multiple(machine, monotonic=lambda: now / 1000, unix=lambda: (now + 5e9 + off) / 1000):
-                facade = Facade(1, terms.complete({"schemes.count": 1, "schemes.0.sla_time": 300.0}), lambda at: None)
-                for ident, ago, news in (("new", 400.0, True), ("old", 50_000.0, False), ("late", 60_000.0, True)):
-                    at = facade.launched(ident, now + 5e9 - ago, news)
-                    same = facade.launched(ident, now + 5e9 - ago, False) == at
-                    lines.lines.append(f"clock off by {off / 3600e3:g} h: {ident}, started {ago:g} ms ago, news {news}: "
-                                       f"taken for {now - at:.0f} ms ago, stays {same}")
-                lines.lines.append(f"long ago stays so: {facade.launched('x', 0, True)}")
+        """Guards StartTimes: a wall clock that is hours off makes no cold backend pass for warm, nor any cold for
+        ever; a right one that something confirms changes nothing, and what was told once stays."""
+        lines, now, cold = trace.Lines(), 1_000_000.0, 20_000.0
+        for off in (0, 3600e3, -3600e3):
+            for confirmed in ("nothing", "a Date header", "news"):
+                starts = StartTimes(now, now + 5e9 + off, cold)
+                if confirmed == "a Date header":
+                    starts.told_time(now, now + 5e9 - 300.0)
+                elif confirmed == "news":
+                    starts.taken(now, "first", now + 5e9 - 700.0, True)
+                for ident, ago, news in (("new", 400.0, True), ("young", 400.0, False), ("old", 50_000.0, False)):
+                    at = starts.taken(now, ident, now + 5e9 - ago, news)
+                    same = starts.taken(now + 9.0, ident, now + 5e9 - ago, False) == at
+                    lines.lines.append(f"clock off by {off / 3600e3:g} h, {confirmed} confirms it: {ident}, started {ago:g} ms "
+                                       f"ago, news {news}: taken for {now - at:.0f} ms ago, stays {same}")
+                lines.lines.append(f"long ago stays so: {starts.taken(now, 'x', 0, True)}")
         trace.compare(self, lines, "rig_clocks")
 
 
