A connection that this machine can't make just now is tried again within half of the request's time

connect failing for a moment (EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, EINTR ...) refused requests with 503 at once although their deadline was far: each dial counted against its backend, and the attempts were over in a ms. It is the machine's own want now: dialled again after 5 to 80 ms until half of the request's time, its backend not blamed, and for discovery no evidence of an outage.

--- a/sloeferry/handover/folder.py
+++ b/sloeferry/handover/folder.py
@@ -4,6 +4,7 @@
 nobody is taken for alive who is not.  What is known is written beside it and put in place whole; whoever reads it
 checks all of it, and does without what is not as it should be.
 """
+import contextlib
 import fcntl
 import hashlib
 import json
@@ -31,6 +32,7 @@
         self.name, self.site = name, site
         os.makedirs(self.path, exist_ok=True)
         self.ident = secrets.token_hex(8)        # not the process's number: that may be another's in the next room
+        self.fault = None                # why the last snapshot could not be written
         self.boot = boot()               # the monotonic clock goes on from process to process, until the machine starts anew
         self.own, self.shown = os.path.join(self.path, f"process-{self.ident}"), None
         self.lock = self.locked()
@@ -75,18 +77,21 @@
 
     def write(self, now, known, memory):
         """A snapshot, whole or not at all; whether it is there.  `now` in ms of the machine's monotonic clock."""
+        ours = f"{self.path}/snapshot-{self.ident}"
         try:
             text = json.dumps({"v": VERSION, "name": self.name, "site": self.site, "now": now, "boot": self.boot,
                                "known": known, "memory": memory}, allow_nan=False).encode()
             if len(text) > LARGEST:
-                return False
-            ours = f"{self.path}/snapshot-{self.ident}"
+                raise ValueError(f"{len(text)} bytes, {LARGEST} at most")
             with open(ours, "wb") as file:
                 file.write(hashlib.sha256(text).hexdigest().encode() + b"\n" + text)
             os.replace(ours, f"{self.path}/snapshot")
-            return True
-        except (OSError, ValueError):
-            return False
+            self.fault = None
+        except (OSError, ValueError) as fault:
+            self.fault = fault
+            with contextlib.suppress(OSError):   # a full disk is not to be filled by what is of no use
+                os.unlink(ours)
+        return self.fault is None
 
     def read(self, now):
         """The snapshot's list and memory; a text that says why there is none."""
--- a/sloeferry/net/backends.py
+++ b/sloeferry/net/backends.py
@@ -14,6 +14,7 @@
 from sloeferry.net.log import warn
 
 
+DIAL_AGAIN, DIAL_AGAIN_AT_MOST = 5.0, 80.0       # ms between two dials that this machine could not make
 LOADS = 512                              # load reports that are kept read
 SETTLED = 0.006                          # seconds: a second answer may come so much later (some ms, by the protocol)
 
@@ -128,19 +129,26 @@
                     continue
             return link
 
-    async def link(self, ident):
-        """A new connection to write on; else why there is none."""
+    async def link(self, ident, last):
+        """A new connection to write on; else why there is none.  Where this machine can't dial just now it is tried again
+        until `last` (ms) at the most."""
         address = self.addresses.get(ident)
         # No seat, no socket: our own want, no word against the backend.
         if address is None or not self.seats.take():
             return f.VOID
-        sock, why = None, f.BROKEN
+        sock, why, pause = None, f.VOID, DIAL_AGAIN
         try:
-            # A backend that doesn't come up in that time has not run the txn: another one still may, in time.
-            sock = await http1.dial(self.loop, address, min(self.dial_time, self.rest_time * 1000))
-        except OSError as fault:
-            warn("dial", "{}", fault)
-            why = f.VOID
+            while why == f.VOID:
+                try:
+                    # A backend that doesn't come up in that time has not run the txn: another one still may, in time.
+                    sock = await http1.dial(self.loop, address, min(self.dial_time, self.rest_time * 1000))
+                    why = f.BROKEN
+                except OSError as fault:
+                    warn("dial", "{}", fault)
+                    if f.clock() + pause > last:
+                        break
+                    await asyncio.sleep(pause / 1000)
+                    pause = min(2 * pause, DIAL_AGAIN_AT_MOST)
         finally:
             if sock is None:
                 self.seats.give()
@@ -165,16 +173,17 @@
             return f.VOID
         return None
 
-    async def exchange(self, ident, until, wanted, write, upload=None, seq=0, waits=False, sending=None):
+    async def exchange(self, ident, until, wanted, write, upload=None, seq=0, waits=False, sending=None, dial_until=0.0):
         """One request and its answer.  `write` makes the request once the connection stands; `wanted` says,
         right before the first byte, whether it still may go out; `upload` is a body that is longer than what is
-        written at first; `waits`: see `kept`; `sending` is called as the first byte goes out."""
+        written at first; `waits`: see `kept`; `sending` is called as the first byte goes out;
+        `dial_until` (ms): for how long this machine's failing to dial is waited out."""
         link, reached, why, answer = None, f.NOTHING, f.BROKEN, None
         # No asyncio.timeout, nor a timer of the loop: either takes as long as all the parsing.
         task, last = asyncio.current_task(), (until - f.clock()) / 1000 + self.loop.time()
         alarm = self.alarms.set(last, task)
         try:
-            link = await self.kept(ident, waits) or await self.link(ident)
+            link = await self.kept(ident, waits) or await self.link(ident, dial_until)
             if not isinstance(link, Link):
                 alarm.off()
                 return Ended(f.NOTHING, link)
@@ -261,7 +270,9 @@
         def wanted():
             return self.facade.goes_on(errand, seq, ident) and (not upload or upload.claim(seq))
         ended = await self.exchange(ident, errand.ends, wanted, write, upload, seq, waits=True,
-                                    sending=lambda: self.facade.sent(errand, seq, ident))
+                                    sending=lambda: self.facade.sent(errand, seq, ident),
+                                    # Given up past half of its time a request is given up too late (protocol).
+                                    dial_until=min((errand.began + errand.ends) / 2, began + 2000 * self.rest_time))
         if upload and not upload.bound:
             upload.release(seq)          # it is all there still: another may have it
         elif upload and upload.began:
--- a/sloeferry/net/discovery.py
+++ b/sloeferry/net/discovery.py
@@ -193,9 +193,9 @@
         go on when the cut is over."""
         if not self.seats.take():
             return None
-        until, sock, call.dialled = self.loop.time() + self.patience / 1000, None, True
+        until, sock = self.loop.time() + self.patience / 1000, None
         try:
-            while not (sock := await http1.dial(self.loop, self.address, self.dial_time)):
+            while not (sock := await self.dial_once(call)):
                 self.late()
                 call.tried = f.clock()
                 if self.loop.time() >= until and not self.facade.unheard():
@@ -207,6 +207,17 @@
             if not sock:
                 self.seats.give()
 
+    async def dial_once(self, call):
+        """One dial; None if no connection came up.  What this machine can't do tells nothing of discovery."""
+        try:
+            sock = await http1.dial(self.loop, self.address, self.dial_time)
+        except OSError as fault:
+            warn("dial", "discovery: {}", fault)
+            call.dialled = False
+            return None
+        call.dialled = True
+        return sock
+
     async def lines(self, sock, call):
         """Take what comes, list by list, until it ends; why it did."""
         values, came, alive = Values(), [], False
--- a/sloeferry/net/handover.py
+++ b/sloeferry/net/handover.py
@@ -72,7 +72,16 @@
             now = machine.monotonic()
             if now - wrote >= WRITE and self.duty.listed and not self.duty.leaving:
                 wrote = now
-                self.folder.write(now * 1000, self.discovery.told(), memory.told(self.facade.proxy))
+                self.write(now * 1000)
+
+    def write(self, now):
+        """A snapshot; a line when that fails, and one when it no longer does, none for each try between."""
+        failed = self.folder.fault is not None
+        written = self.folder.write(now, self.discovery.told(), memory.told(self.facade.proxy))
+        if not written and not failed:
+            logger.warning("snapshots can't be written: {}", self.folder.fault)
+        elif written and failed:
+            logger.info("snapshots are written again")
 
     def close(self):
         self.folder.close()
--- a/sloeferry/net/http1.py
+++ b/sloeferry/net/http1.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 on one socket, with httptools.  What goes wrong is a value, never an exception."""
 import asyncio
+import errno
 import socket
 import struct
 
@@ -248,16 +249,27 @@
         pass
 
 
+# connect(2): what tells of this machine, not of the one called.  It may have passed in a moment.
+OWN_WANT = frozenset({errno.EADDRNOTAVAIL, errno.EAGAIN, errno.EINTR, errno.EMFILE, errno.ENETDOWN, errno.ENETUNREACH,
+                      errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EACCES, errno.EPERM})
+
+
 async def dial(loop, address, patience):
-    """A connected socket, or None; an OSError if this machine has no socket to give."""
+    """A connected socket, or None if it did not come up in so many ms; an OSError if this machine has none to give, or
+    can't reach anybody now."""
     sock = machine.tcp()
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         async with asyncio.timeout(patience / 1000):
             await loop.sock_connect(sock, address)
         return sock
-    except (OSError, TimeoutError):
+    except TimeoutError:
+        sock.close()
+        return None
+    except OSError as fault:
         sock.close()
+        if fault.errno in OWN_WANT:
+            raise
         return None
     except BaseException:                # withdrawn while it dialled
         sock.close()
--- /dev/null
+++ b/tests/test_system_calls.py
@@ -0,0 +1,73 @@
+"""System calls that fail for a moment: what was taken on is still answered, and nothing is blamed for it that is not."""
+import errno
+import json
+import os
+import tempfile
+from unittest import mock
+
+from sloeferry.core.staleness import CallEnd
+from sloeferry.handover.folder import Folder
+from sloeferry.net import http1
+from sloeferry.net.discovery import Call
+from tests.test_crossings import Crossing, Opened
+from tests.trace import Lines, answer, compare, play
+
+
+class Connect(Crossing):
+    def test_no_connection_can_be_made(self):
+        """connect fails on this machine for a while: the request is served all the same, and its backend not blamed."""
+        async def story(h):
+            dial, failing = http1.dial, [errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS, errno.EINTR]
+
+            async def dialled(*what):
+                if failing:
+                    raise OSError(failing.pop(), "no")
+                return await dial(*what)
+            with mock.patch("sloeferry.net.http1.dial", dialled):
+                await h.call("once")
+            h.say(f"left to fail: {failing}; failures held against it: {h.facade.proxy.board.all['b'].fails}")
+        play(self, story, "system_connect", Opened({"b": answer()}))
+
+    def test_none_for_long(self):
+        """It goes on failing: the request is refused by half of its time."""
+        async def story(h):
+            async def dialled(*what):
+                raise OSError(errno.EADDRNOTAVAIL, "no")
+            with mock.patch("sloeferry.net.http1.dial", dialled):
+                await h.call("once")
+        play(self, story, "system_connect_long", Opened({"b": answer()}, expiry=400))
+
+    def test_whose_fault_it_is(self):
+        """What connect(2) says of the other side, or of the way to it, is no want of this machine's."""
+        for number in (errno.ECONNREFUSED, errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ECONNRESET):
+            self.assertNotIn(number, http1.OWN_WANT)
+        call = Call(1, 0.0, 0.0)
+        self.assertEqual(call.end(10.0, 2500.0), CallEnd.NOT_MADE)
+        call.dialled = True
+        self.assertEqual(call.end(10.0, 2500.0), CallEnd.UNREACHABLE)
+
+
+class Snapshots(Crossing):
+    def test_write_that_fails(self):
+        """ENOSPC or EIO at any step of a write, or its end after any byte: what stands is the old state or the new."""
+        lines = Lines()
+        with tempfile.TemporaryDirectory() as path:
+            folder = Folder(path, "n", "s")
+            folder.write(100.0, {"revision": 1}, {})
+            with open(f"{folder.path}/snapshot", "rb") as file:
+                whole = file.read()
+            for number in (errno.ENOSPC, errno.EIO):
+                for step in ("builtins.open", "os.replace"):
+                    with mock.patch(step, side_effect=OSError(number, os.strerror(number))):
+                        wrote = folder.write(200.0, {"revision": 2}, {})
+                    lines.lines.append(f"{errno.errorcode[number]} at {step}: written {wrote}, stands {folder.read(300.0)}")
+            kept = set()
+            for cut in range(len(whole)):        # a machine that went down in the middle of a write
+                with open(f"{folder.path}/snapshot", "wb") as file:
+                    file.write(whole[:cut])
+                kept.add(json.dumps(folder.read(300.0)))
+            lines.lines.append(f"cut after each byte: {kept}")
+            left = sorted(name.partition("-")[0] for name in os.listdir(folder.path))
+            lines.lines.append(f"in the folder: {left}")
+            folder.close()
+        compare(self, lines, "system_snapshot")
