Fault soak of real processes; a call that waits on tells of an outage before it ends

A proxy's ERROR lines, its guard's violations among them, fail a play. A call that has waited for half of its patience without a byte is taken for an outage's.

--- a/sloeferry/core/facade.py
+++ b/sloeferry/core/facade.py
@@ -217,6 +217,10 @@
         """A call that brought no list has ended; `began`: when the last attempt at it did, ms of this clock."""
         self.staleness.call_failed(clock(), how, began)
 
+    def report_call_waiting(self, began):
+        """A call that began then goes on waiting for its answer, longer than discovery lets one wait where it is there."""
+        self.staleness.call_waiting(began)
+
     def report_watch_ended(self):
         """A watch that had told its list has ended."""
         self.staleness.watch_ended(clock())
--- a/sloeferry/core/staleness.py
+++ b/sloeferry/core/staleness.py
@@ -119,15 +119,20 @@
         self.trusted_until = min(self.trusted_until, now)
         self._limit(Cause.MOVED, self.limits.news if self.asked else self.limits.moved_news)
 
+    def call_waiting(self, began: float) -> None:
+        """A call has waited for longer than discovery, where it is there, lets one wait."""
+        if self._may_be_outage and began - self._outage_since <= self._outage_gap:
+            # Word stopped because discovery is out of reach, and has been from then on: nothing was missed so far.
+            self.trusted_until = max(self.trusted_until, began)
+            self.cause, self.usable_until = Cause.OUT_OF_REACH, self._allowed(self.trusted_until, began)
+
     def call_failed(self, now: float, how: CallEnd, began: float) -> None:
         """A call that brought no list has ended."""
         if how is CallEnd.SILENT:
             return self.watch_silent(began)
         away = how in (CallEnd.UNREACHABLE, CallEnd.UNANSWERED)
         if away and self._may_be_outage and began - self._outage_since <= self._outage_gap:
-            # Word stopped because discovery is out of reach, and has been from then on: nothing was missed so far.
-            self.trusted_until = max(self.trusted_until, began)
-            self.cause, self.usable_until = Cause.OUT_OF_REACH, self._allowed(self.trusted_until, began)
+            self.call_waiting(began)
             self._outage_since, self._outage_gap = now, self.limits.news
             return
         self._may_be_outage = False
--- a/sloeferry/net/discovery.py
+++ b/sloeferry/net/discovery.py
@@ -18,6 +18,7 @@
 PHASES = {"active": "ready", "leaving": "draining", "left": "gone"}
 SILENCE = 2.5                            # seconds; a watch says something every 2 s
 WAITED = 0.25                            # of a call's patience: discovery that ends it sooner is there, and has no time
+AWAY = 0.5                               # of it: a call that waits on with no byte of an answer is taken for an outage's
 PASSES, MOST_PASSES = 5, 1000            # of the loop: until what was there to be read is taken in; and no more
 SHORT = 40.0                             # ms: a shorter grace than that paces no dials
 LOGGED = 20                              # backends named in the log line of a list, at the most
@@ -34,6 +35,7 @@
     dialled: bool = False                # whether a socket was to be had at all
     connected: bool = False
     answered: bool = False               # whether anything of an answer with status 200 came
+    presumed: bool = False               # whether its wait has been looked at once
     told: bool = False                   # whether it brought its list: a watch from then on
     silent_since: float | None = None    # when it was last heard, if it was given up as silent
 
@@ -241,7 +243,7 @@
                 await self.loop.sock_sendall(sock, ask)
             heard = call.tried = f.clock()
             while not wire.fault and not wire.whole and len(values.held) < LINE:
-                if not await wire.waited(max(0.0, due - self.loop.time())):
+                if not await self.waited(wire, due, call):
                     # After this program stood still the time is over before anything is read: what lies there is
                     # news, and dropped with the watch it would be heard only when the next one stands (rule 3).
                     if http1.quiet(sock):
@@ -273,6 +275,17 @@
             warn("list", "cut short, ignored: {!r}", values.held[:120])
         return wire.fault or f"answered {wire.message.status}, ended"
 
+    async def waited(self, wire, due, call):
+        """Receives once, until `due`; whether anything came."""
+        if not (call.answered or call.presumed):
+            call.presumed = True
+            away = call.tried + AWAY * self.patience
+            if await wire.waited(max(0.0, (away - f.clock()) / 1000)):
+                return True
+            if asyncio.current_task() is self.watching and http1.quiet(wire.sock):
+                self.facade.report_call_waiting(call.tried)
+        return await wire.waited(max(0.0, due - self.loop.time()))
+
     def told_time(self, message):
         """What time discovery says it is, where it says so (RFC 9110, 6.6.1)."""
         if date := message.header(b"date"):
--- a/sloeferry/rig/cli.py
+++ b/sloeferry/rig/cli.py
@@ -13,6 +13,8 @@
 from sloeferry.rig import plan as p
 
 MEMORY = "/dev/shm"
+ERRORS_SHOWN = 3                         # lines of a proxy's log
+EXPECTED = "SIGHUP, all stays as it was"  # the one error that a plan asks for: a file that can't be used
 
 
 @click.group()
@@ -78,6 +80,15 @@
     sys.exit(1 if broken else 3 if said.get("verdict") == "void" else 0)
 
 
+def log_errors(folder):
+    """What proxies logged as errors, a violation of their own guard of sending among them; some of each."""
+    found = []
+    for path in sorted(folder.glob("p*.log")):
+        with open(path, errors="replace") as file:
+            found += [f"{path.stem}: {line.strip()[:200]}" for line in file if " ERROR " in line and EXPECTED not in line][:ERRORS_SHOWN]
+    return found
+
+
 def play_real(text, told, seed, proxies=None, nodes=None, plant=None, keep_logs=None):
     """One play with processes, judged."""
     from sloeferry.rig import crew, planted, verdict
@@ -86,6 +97,7 @@
         tree = planted.plant(plant, folder) if plant else None
         try:
             records, struck, figures, faults = crew.play(text, told, seed, folder, proxies, nodes, tree)
+            faults += log_errors(pathlib.Path(folder))
             return verdict.judge(told, seed, records, struck, figures, faults)
         finally:
             if keep_logs:
--- a/sloeferry/rig/crew.py
+++ b/sloeferry/rig/crew.py
@@ -140,7 +140,7 @@
 
     def __init__(self, loop, seed, folder, tree):
         super().__init__(loop, seed, folder)
-        self.tree, self.offsets = tree, {}
+        self.tree, self.offsets, self.flaky = tree, {}, set()
         cores = sorted(os.sched_getaffinity(0))
         many = max(1, len(cores) * 3 // 8)
         self.ours, self.theirs = (set(cores[:many]), set(cores[many:])) if len(cores) > 2 else (set(cores), set(cores))
@@ -154,10 +154,12 @@
 
     def command(self, daemon):
         """As `run` starts it; where its wall clock is to be off, through the seam of machine.py."""
-        off = self.offsets.get(daemon.at)
-        words, environ = processes.command("sloeferry" if off is None else "sloeferry.rig.berth")
+        off, flaky = self.offsets.get(daemon.at), daemon.at in self.flaky
+        words, environ = processes.command("sloeferry" if off is None and not flaky else "sloeferry.rig.berth")
         if off is not None:
             environ |= {"SLOEFERRY_RIG_CLOCK": repr(off)}
+        if flaky:
+            environ |= {"SLOEFERRY_RIG_CALLS": "yes"}
         if daemon.bank.plan.rig.audit_s:
             environ |= {"SLOEFERRY_OPERATOR": str(pathlib.Path(self.folder, "operator.toml"))}
         return words, environ, self.tree or ROOT
@@ -343,6 +345,12 @@
             self.proxies[at].kill()
             self.loop.call_later(fault.lasts, self.proxies[at].start)
 
+    def calls(self, fault, some):
+        for at in some:
+            self.house.flaky.add(at)
+            self.proxies[at].kill()
+            self.loop.call_later(fault.lasts, self.proxies[at].start)
+
     # Faults of discovery
 
     def listout(self, fault, some):
--- a/sloeferry/rig/plan.py
+++ b/sloeferry/rig/plan.py
@@ -11,7 +11,7 @@
 
 from sloeferry.rehearsal import scenario as s
 from sloeferry.rehearsal.scenario import Above, Fault, From0, Part, Table
-from sloeferry.rig import draw
+from sloeferry.rig import draw, draw_soak
 
 SHIPPED = pathlib.Path(__file__).parent / "plans"
 MOST = 400                               # proxies on one machine
@@ -63,6 +63,10 @@
     by_s: float = 3600.0
 
 
+class Calls(Struck, tag_field="what", tag="calls"):
+    """System calls of those processes fail at times, and do a part of what they were asked (flaky_calls.py)."""
+
+
 class Link(Struck):
     """Between those proxies and `between`; `nodes`: the part of the nodes, drawn."""
     between: Literal["nodes", "discovery", "callers"] = "nodes"
@@ -114,7 +118,7 @@
     """Discovery starts anew, with its count at 1."""
 
 
-PROCESS = Kill | Stop | Term | Hup | Clock
+PROCESS = Kill | Stop | Term | Hup | Clock | Calls
 BETWEEN = Hold | Delay | Cut | HalfOpen | Break
 LIST = ListOut | ListLag | ListOlder | ListAnew | ListFail
 # What the rehearsal kit has too, and as what.
@@ -135,9 +139,9 @@
 
 def text(said):
     """The text of a plan: a shipped name, `drawn-` and a seed, or a path."""
-    if drawn := re.fullmatch(r"drawn-(\d{1,9})", str(said)):
-        return draw.text(int(drawn[1]))
-    return s.text(SHIPPED / f"{said}.toml" if str(said) in shipped() else pathlib.Path(said), [*shipped(), "drawn-N"])
+    if drawn := re.fullmatch(r"(drawn|soak)-(\d{1,9})", str(said)):
+        return (draw.text if drawn[1] == "drawn" else draw_soak.text)(int(drawn[2]))
+    return s.text(SHIPPED / f"{said}.toml" if str(said) in shipped() else pathlib.Path(said), [*shipped(), "drawn-N", "soak-N"])
 
 
 def read(said):
--- a/tests/test_staleness.py
+++ b/tests/test_staleness.py
@@ -65,6 +65,18 @@
         staleness.call_failed(12300.0, CallEnd.UNANSWERED, 10150.0)
         self.assertTrue(staleness.usable(12300.0))
 
+    def test_call_that_waits(self):
+        """A call that goes on waiting tells of an outage before it ends, not of one that came after a refusal."""
+        staleness, trusted = watched()
+        staleness.watch_ended(10000.0)
+        staleness.call_waiting(10060.0)
+        self.assertEqual((staleness.usable_until, staleness.cause), (10060.0 + NEWS, Cause.OUT_OF_REACH))
+        staleness, trusted = watched()
+        staleness.watch_ended(10000.0)
+        staleness.call_failed(10100.0, CallEnd.REFUSED, 10090.0)
+        staleness.call_waiting(10600.0)
+        self.assertEqual(staleness.usable_until, trusted + NEWS)
+
     def test_gap_before_the_outage(self):
         """Between the watch's end and the first call news may have been there: no outage is taken for granted."""
         staleness, trusted = watched()
