Lists cut in the middle of a word are not dropped

Values.feed took an object for spoilt when a piece of it ended inside null, true, a number or an escape and a string before held '}{' (the search for its end matched there): the object's lines were dropped, and with them what they told, a drain it may be. Found by the property test of layouts when its examples changed. tests/test_watches.py: cut at each byte in turn, seen to fail before.

--- a/sloeferry/net/values.py
+++ b/sloeferry/net/values.py
@@ -5,6 +5,7 @@
 
 # Where an object may have ended: nothing follows, or the next one.  Within an object a comma or a bracket would.
 ENDED = re.compile(r"}\s*(?:{|\Z)")
+LAST_WORD = re.compile(r"[\w.+-]*\s*\Z")
 first = json.JSONDecoder().raw_decode    # of a text: the value that it begins with, and where that ends
 
 
@@ -15,6 +16,12 @@
     def __init__(self):
         self.held, self.decoder = "", codecs.getincrementaldecoder("utf-8")("replace")
 
+    def cut(self, fault):
+        """Whether the text may just go on: it ends where the fault is, or in the middle of a word, a number or a string
+        (which can't hold the end of a line)."""
+        in_string = fault.msg.startswith("Unterminated") or fault.msg.startswith("Invalid \\") and "\n" not in self.held[fault.pos:]
+        return in_string or LAST_WORD.match(self.held, fault.pos) is not None
+
     def feed(self, data):
         """What is whole by now, in order; None for each line that can't be read."""
         looked = max(0, self.held.rfind("}"))
@@ -30,8 +37,7 @@
                     self.held, looked = self.held[end:].lstrip(), 0
                     continue
                 except json.JSONDecodeError as fault:
-                    # A string can't hold the end of a line: one without an end is cut where the text is.
-                    if fault.pos >= len(self.held.rstrip()) or fault.msg.startswith("Unterminated"):
+                    if self.cut(fault):
                         break
                 except RecursionError:
                     pass
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -47,6 +47,15 @@
         self.assertEqual([value for value in found if value is not None], wanted)
         self.assertEqual((values.held, found.count(None)), ("", bad))
 
+    def test_any_one_cut(self):
+        """An object over many lines, in two pieces cut at each byte in turn, with what looks like an object's end and the
+        next one's beginning in a string: neither it nor what follows is dropped."""
+        told = [{"id": 'a "}\\" { b', "umlaut": "ü}{", "n": None}, {"revision": 3, "members": [{"id": "b"}, {}]}]
+        data = "".join(json.dumps(value, indent=1, ensure_ascii=False) + "\n" for value in told).encode()
+        for cut in range(len(data)):
+            values = Values()
+            self.assertEqual(values.feed(data[:cut]) + values.feed(data[cut:]), told, cut)
+
     def test_indented(self):
         """A drain told over many lines, in pieces, is a drain; so is one of an entry that else can't be read; a list
         that its end cuts short is said."""
