--- a/sloeferry/__main__.py
+++ b/sloeferry/__main__.py
@@ -1,8 +1,9 @@
 """Wires the real proxy together and starts it: python -m sloeferry."""
+
 import signal
 
-early = []                               # SIGHUPs that came before anybody could act on them
-if __name__ == "__main__":               # first of all: until there is a handler the signal ends the process
+early = []  # SIGHUPs that came before anybody could act on them
+if __name__ == "__main__":  # first of all: until there is a handler the signal ends the process
     signal.signal(signal.SIGHUP, lambda *_: early.append(True))
 
 import asyncio
@@ -24,10 +25,10 @@
 from sloeferry.net.handover import Handover
 from sloeferry.ops.duty import Duty
 
-SPARE = 32                               # descriptors that are no connection
+SPARE = 32  # descriptors that are no connection
 # Settings by which parts were built: where reports come from and what is in them, who of how many this is, and where.
 FIXED = "discovery", "load_info.via", "load_info.fields", "instances", "ordinal", "zone"
-HANDOVER = 2.0                           # seconds that the one before may take to let go of the address
+HANDOVER = 2.0  # seconds that the one before may take to let go of the address
 
 
 class Clockwork:
@@ -45,7 +46,7 @@
         self.handle = None
         try:
             self.facade.tick()
-        except Exception as fault:       # one decision that failed must not stop the clock of all others
+        except Exception as fault:  # one decision that failed must not stop the clock of all others
             logger.opt(exception=True).error("tick failed: {!r}", fault)
         if self.facade.next is not None:
             self.hurry(self.facade.next)
@@ -57,7 +58,7 @@
 
     def __init__(self, berth, environ, parts, discovery):
         self.berth, self.environ, self.parts, self.discovery = berth, environ, parts, discovery
-        self.witness = None              # where versions are kept account of
+        self.witness = None  # where versions are kept account of
 
     def __call__(self):
         try:
@@ -96,6 +97,7 @@
     if not (path := environ.get("SLOEFERRY_OPERATOR")):
         return {}
     from sloeferry import operators
+
     return operators.read(path)
 
 
@@ -113,7 +115,7 @@
         try:
             handover = Handover(loop, berth, environ["TMPDIR"])
             berth = berth._replace(known=handover.known or berth.known)
-        except OSError as fault:         # no folder to share: it serves alone
+        except OSError as fault:  # no folder to share: it serves alone
             logger.warning("TMPDIR: {}", fault)
     backends = Backends(loop, facade, berth.terms, inside, buffers)
     discovery = Discovery(loop, facade, berth, inside, buffers, backends, duty, handover and handover.folder.mates()[1])
@@ -130,10 +132,13 @@
         loop.add_signal_handler(signal.SIGINT, leave.set)
         renewal = Renewal(berth, environ, (facade, clients, backends, discovery), discovery)
         loop.add_signal_handler(signal.SIGHUP, renewal)
-        tasks = [loop.create_task(work) for work in (
-            backends.probes(), backends.sweep(), discovery.run(), clients.sweep(), clients.backstop())]
+        tasks = [
+            loop.create_task(work)
+            for work in (backends.probes(), backends.sweep(), discovery.run(), clients.sweep(), clients.backstop())
+        ]
         if told.get("versions", {}).get("tell"):
             from sloeferry.versions.witness import Witness
+
             renewal.witness = discovery.witness = Witness(facade, berth, desk, told["versions"]["carry"])
             if told["versions"]["bring_up"]:
                 discovery.witness.brings_up(desk, discovery, renewal)
@@ -142,9 +147,9 @@
         if handover:
             handover.join(facade, duty, discovery, clients)
             tasks.append(loop.create_task(handover.run()))
-        for task in tasks:               # none of them ends by itself
+        for task in tasks:  # none of them ends by itself
             task.add_done_callback(lambda task: leave.set())
-        if early:                        # the file may be newer than what was read
+        if early:  # the file may be newer than what was read
             renewal()
         settled(facade)
         clients.open()
@@ -173,8 +178,7 @@
     try:
         logger.remove()
         level, as_json = terms.log_terms(os.environ)
-        logger.add(sys.stderr, level=level, diagnose=False, serialize=as_json,
-                   format="{time:HH:mm:ss.SSS} {level} {message}")
+        logger.add(sys.stderr, level=level, diagnose=False, serialize=as_json, format="{time:HH:mm:ss.SSS} {level} {message}")
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(serve(terms.read(os.environ), settled=spare))
     except terms.Fault as fault:
--- a/sloeferry/cli.py
+++ b/sloeferry/cli.py
@@ -1,4 +1,5 @@
 """The command line: `sloeferry VERB`.  `python -m sloeferry` is the daemon itself and imports none of this."""
+
 import os
 import pathlib
 import sys
@@ -30,6 +31,7 @@
 def check_config(file):
     """Reads and checks a configuration as the daemon would; exit 2 and one line where it can't be used."""
     from sloeferry import terms
+
     try:
         berth = terms.read({"BALANCER_CONFIG": str(file)})
     except terms.Fault as fault:
@@ -40,11 +42,13 @@
 
 
 # Verbs of subsystems: the module that has them, the extra it needs, and what they are for.
-VERBS = {"fleet": ("sloeferry.fleet.cli", "cli", "Asks a whole fleet who acts on which version"),
-         "load": ("sloeferry.load.cli", "load", "Open-loop load on loopback"),
-         "ops": ("sloeferry.ops.cli", "cli", "Asks a proxy at its operators' address"),
-         "rig": ("sloeferry.rig.cli", "rehearsal", "Plays plans with real processes and faults between them"),
-         "rehearse": ("sloeferry.rehearsal.cli", "rehearsal", "Plays days with a whole bank, in virtual time or live")}
+VERBS = {
+    "fleet": ("sloeferry.fleet.cli", "cli", "Asks a whole fleet who acts on which version"),
+    "load": ("sloeferry.load.cli", "load", "Open-loop load on loopback"),
+    "ops": ("sloeferry.ops.cli", "cli", "Asks a proxy at its operators' address"),
+    "rig": ("sloeferry.rig.cli", "rehearsal", "Plays plans with real processes and faults between them"),
+    "rehearse": ("sloeferry.rehearsal.cli", "rehearsal", "Plays days with a whole bank, in virtual time or live"),
+}
 
 
 def run():
--- a/sloeferry/core/decide.py
+++ b/sloeferry/core/decide.py
@@ -6,6 +6,7 @@
   -> Reposting (further postings, rule 2) -> Board.choose (the estimate).
 What comes back runs through the chain the other way.  Rules holds the four rules: every posting and
 every decline goes through it."""
+
 import functools
 from bisect import bisect
 from collections import defaultdict
@@ -15,8 +16,7 @@
 from sloeferry.core import ports
 from sloeferry.core.histogram import Histogram
 from sloeferry.core.keys import Keys
-from sloeferry.core.records import (BLAMELESS, BOUNDS, OUT, Backend, Curve, Make, Posting, Prompt, Scheme,
-                                    Txn, compare)
+from sloeferry.core.records import BLAMELESS, BOUNDS, OUT, Backend, Curve, Make, Posting, Prompt, Scheme, Txn, compare
 from sloeferry.core.stages import Stages
 from sloeferry.core.staleness import AT_ONCE, Limits, ListStaleness
 from sloeferry.core.timers import Timers
@@ -24,11 +24,14 @@
 
 class Rules:
     """The four rules.  Nothing is posted or declined but through here."""
-    OVERDUE = 0.125                  # of the SLA time: what is back by then is in time, whatever was expected
+
+    OVERDUE = 0.125  # of the SLA time: what is back by then is in time, whatever was expected
+
     def __init__(self, proxy):
         self.p = proxy
         self.cold, self.cold_from, self.fall, self.multiple = (
-            proxy.term(f"obligations.{name}") for name in ("cold", "cold_from", "fall", "fall_multiple"))
+            proxy.term(f"obligations.{name}") for name in ("cold", "cold_from", "fall", "fall_multiple")
+        )
         self.copies = int(proxy.term("limits.second_copies"))
 
     def warmth(self, b, now):
@@ -47,7 +50,7 @@
             return True
         # Its part of one core, less some slack: what a warm one of more cores gets pushed cold ones over.
         share = 0.85 * self.fall / max(1.0, self.p.instances * self.p.processes)
-        span = self.fall * max(1.0, work / budget / share)   # a txn over the budget waits longer for its turn
+        span = self.fall * max(1.0, work / budget / share)  # a txn over the budget waits longer for its turn
         while b.sent and b.sent[0][0] <= now - span:
             b.sent.popleft()
         # First sends take turns too, or all proxies together push over the just started.
@@ -85,8 +88,7 @@
     def post(self, txn, b, now, expected):
         """The one place that sends; None where a rule forbids it."""
         work = txn.usual()
-        if not (self.in_use(b, now) and self.may_post(txn, now) and self.drops_repeats(txn, b)
-                and self.cold_room(b, now, work)):
+        if not (self.in_use(b, now) and self.may_post(txn, now) and self.drops_repeats(txn, b) and self.cold_room(b, now, work)):
             return None
         posting = Posting(txn, b, now, self.p.board.figure(b, now), expected)
         txn.postings.append(posting)
@@ -104,7 +106,7 @@
             return
         kind, group = txn.scheme.kind, txn.scheme.group
         if not txn.maybe() or kind == "repeatable" or kind == "referenced" and group == "all":
-            self.p.host.decline(txn.ref, pause)      # rule 2: it says that trying again is harmless
+            self.p.host.decline(txn.ref, pause)  # rule 2: it says that trying again is harmless
         else:
             self.p.host.reverse(txn.ref)
 
@@ -112,26 +114,27 @@
 class Discovery:
     """When the list is asked for: discovery is shared and of limited capacity, so calls are spread out.  How long the
     list may be used meanwhile is decided by `staleness`."""
-    QUICK = 10000.0                  # ms: with more patience a failed call is repeated as soon as with this
+
+    QUICK = 10000.0  # ms: with more patience a failed call is repeated as soon as with this
     # Of the time after which news counts as told, the longest mean pause: with the longest wait for an answer before and
     # behind it (QUICK's quarter is more than discovery takes) an outage is known to go on before that time is over.
     PAUSE = 2 / 9
+
     def __init__(self, proxy, now, limits):
         self.p, self.fails, self.waiting = proxy, 0, 0
-        self.told_since = None       # since when the watch that stands has told its list
+        self.told_since = None  # since when the watch that stands has told its list
         self.asks = proxy.term("discovery") == "subscribe"
         self.patience = proxy.term("obligations.must_ask_in")
         self.staleness = ListStaleness(now, self.patience, self.asks, limits)
         if self.asks:
-            proxy.later(now + (proxy.ordinal + proxy.rng.random()) / proxy.instances * self.patience / 4,
-                        self.ask)
+            proxy.later(now + (proxy.ordinal + proxy.rng.random()) / proxy.instances * self.patience / 4, self.ask)
 
     def retune(self, patience):
         self.patience = self.staleness.must_ask_in = patience
 
     def ask(self, now, number=None):
         if number not in (None, self.waiting):
-            return                   # that call has been answered meanwhile
+            return  # that call has been answered meanwhile
         self.waiting += 1
         self.staleness.call_began(now)
         self.p.host.watch()
@@ -150,7 +153,7 @@
             # Whatever ended it, news may have come meanwhile; and whether discovery is there shows at once.
             return self.p.later(now + self.p.rng.random() * AT_ONCE / 2, self.ask)
         self.fails = min(self.fails + 1, 3)
-        wait = min(self.pause() * 2 ** self.fails, self.PAUSE * self.staleness.limits.news)
+        wait = min(self.pause() * 2**self.fails, self.PAUSE * self.staleness.limits.news)
         self.p.later(now + wait * (0.5 + self.p.rng.random()), self.ask)
 
     def pause(self):
@@ -159,19 +162,21 @@
 
 class Board:
     """The backends: list, reports, own sends, health.  Every pick is made here."""
-    HALF_POINT = 0.005               # what a convenience may cost, by its tariff
-    CROWD = 0.55                     # of the SLA time: a queue that takes longer only overdrives its backend
-    QUEUE = 0.1                      # of a mean gain: what each place in a queue costs those behind it
-    OVERDUE = 0.9                    # of all are back by then
-    DRAG, AGAIN = 0.2, 0.4          # the part in time at which a kind drags, and no longer does
-    SQUEEZED = 0.1                   # of dials refused: from there on open connections go first
-    HEAVY = 0.3                      # of its SLA time: a txn that takes longer goes where it ends first
-    WAY = 0.5                        # of the part that the best way has in time: one with less is bad
-    FAR, SLOW = 4, 1.6               # times as many lost as of any other scheme; a pace beyond reports
+
+    HALF_POINT = 0.005  # what a convenience may cost, by its tariff
+    CROWD = 0.55  # of the SLA time: a queue that takes longer only overdrives its backend
+    QUEUE = 0.1  # of a mean gain: what each place in a queue costs those behind it
+    OVERDUE = 0.9  # of all are back by then
+    DRAG, AGAIN = 0.2, 0.4  # the part in time at which a kind drags, and no longer does
+    SQUEEZED = 0.1  # of dials refused: from there on open connections go first
+    HEAVY = 0.3  # of its SLA time: a txn that takes longer goes where it ends first
+    WAY = 0.5  # of the part that the best way has in time: one with less is bad
+    FAR, SLOW = 4, 1.6  # times as many lost as of any other scheme; a pace beyond reports
+
     def __init__(self, proxy, now):
         self.p, self.home, self.all = proxy, proxy.zone, {}
         # Listed as ready, with news of late; whether probes go round; of three ends one teaches; last look.
-        self.zones, self.cells, self.probes = (defaultdict(Prompt) for _ in range(3))       # ways
+        self.zones, self.cells, self.probes = (defaultdict(Prompt) for _ in range(3))  # ways
         self.open, self.known, self.turning, self.third = [], {}, False, 0
         self.looked, self.blamed, self.missing = -INF, -INF, proxy.term("obligations.only_draining_binds")
         fields = proxy.term("load_info.fields").split(",")
@@ -185,10 +190,10 @@
         self.curve = Curve()
         self.stretch = self.curve.stretch
         self.fit, self.ready, self.mean, self.out, self.turnover = [], 0, [0.0, 0.0], [0.0, 0.0], 1.0
-        self.makes = defaultdict(functools.partial(Make, Histogram(1.0, 100, [1.0] * 4)))    # of machines
+        self.makes = defaultdict(functools.partial(Make, Histogram(1.0, 100, [1.0] * 4)))  # of machines
         self.spread = Histogram(1.0, 400, [0.5, 0.7, 1.0, 1.4, 2.0])
         self.smooth()
-        self.cured, self.errs, self.refused = 1.0, 0.0, 0.0     # part of erring txns, of postings, of dials
+        self.cured, self.errs, self.refused = 1.0, 0.0, 0.0  # part of erring txns, of postings, of dials
         self.sick, self.keys, self.keyed = (), Keys(), proxy.term("family_info.warm_keys")
 
     def listed(self, now, scope, lines):
@@ -204,7 +209,7 @@
             self.told(b, standing)
             b.ways, b.make = (self.zones[zone], self.cells[cell]), self.makes[kind]
         self.looked = -INF
-        if scope != ports.CHANGES:       # who is missing from a whole list is gone
+        if scope != ports.CHANGES:  # who is missing from a whole list is gone
             named = {line[0] for line in lines}
             for b in self.all.values():
                 self.told(b, b.standing if b.ident in named else ports.GONE)
@@ -245,10 +250,10 @@
     def bad(self, b, now):
         """A backend that errs, refuses connections or is silent rests, longer each time."""
         b.fails, self.known[b.ident] = b.fails + 1, b
-        if b.missing:                    # neither the list nor its own answers speak for it
+        if b.missing:  # neither the list nor its own answers speak for it
             b.standing, b.missing, self.looked = ports.GONE, False, -INF
             self.open.remove(b)
-        if b.fails >= 2 or self.dated:   # where nobody can be asked no second txn is spent to be sure
+        if b.fails >= 2 or self.dated:  # where nobody can be asked no second txn is spent to be sure
             rest = self.probe_every / 2 * 2 ** min(b.fails - 2 + 2 * self.dated, 4 + self.dated)
             b.rest_until = now + rest * (0.75 + self.p.rng.random() / 2)
 
@@ -257,11 +262,11 @@
         that errs so often in a row that chance can't have sent it so many bad txns is to blame as well."""
         b.errs += 1
         if any(p.how == ports.ERRED for p in txn.postings[:-1]):
-            self.cured -= self.cured / 8         # at two backends: the txn
+            self.cured -= self.cured / 8  # at two backends: the txn
         elif self.cured > 0.5:
             # A quick error must not make a backend look empty: its send stays counted for a while.
             b.ghosts.append(now + 4 * txn.usual())
-        if self.errs ** b.errs < 0.001 or txn.scheme.kind == "once-only" and self.cured > 0.5:
+        if self.errs**b.errs < 0.001 or txn.scheme.kind == "once-only" and self.cured > 0.5:
             self.bad(b, now)
 
     def cure(self, txn, now):
@@ -273,8 +278,7 @@
 
     def lossy(self, scheme, b, now):
         """Overdue there means lost: the way is bad, or far more of the scheme is than of the others."""
-        others = scheme.lost > scheme.MUCH and [s.lost for s in self.p.schemes
-                                                if s is not scheme and s.tells_of(scheme)]
+        others = scheme.lost > scheme.MUCH and [s.lost for s in self.p.schemes if s is not scheme and s.tells_of(scheme)]
         return b.way < 1.0 or others and scheme.lost > self.FAR * max(others)
 
     def silent(self, b, now):
@@ -290,10 +294,12 @@
             return self.fit
         passed, self.looked = now - self.looked, now
         listed = self.open if self.p.rules.list_usable(now) else []
-        self.known = known = {ident: b for ident, b in self.known.items() if b.own or b.ghosts or b.probes_out
-                              or b.fails or now - b.heard <= self.age_limit}
-        sick = {b.ident for b in known.values() if b.standing == ports.READY
-                and (b.rest_until > now or self.silent(b, now))}
+        self.known = known = {
+            ident: b
+            for ident, b in self.known.items()
+            if b.own or b.ghosts or b.probes_out or b.fails or now - b.heard <= self.age_limit
+        }
+        sick = {b.ident for b in known.values() if b.standing == ports.READY and (b.rest_until > now or self.silent(b, now))}
         self.sick = sick = sick if 2 * len(sick) < len(listed) else ()
         self.ready = len(listed)
         # Those without news are all alike: a few at random stand for them, or a pick costs a whole fleet.
@@ -304,11 +310,13 @@
         self.near, self.away = ([b for b in self.fit if (b.zone == self.home) == at] for at in (True, False))
         self.turnover = min([s.typical() for s in self.p.schemes])
         self.fade = self.age_limit / 2 if self.dated else self.turnover
-        span = max(self.fade, 16 * self.p.gap)       # a few reports must not speak for all unknown
+        span = max(self.fade, 16 * self.p.gap)  # a few reports must not speak for all unknown
         heard = [b for b in self.fit if now - b.heard <= self.age_limit]
-        warm = [b for b in heard if b.launched <= now - self.p.rules.cold]   # the cold speak for no others
-        fresh = [(2 ** ((b.heard - now) / span), b.others if warm else
-                  self.weight(b.others, self.pace(b, now)), b.zone == self.home) for b in warm or heard]
+        warm = [b for b in heard if b.launched <= now - self.p.rules.cold]  # the cold speak for no others
+        fresh = [
+            (2 ** ((b.heard - now) / span), b.others if warm else self.weight(b.others, self.pace(b, now)), b.zone == self.home)
+            for b in warm or heard
+        ]
         others = (self.p.instances - 1) / max(self.ready, 1)
         for here in (False, True):
             # Where a crossing is dear zones are loaded apart: a full home must not make the others look full.
@@ -316,7 +324,7 @@
             # Unheard and never tried, a zone with room would stay unheard: it counts as empty until it tells.
             these = these or (fresh if here or not self.dated else ())
             self.mean[here] = sum(w * n for w, n, _ in these) / sum(f[0] for f in these) if these else 0.0
-            if self.dated:       # what takes long reports late: what is out tells before it, if all do alike
+            if self.dated:  # what takes long reports late: what is out tells before it, if all do alike
                 out = sum(b.own + len(b.ghosts) for b in known.values() if (b.zone == self.home) == here)
                 self.out[here] += (out - self.out[here]) * (1 - 0.5 ** (8 * passed / self.age_limit))
                 self.mean[here] = max(self.mean[here], self.out[here] * others)
@@ -326,7 +334,7 @@
         """What comes back in time of each scheme and customer, from each zone and cell, against the best of
         its sort.  A kind overdue wherever it goes holds places that others need: one at a time goes on, to
         tell when that has ended.  A way bad for this proxy alone shows in no report: it counts for less."""
-        if now < self.blamed + self.p.quickest / 16:     # a look at all of them costs time
+        if now < self.blamed + self.p.quickest / 16:  # a look at all of them costs time
             return
         kinds, ways = sum(self.p.kinds, []), [w.values() for w in (self.zones, self.cells, self.probes)]
         self.blamed = now
@@ -335,18 +343,18 @@
         for sort in self.p.kinds:
             if all(one.dragging for one in sort if now - one.told < self.age_limit):
                 for one in sort:
-                    one.dragging = False     # all that are met drag: none of them is to blame
+                    one.dragging = False  # all that are met drag: none of them is to blame
         for kind in kinds:
             before = kind.dragging
             # Once it jams all, others are no better: it is trusted again by what it does itself.
             kind.dragging = kind.part < self.AGAIN if before else kind.part < self.DRAG and kind.factor < 0.25
-            if kind.dragging > before:       # what the others suffered from it is held against nobody
+            if kind.dragging > before:  # what the others suffered from it is held against nobody
                 for one in sum(map(list, ways), kinds):
                     one.part = one.part if one.dragging else max(one.part, 0.5)
                     one.unjudged.clear()
                 for posting in kind.open if self.p.term("limits.cancel") else ():
                     self.p.host.withdraw(posting.txn.ref, posting.txn.postings.index(posting))
-        for way in sum(map(list, ways), []):     # believed ever less, or it would never be tried again
+        for way in sum(map(list, ways), []):  # believed ever less, or it would never be tried again
             part = 1 - (1 - way.factor) * 0.5 ** ((now - way.told) / self.age_limit)
             way.factor = max(0.05, part) if part < self.WAY else 1.0
         for b in self.fit:
@@ -367,7 +375,7 @@
             b.ghosts.pop(0)
         own, age, mean = b.own + len(b.ghosts), now - b.heard, self.mean[b.zone == self.home]
         if b.launched > now - self.p.rules.cold and (pace := self.pace(b, now)) > self.SLOW:
-            mean = max(0.0, (mean + 1) / pace - 1)       # of the load that all share a cold one holds less
+            mean = max(0.0, (mean + 1) / pace - 1)  # of the load that all share a cold one holds less
         if age > self.age_limit:
             return own + mean
         # Who looked empty fills at once, by all who heard it; who was full stays so while reports hold.
@@ -383,7 +391,7 @@
 
     def weight(self, figure, pace, part=1.0):
         """The figure; more for the slow or cold, whose reports mislead, less for who knows the txn's key."""
-        return round((figure + 1) * (pace if pace > self.SLOW else 1.0) * part - 1, 9)      # or ties are none
+        return round((figure + 1) * (pace if pace > self.SLOW else 1.0) * part - 1, 9)  # or ties are none
 
     def stuck(self):
         """Less is out than this proxy's part of one a backend: only what is sent mends its beliefs."""
@@ -399,7 +407,7 @@
         self.usable(now)
         heavy = txn.scheme.hint and work * stretch[0] > self.HEAVY * txn.scheme.sla
         lowest, keepers = INF, self.keys.keepers(txn.key, self.open)
-        seat = max(0.05, 1 - self.refused) if self.refused > self.SQUEEZED else 1.0      # odds of a new one
+        seat = max(0.05, 1 - self.refused) if self.refused > self.SQUEEZED else 1.0  # odds of a new one
         more = [b for b in keepers if b.ident not in self.sick and b not in self.fit] if self.fit else []
         for backends in (self.near, self.away):
             # Where not even certainty there would pay for the crossing, the others need no look.
@@ -409,8 +417,7 @@
                 backends = backends + [b for b in more if (b.zone == self.home) == (backends is self.near)]
             least, ties = INF, []
             for b in backends:
-                if b.muted and b.mutes(txn.scheme, now) or not free and (
-                        b in leave_out or not rules.drops_repeats(txn, b)):
+                if b.muted and b.mutes(txn.scheme, now) or not free and (b in leave_out or not rules.drops_repeats(txn, b)):
                     continue
                 figure, pace = self.figure(b, now), self.pace(b, now)
                 part = self.keys.known if b in keepers else 1.0
@@ -441,18 +448,18 @@
 
     def learn(self, txn, posting, took, now, how=ports.SETTLED):
         """What a settled (or given up) posting tells of its scheme, its backend and the fleet."""
-        self.third = (self.third + 1) % 3        # in a rush a third teaches as much
+        self.third = (self.third + 1) % 3  # in a rush a third teaches as much
         if self.third and self.p.rushed() or self.p.stages.behind() or txn.drags():
-            return                               # behind: times are its own
+            return  # behind: times are its own
         typical, level, b, whole = txn.usual(), bisect(BOUNDS, posting.figure), posting.backend, took
         if txn.key:  # against what it would take without: where known, and elsewhere
             kept = b in self.keys.keepers(txn.key, self.open)
             self.keys.learn(kept, took / (typical * self.stretch[level]))
             took /= self.keys.known if kept else 1.0
         b.learn(took / (typical * self.stretch[level]), self.spread, now)
-        if self.p.rules.warmth(b, now) < 1.0:    # that a cold one takes long tells of no queue elsewhere
+        if self.p.rules.warmth(b, now) < 1.0:  # that a cold one takes long tells of no queue elsewhere
             return
-        if how == ports.SETTLED if self.dated else level == 0:      # only the asked are known to be idle
+        if how == ports.SETTLED if self.dated else level == 0:  # only the asked are known to be idle
             txn.scheme.took.add(took * self.stretch[0] / self.stretch[level] / txn.size)
         self.curve.seen[level].add(took / typical)
         self.spread.add(whole / posting.expected)
@@ -461,6 +468,7 @@
 
 class Ledger:
     """First stage: each txn taken has one answer, and before its expiry."""
+
     def __init__(self, proxy, after):
         self.p, self.after, self.txns = proxy, after, {}
 
@@ -491,7 +499,9 @@
 class Ask:
     """Second stage: where a probe costs next to nothing, the lowest are asked before the pick, a few at
     a time until one is idle: among many backends some are, however busy the first few."""
+
     AT_ONCE, WAVES = 3, 4
+
     def __init__(self, proxy, after):
         self.p, self.after, self.waiting, self.purse = proxy, after, [], 0.0
         # A point and a half in a hundred, for asking in vain alone: where all are busy, more finds no place.
@@ -524,7 +534,7 @@
             self.purse += self.AT_ONCE
             return ()
         lowest = sorted((weight, self.p.rng.random(), b) for weight, b in weights)
-        lowest = [b for _, _, b in lowest if now - b.heard > self.patience][:self.AT_ONCE]
+        lowest = [b for _, _, b in lowest if now - b.heard > self.patience][: self.AT_ONCE]
         for b in lowest:
             if not b.probes_out and self.purse >= 1:
                 self.purse -= 1
@@ -541,14 +551,16 @@
     def go_on(self, now, entry):
         if entry in self.waiting:
             self.waiting.remove(entry)
-            self.p.board.looked = -INF   # else who was not asked still looks as idle as before
+            self.p.board.looked = -INF  # else who was not asked still looks as idle as before
             if not entry[0].answered:
                 self.look(entry[0], now, entry[2] - 1)
 
 
 class Gate:
     """Third stage: what can't meet its SLA time is held for a short while, best gain first, or declined."""
-    NEAR = 0.75                      # of the odds at an idle backend: less than that is a queue too long
+
+    NEAR = 0.75  # of the odds at an idle backend: less than that is a queue too long
+
     def __init__(self, proxy, after):
         self.p, self.after, self.held, self.ticking = proxy, after, [], False
 
@@ -593,13 +605,14 @@
 
     def tick(self, now):
         self.ticking = False
-        if self.held and self.p.late < self.p.ask.patience / 2:      # else this proxy has no time to ask
+        if self.held and self.p.late < self.p.ask.patience / 2:  # else this proxy has no time to ask
             self.p.ask.refresh(now)
         self.drain(now)
 
 
 class Reposting:
     """Last stage: the posting itself, a second look while it is out, and a further one after it."""
+
     def __init__(self, proxy):
         self.p = proxy
 
@@ -615,8 +628,7 @@
     def review(self, now, txn, posting, asked=False):
         """A backend or a connection fell silent with this txn (it stalls, or died unseen): ask another."""
         p, rules, b = self.p, self.p.rules, posting.backend
-        lost = rules.copies and posting.overtaken() or (
-            now >= posting.overdue and p.board.lossy(txn.scheme, b, now))
+        lost = rules.copies and posting.overtaken() or (now >= posting.overdue and p.board.lossy(txn.scheme, b, now))
         if txn.answered or posting.state != OUT or now >= txn.due:
             return
         if not lost and rules.copies and now < posting.sent + p.board.longest:
@@ -639,7 +651,7 @@
             return
         erred = txn.postings[-1].how == ports.ERRED and self.p.board.cured < 0.5
         if now >= txn.ends - 2 * self.p.step or txn.drags() or erred and self.p.rng.random() > 0.2:
-            return self.p.ledger.end(txn)        # no time, or no hope but to see whether that has ended
+            return self.p.ledger.end(txn)  # no time, or no hope but to see whether that has ended
         b, odds, takes = self.p.board.choose(txn, now, [x.backend for x in txn.postings])
         if odds > 0.1 and self.p.rules.may_post(txn, now) and self.p.stages.may_repost(now, txn):
             self.post(txn, b, now, takes)
@@ -651,6 +663,7 @@
 
 class Proxy(Timers):
     """One instance: takes the host's calls, keeps the timers and the chain."""
+
     def __init__(self, host, now, seed, terms, limits=Limits()):
         super().__init__(host)
         # gap: between txns taken; processes: that are this one proxy, while one takes over from another
@@ -658,8 +671,8 @@
         self.schemes, self.kinds = [], ([], [])
         self.settle(terms)
         self.instances, self.ordinal = int(self.term("instances")), int(self.term("ordinal"))
-        self.step, self.stages = terms["step"], Stages()     # of other subsystems, as the host installs them
-        self.zone, self.turn = self.term("zone"), self.ordinal * 0.618034 % 1    # spread over the bank
+        self.step, self.stages = terms["step"], Stages()  # of other subsystems, as the host installs them
+        self.zone, self.turn = self.term("zone"), self.ordinal * 0.618034 % 1  # spread over the bank
         self.mean_gain = sum(s.worth() for s in self.schemes) / len(self.schemes)
         self.discovery, self.board, self.reposting = Discovery(self, now, limits), Board(self, now), Reposting(self)
         self.gate = Gate(self, self.reposting)
@@ -674,15 +687,17 @@
 
     def came(self, now):
         self.gap, self.last = self.gap + (min(now - self.last, 1000.0) - self.gap) / 100, now
-    def rushed(self): return self.gap < 4 * self.step    # txns come faster than a question is answered
+
+    def rushed(self):
+        return self.gap < 4 * self.step  # txns come faster than a question is answered
 
     def settle(self, terms):
         """The settings, at the start or others, each scheme and customer at its place (terms.aligned).
         Open txns keep the schemes under which they were taken; what was learned of each goes on."""
         self.terms, self.term, known = terms, terms.__getitem__, self.kinds[1]
         schemes, tenants = (range(int(terms[f"{what}.count"])) for what in ("schemes", "tenants"))
-        self.schemes = [Scheme(terms, at, *self.schemes[at:at + 1]) for at in schemes]
-        self.kinds = [s.prompt for s in self.schemes], known + [Prompt() for _ in tenants[len(known):]]
+        self.schemes = [Scheme(terms, at, *self.schemes[at : at + 1]) for at in schemes]
+        self.kinds = [s.prompt for s in self.schemes], known + [Prompt() for _ in tenants[len(known) :]]
         self.longest = self.quickest = min(s.sla for s in self.schemes if not s.dropped)
         self.rules = Rules(self)
 
@@ -708,16 +723,17 @@
     def take(self, now, ref, scheme, tenant, key, left, work, repeat):
         scheme = self.schemes[scheme]
         txn = Txn(ref, scheme, now, left, tenant, key if self.board.keyed else 0, scheme.size(work))
-        txn.kinds = (scheme.prompt, *self.kinds[1][tenant:tenant + 1])
+        txn.kinds = (scheme.prompt, *self.kinds[1][tenant : tenant + 1])
         self.board.keys.met(txn.key)
         self.mean_gain += (txn.gain - self.mean_gain) / 100
         self.came(now)
         scheme.most_left = max(scheme.most_left, left)
         if repeat and left < scheme.most_left - 2 * self.step:
-            txn.due = now + left - (scheme.expiry - scheme.sla)    # its first try began that much earlier
+            txn.due = now + left - (scheme.expiry - scheme.sla)  # its first try began that much earlier
         self.ledger.take(txn, now)
 
-    def started(self, now, ref, seq): self.left(now, ref)     # the stream is the client's now
+    def started(self, now, ref, seq):
+        self.left(now, ref)  # the stream is the client's now
 
     def ended(self, now, ref, seq, how, answered, took, report):
         txn = self.ledger.txns.get(ref)
@@ -737,12 +753,12 @@
             self.board.cure(txn, now)
         elif how in (ports.LATE, ports.WITHDRAWN):
             slow, scheme = took > posting.expected and b.way == 1.0, txn.scheme
-            dead = b.probes_out and self.board.silent(b, now)    # no probe is answered: all are lost
+            dead = b.probes_out and self.board.silent(b, now)  # no probe is answered: all are lost
             if slow and not dead and (scheme in b.muted or self.board.lossy(scheme, b, now)):
-                b.mute(scheme, now, self.board.age_limit)    # it serves the others: it need not rest
+                b.mute(scheme, now, self.board.age_limit)  # it serves the others: it need not rest
             elif slow and not (self.rules.copies and posting.overtaken()):
                 self.board.learn(txn, posting, took * 1.5, now, how)
-            if self.board.dated:         # given up here, it goes on there: no report says so in time
+            if self.board.dated:  # given up here, it goes on there: no report says so in time
                 b.ghosts.append(now + took)
             late = self.board.dated and how == ports.LATE and took > 2 * posting.expected
             if (late or self.board.silent(b, now)) and not (txn.drags() or b.mutes(scheme, now)):
@@ -751,9 +767,9 @@
             self.board.erred(txn, b, now)
         elif how not in BLAMELESS:
             b.ghosts.append(now + 4 * txn.usual())
-            if how != ports.UNREACHED or b.links <= 0:     # else it has no seat for one more, but serves
+            if how != ports.UNREACHED or b.links <= 0:  # else it has no seat for one more, but serves
                 self.board.bad(b, now)
-            if how == ports.TURNED_AWAY:     # a full house, whatever its reports say
+            if how == ports.TURNED_AWAY:  # a full house, whatever its reports say
                 self.board.learn(txn, posting, max(posting.expected, txn.scheme.sla), now, how)
         if how != ports.LATE and not b.own:
             b.waits_since = None
@@ -767,11 +783,11 @@
         if (b := self.board.all.get(backend)) is None:
             return
         del b.probes_out[:1]
-        if self.board.by_probe and how not in BLAMELESS:     # apart: they may pass where postings are lost
+        if self.board.by_probe and how not in BLAMELESS:  # apart: they may pass where postings are lost
             self.board.probes[b.zone].judge(now, how == ports.SETTLED)
         if how == ports.SETTLED:
             self.board.report(b, now, report)
-        elif how not in BLAMELESS:       # this proxy's own want, of a connection say, tells nothing of b
+        elif how not in BLAMELESS:  # this proxy's own want, of a connection say, tells nothing of b
             self.board.bad(b, now)
         self.ask.heard(now)
 
--- a/sloeferry/core/facade.py
+++ b/sloeferry/core/facade.py
@@ -4,6 +4,7 @@
 posting ended; probes and the list have an errand each that stands for as long as the program runs.
 `tick` fires what is due and says when it wants to be called again.  No decisions here.
 """
+
 from asyncio import get_running_loop
 from collections import deque
 from heapq import heappop, heappush
@@ -25,7 +26,7 @@
 NOTHING, PART, WHOLE, BEGUN = range(4)
 # Why it ended there; spoilt is an answer that can't be read or doesn't end, on a connection that stands.
 SERVED, ERRED, REJECTED, BROKEN, LATE, WITHDRAWN, VOID, SPOILT = range(8)
-SLACK = 50.0                             # ms by which each limit is longer on sockets (protocol)
+SLACK = 50.0  # ms by which each limit is longer on sockets (protocol)
 STANDINGS = {"ready": ports.READY, "draining": ports.DRAINING, "gone": ports.GONE}
 
 
@@ -46,15 +47,15 @@
         self.began = began
         self.ref, self.ends, self.orders, self.over, self.out, self.sent = ref, ends, deque(), False, 0, 0
         self.waiter = self.relief = None
-        self.acted = None                # where postings say what they act on: for each, as a header's line
-        self.abandoned = False           # its client's connection has ended
-        self.gone = None                 # tells whether its client has left, where it has one
+        self.acted = None  # where postings say what they act on: for each, as a header's line
+        self.abandoned = False  # its client's connection has ended
+        self.gone = None  # tells whether its client has left, where it has one
 
     def order(self, *what):
         self.orders.append(what)
         if self.waiter and not self.waiter.done():
             self.waiter.set_result(None)
-        elif self.relief:                # who carries it is out with its posting: another takes the orders
+        elif self.relief:  # who carries it is out with its posting: another takes the orders
             relief, self.relief = self.relief, None
             relief()
 
@@ -63,15 +64,15 @@
     """One instance of the decisions, and their host."""
 
     def __init__(self, seed, terms, hurry):
-        self.hurry = hurry               # called with a time: be back by then
+        self.hurry = hurry  # called with a time: be back by then
         self.timers, self.errands, self.refs, self.next = [], {}, 0, None
         self.probing, self.listing = Errand(), Errand()
         # When this loop last turned; how long it may stand before what is known is looked at again; that look.
         self.seen, self.blink, self.catching = clock(), blink(terms), None
         self.start_times = StartTimes(clock(), machine.unix() * 1000, terms["obligations.cold"])
-        self.stale_since = None          # since when the list counts as stale, and nothing is sent
-        self.before_stall = clock()      # when this loop last turned before it stood still
-        self.catch_up = None             # the network's: reads what discovery wrote meanwhile
+        self.stale_since = None  # since when the list counts as stale, and nothing is sent
+        self.before_stall = clock()  # when this loop last turned before it stood still
+        self.catch_up = None  # the network's: reads what discovery wrote meanwhile
         self.proxy = decide.Proxy(self, clock(), seed, terms, ON_SOCKETS)
         self.door, self.beats = Door(self.proxy), False
         self.guard = SendGuard(self.proxy, SLACK)
@@ -117,7 +118,7 @@
         try:
             self.proxy.take(now, errand.ref, scheme, tenant, key, left, None, again)
         except Exception:
-            del self.errands[errand.ref]         # nobody will answer it
+            del self.errands[errand.ref]  # nobody will answer it
             raise
         return errand
 
@@ -140,7 +141,7 @@
     def report(self, errand, seq, reached, why, took, load=(), answer=None):
         """A posting has ended; whether its answer is the txn's."""
         errand.out -= 1
-        took = max(took / 2, took - self.proxy.late)     # that much was this loop's doing, not the backend's
+        took = max(took / 2, took - self.proxy.late)  # that much was this loop's doing, not the backend's
         settles = why == SERVED and not errand.over
         if settles:
             self.finish(errand, SETTLE, answer)
@@ -177,10 +178,11 @@
         those whose start was told just as it was listed; not `ours`: a former watch told it, and the call for
         another goes on."""
         now = clock()
-        lines = [(ident, zone, kind, cell, STANDINGS[standing], share,
-                  self.start_times.taken(now, ident, started, ident in news))
-                 for ident, zone, kind, cell, standing, share, started in lines]
-        if whole:                        # who is missing from a whole list is gone
+        lines = [
+            (ident, zone, kind, cell, STANDINGS[standing], share, self.start_times.taken(now, ident, started, ident in news))
+            for ident, zone, kind, cell, standing, share, started in lines
+        ]
+        if whole:  # who is missing from a whole list is gone
             self.start_times.keep_only({line[0] for line in lines})
             for ident in self.proxy.board.all.keys() - {line[0] for line in lines}:
                 self.guard.listed(now, ident, False)
@@ -195,9 +197,13 @@
     def guarded(self):
         """The guard's counters and the list's age now, for operators and the log."""
         now = clock()
-        return self.guard.figures() | {"list": {
-            "usable": self.staleness.usable(now), "cause": self.staleness.cause.value,
-            "known_true_ms_ago": round(now - self.staleness.trusted_until)}}
+        return self.guard.figures() | {
+            "list": {
+                "usable": self.staleness.usable(now),
+                "cause": self.staleness.cause.value,
+                "known_true_ms_ago": round(now - self.staleness.trusted_until),
+            }
+        }
 
     @property
     def staleness(self):
@@ -266,11 +272,17 @@
         staleness = self.staleness
         if not staleness.usable(now) and self.stale_since is None:
             self.stale_since = staleness.usable_until
-            logger.info("the list is stale ({}), known to be true until {:.0f} ms ago: nothing is sent until another comes",
-                        staleness.cause.value, now - staleness.trusted_until)
+            logger.info(
+                "the list is stale ({}), known to be true until {:.0f} ms ago: nothing is sent until another comes",
+                staleness.cause.value,
+                now - staleness.trusted_until,
+            )
         elif self.stale_since is not None and staleness.usable(now):
-            logger.info("the list is good again ({}), after {:.0f} ms in which nothing was sent", staleness.cause.value,
-                        now - self.stale_since)
+            logger.info(
+                "the list is good again ({}), after {:.0f} ms in which nothing was sent",
+                staleness.cause.value,
+                now - self.stale_since,
+            )
             self.stale_since = None
 
     def caught_up(self, task):
@@ -362,5 +374,12 @@
         return ports.NEVER_SENT
     if reached < WHOLE:
         return ports.UNREACHED
-    return {SERVED: ports.SETTLED, ERRED: ports.ERRED, REJECTED: ports.TURNED_AWAY, BROKEN: ports.CUT,
-            LATE: ports.LATE, WITHDRAWN: ports.WITHDRAWN, SPOILT: ports.UNKNOWN}[why]
+    return {
+        SERVED: ports.SETTLED,
+        ERRED: ports.ERRED,
+        REJECTED: ports.TURNED_AWAY,
+        BROKEN: ports.CUT,
+        LATE: ports.LATE,
+        WITHDRAWN: ports.WITHDRAWN,
+        SPOILT: ports.UNKNOWN,
+    }[why]
--- a/sloeferry/core/overload.py
+++ b/sloeferry/core/overload.py
@@ -6,21 +6,22 @@
 what ends, so there is no rate to tune and none to swing; it is let go step by step.  All figures are ratios to
 the settings; times in float ms.
 """
+
 from math import inf as INF
 
-AIM = 0.35                               # of the quickest SLA time: what a txn may spend here while the bound stands
-BEAT = 1 / 16                            # of that time: how often the beat is due, and the lateness that is too much
-WINDOW = 1.0                             # of that time: over which the least lateness counts
-STALE = 0.5                              # of that time: a beat so late comes from a stall; what waited is mostly late
-LONGEST = 0.4                            # of the shortest expiry: then it is turned away, whatever that costs
-LEAST = 4                                # txns open at once that are never too many
-GAINS = 0.2                              # of the bound: kept for what has the best gain
-REPEATS = 0.7                            # of the bound: where a client's own further try has none left
-SHARES = 0.5                             # of the bound: from there on a customer keeps to its fair part
-EASE = 1.25                              # by so much the bound grows in a window without lateness
-RETRIES = 0.2                            # further postings for each first one, while the bound stands
-CHEAP = 4                                # txns turned away for each that is served, before others wait for their turn
-PATIENCE = 0.25                          # of the quickest SLA time: so long a request waits outside for room
+AIM = 0.35  # of the quickest SLA time: what a txn may spend here while the bound stands
+BEAT = 1 / 16  # of that time: how often the beat is due, and the lateness that is too much
+WINDOW = 1.0  # of that time: over which the least lateness counts
+STALE = 0.5  # of that time: a beat so late comes from a stall; what waited is mostly late
+LONGEST = 0.4  # of the shortest expiry: then it is turned away, whatever that costs
+LEAST = 4  # txns open at once that are never too many
+GAINS = 0.2  # of the bound: kept for what has the best gain
+REPEATS = 0.7  # of the bound: where a client's own further try has none left
+SHARES = 0.5  # of the bound: from there on a customer keeps to its fair part
+EASE = 1.25  # by so much the bound grows in a window without lateness
+RETRIES = 0.2  # further postings for each first one, while the bound stands
+CHEAP = 4  # txns turned away for each that is served, before others wait for their turn
+PATIENCE = 0.25  # of the quickest SLA time: so long a request waits outside for room
 
 
 class Door:
@@ -29,13 +30,13 @@
     def __init__(self, proxy):
         self.p = proxy
         self.limit, self.stale = INF, False
-        self.open, self.by, self.fair = 0, [], []    # by customer: open; his part of the bound
-        self.active = set()              # customers seen in this window
+        self.open, self.by, self.fair = 0, [], []  # by customer: open; his part of the bound
+        self.active = set()  # customers seen in this window
         self.retune()
         self.least, self.since, self.ended, self.barred = INF, 0.0, 0, 0
-        self.rate = 0.0                  # txns that end in a ms, as of late
+        self.rate = 0.0  # txns that end in a ms, as of late
         self.purse, self.reposts, self.excess, self.read = 0.0, 0.0, 0.0, 0.0
-        self.outside, self.spent, self.usual = INF, 0.0, 0.0     # who waits; ms of txns in a window, and of one
+        self.outside, self.spent, self.usual = INF, 0.0, 0.0  # who waits; ms of txns in a window, and of one
 
     def retune(self) -> None:
         """The settings as they are now; customers keep their places."""
@@ -93,11 +94,15 @@
             return None
         self.active.add(tenant)
         room = self.limit * (1 - GAINS + GAINS * scheme.gain / self.top)
-        if repeat:                       # further tries of clients must not keep a collapse up
+        if repeat:  # further tries of clients must not keep a collapse up
             room *= REPEATS
         # One that floods pays first: past half of the bound each customer has its part of those that come.
-        if not self.stale and not waited and self.open < max(LEAST, room) and (
-                self.open < SHARES * self.limit or self.by[tenant] < self.fair[tenant]):
+        if (
+            not self.stale
+            and not waited
+            and self.open < max(LEAST, room)
+            and (self.open < SHARES * self.limit or self.by[tenant] < self.fair[tenant])
+        ):
             return None
         self.barred += 1
         if not self.pauses:
--- a/sloeferry/core/records.py
+++ b/sloeferry/core/records.py
@@ -1,25 +1,29 @@
 """What the decisions keep of a scheme, a txn, its postings and a backend: types, no decisions."""
+
 from collections import deque
 from math import inf as INF
 
 from sloeferry.core import ports
 from sloeferry.core.histogram import Histogram
 
-LEVELS, BOUNDS = (0, 1, 2, 3, 5, 8, 13), (0.5, 1.5, 2.5, 3.4, 4.8, 6.7)      # figures, coarsely; their ends
+LEVELS, BOUNDS = (0, 1, 2, 3, 5, 8, 13), (0.5, 1.5, 2.5, 3.4, 4.8, 6.7)  # figures, coarsely; their ends
 NEVER_RAN = (ports.TURNED_AWAY, ports.UNREACHED, ports.NEVER_SENT)
-BLAMELESS = (ports.NEVER_SENT, ports.UNKNOWN)    # tells nothing of a backend: any may have its answers spoilt
+BLAMELESS = (ports.NEVER_SENT, ports.UNKNOWN)  # tells nothing of a backend: any may have its answers spoilt
 NO_REST = 0, -INF
-OUT, MAYBE, NEVER = range(3)         # a posting: no word yet, may have run, known not to have run
+OUT, MAYBE, NEVER = range(3)  # a posting: no word yet, may have run, known not to have run
 
 
 class Scheme:
     """What the operators promise for one scheme of txns, and how long its postings take."""
-    MUCH, ENOUGH = 0.1, 12           # lost is much; so many postings of another tell whether it loses as much
+
+    MUCH, ENOUGH = 0.1, 12  # lost is much; so many postings of another tell whether it loses as much
 
     def __init__(self, terms, at, former=None):
         """`former`: the same under other settings; what was measured of it goes on."""
+
         def term(name):
             return terms[f"schemes.{at}.{name}"]
+
         self.dropped = bool(terms.get(f"schemes.{at}.dropped"))
         self.most = int(terms["limits.most_postings"])
         self.expiry, self.sla, self.gain = term("expiry"), term("sla_time"), term("gain")
@@ -27,9 +31,9 @@
         self.group, self.window = term("group"), term("dedup_window")
         # Of sends to a backend found idle.
         self.took = Histogram(self.sla, 200, [self.sla / 4] * 4, Histogram.FAR_BELOW)
-        self.most_left, self.hint, self.hints = 0.0, 0.0, 0      # the longest patience seen; mean hint of cost, of how many
-        self.prompt, self.lost = Prompt(), 0.0       # of its postings that no backend refused: left unanswered
-        self.lossy_since, self.ends = INF, deque(maxlen=self.ENOUGH)      # since when much is; when the last ones ended
+        self.most_left, self.hint, self.hints = 0.0, 0.0, 0  # the longest patience seen; mean hint of cost, of how many
+        self.prompt, self.lost = Prompt(), 0.0  # of its postings that no backend refused: left unanswered
+        self.lossy_since, self.ends = INF, deque(maxlen=self.ENOUGH)  # since when much is; when the last ones ended
         if former:
             self.took, self.hint, self.hints = former.took, former.hint, former.hints
             self.prompt, self.lost = former.prompt, former.lost
@@ -71,7 +75,7 @@
 
     def __init__(self):
         self.part, self.told, self.open, self.unjudged = 1.0, -INF, {}, {}
-        self.dragging, self.late, self.factor = False, False, 1.0      # to be kept back; last one; against the best
+        self.dragging, self.late, self.factor = False, False, 1.0  # to be kept back; last one; against the best
 
     def judge(self, now, prompt):
         self.part, self.told, self.late = self.part + (prompt - self.part) / 8, now, not prompt
@@ -102,7 +106,7 @@
     for one in sort:
         one.look(now)
     best = max([one.part for one in sort if now - one.told < span], default=0.0)
-    for one in sort:                     # the best is as good as itself, however bad it is
+    for one in sort:  # the best is as good as itself, however bad it is
         one.factor = min(1.0, one.part / best) if best else 1.0
 
 
@@ -128,7 +132,7 @@
         self.txn = txn
         self.backend, self.sent, self.figure, self.expected, self.state = backend, now, figure, expected, OUT
         self.how, self.overdue = None, 0.0
-        self.dials = backend.own >= backend.links        # no connection there is free
+        self.dials = backend.own >= backend.links  # no connection there is free
 
     def judge(self, overdue):
         """To be judged once it ends or is overdue: what drags everywhere tells of no way, a bad way of no kind."""
@@ -165,9 +169,9 @@
 
     def __init__(self, ref, scheme, now, left, tenant=0, key=0, size=1.0):
         self.ref, self.scheme, self.born, self.tenant, self.key = ref, scheme, now, tenant, key
-        self.most = scheme.most      # postings
+        self.most = scheme.most  # postings
         self.ends, self.due, self.gain = now + left, now + scheme.sla, scheme.worth(size)
-        self.size = size             # its hint of cost, as a multiple of what its scheme's usually say
+        self.size = size  # its hint of cost, as a multiple of what its scheme's usually say
         self.postings, self.answered, self.kinds = [], False, ()
 
     def usual(self):
@@ -191,7 +195,7 @@
     def __init__(self, all_machines):
         self.all, self.seen = all_machines, Histogram(1.0, 100, [1.0] * 4)
 
-    QUICKEST = 1 / 8                 # no machine is so much quicker than usual: it is the usual that is not known yet
+    QUICKEST = 1 / 8  # no machine is so much quicker than usual: it is the usual that is not known yet
 
     def pace(self):
         return max(self.QUICKEST, self.seen.at(0.5) / self.all.at(0.5))
@@ -202,19 +206,19 @@
 
     def __init__(self, ident):
         self.ident, self.zone, self.cell, self.standing, self.launched = ident, 0, 0, ports.READY, 0.0
-        self.muted = {}                        # the schemes that it leaves unanswered: how often, until when they rest
-        self.missing = False                   # listed as gone, without a drain before it, and still used
-        self.ways, self.way = (), 1.0          # to its zone and to its cell; the worse of them
-        self.make = Make(Histogram(1.0, 1, [1.0]))      # shared by all of its kind
+        self.muted = {}  # the schemes that it leaves unanswered: how often, until when they rest
+        self.missing = False  # listed as gone, without a drain before it, and still used
+        self.ways, self.way = (), 1.0  # to its zone and to its cell; the worse of them
+        self.make = Make(Histogram(1.0, 1, [1.0]))  # shared by all of its kind
         self.fresh_start()
 
-    def fresh_start(self):           # a process just started has no past
-        self.others, self.heard = 0.0, -INF     # what other proxies hold here, and as of when
-        self.own, self.ghosts = 0, []     # open sends; until when quick errors stay counted
-        self.links = 0                    # connections there that are likely open
+    def fresh_start(self):  # a process just started has no past
+        self.others, self.heard = 0.0, -INF  # what other proxies hold here, and as of when
+        self.own, self.ghosts = 0, []  # open sends; until when quick errors stay counted
+        self.links = 0  # connections there that are likely open
         self.fails, self.errs, self.rest_until, self.waits_since, self.probes_out = 0, 0, 0.0, None, []
         self.slow, self.pace, self.learned = Histogram(1.0, 12, [1.0, 1.0]), 1.0, 0.0
-        self.sent = deque()          # (when, work) of late, for the cold budget
+        self.sent = deque()  # (when, work) of late, for the cold budget
         self.done = deque(maxlen=3)  # when the last that settled were sent
 
     def mutes(self, scheme, now):
--- a/sloeferry/core/send_guard.py
+++ b/sloeferry/core/send_guard.py
@@ -5,10 +5,11 @@
 against the rules once more, by facts of its own: what it counts is a defect, and is logged.  Free of I/O; times are float
 milliseconds, monotonic.
 """
+
 import enum
 from collections import Counter
 
-LEFT_KEPT = 4096                         # backends remembered as told to leave, the newest
+LEFT_KEPT = 4096  # backends remembered as told to leave, the newest
 
 
 class Refusal(enum.Enum):
@@ -38,9 +39,9 @@
     def __init__(self, proxy, slack: float):
         self.proxy, self.slack = proxy, slack
         self.refused: Counter[Refusal] = Counter()
-        self.refused_stale: Counter[str] = Counter()     # by what made the list stale
+        self.refused_stale: Counter[str] = Counter()  # by what made the list stale
         self.violations: Counter[Violation] = Counter()
-        self.left: dict = {}                             # backend -> when it was told to leave, or gone
+        self.left: dict = {}  # backend -> when it was told to leave, or gone
 
     # Facts
 
@@ -107,6 +108,8 @@
 
     def figures(self) -> dict:
         """The counters, for operators."""
-        return {"refused": {cause.value: self.refused[cause] for cause in Refusal},
-                "refused_stale": dict(self.refused_stale),
-                "violations": {kind.value: self.violations[kind] for kind in Violation}}
+        return {
+            "refused": {cause.value: self.refused[cause] for cause in Refusal},
+            "refused_stale": dict(self.refused_stale),
+            "violations": {kind.value: self.violations[kind] for kind in Violation},
+        }
--- a/sloeferry/core/staleness.py
+++ b/sloeferry/core/staleness.py
@@ -8,15 +8,16 @@
 Times are float milliseconds, monotonic.  Source of the limits: the bench's protocol page and its standing test, as
 `docs/design.md` (Staleness of the list) sets out.
 """
+
 import enum
 from dataclasses import dataclass
 from math import inf
 
-NEWS = 6000.0                            # a change counts as told so long after discovery had it and could be reached
-MOVED_NEWS = 4000.0                      # the same where lists are pushed and discovery has moved
-WAIT_OVER = 2000.0                       # the same for a change that ended a watch instead of being told on it
-SPREAD = NEWS / 15                       # a change may be so much older than the watch's word that does not tell it
-AT_ONCE = NEWS / 24                      # a call so soon after a watch's end, or a failed call, leaves no gap behind it
+NEWS = 6000.0  # a change counts as told so long after discovery had it and could be reached
+MOVED_NEWS = 4000.0  # the same where lists are pushed and discovery has moved
+WAIT_OVER = 2000.0  # the same for a change that ended a watch instead of being told on it
+SPREAD = NEWS / 15  # a change may be so much older than the watch's word that does not tell it
+AT_ONCE = NEWS / 24  # a call so soon after a watch's end, or a failed call, leaves no gap behind it
 
 
 class CallEnd(enum.Enum):
@@ -67,11 +68,11 @@
         self.cause = Cause.HELD
         self.usable_until = now + min(limits.news, must_ask_in if asked else inf)
         self._facts_reported = limits.news < inf
-        self.overdue = False             # whether a watch was given up as silent, and no list has come since
+        self.overdue = False  # whether a watch was given up as silent, and no list has come since
         # Whether word of changes may have stopped because discovery is out of reach, and since when that would be.
         self._outage_since = now
         self._may_be_outage = True
-        self._outage_gap = limits.news       # before its first call a proxy has no watch whose end tells of an outage
+        self._outage_gap = limits.news  # before its first call a proxy has no watch whose end tells of an outage
 
     def usable(self, now: float) -> bool:
         """Whether requests may be sent by this list."""
--- a/sloeferry/core/start_times.py
+++ b/sloeferry/core/start_times.py
@@ -11,9 +11,10 @@
 
 Times are float milliseconds; `unix` ones since the epoch, all others monotonic.
 """
+
 from sloeferry.core.staleness import NEWS
 
-DATE_ERROR = 2000.0                      # ms: a Date header's second, and how long it was on its way
+DATE_ERROR = 2000.0  # ms: a Date header's second, and how long it was on its way
 
 
 class StartTimes:
@@ -21,9 +22,9 @@
 
     def __init__(self, now: float, unix: float, cold: float):
         self.cold = cold
-        self.confirmed = False           # whether anything has borne the clock out
+        self.confirmed = False  # whether anything has borne the clock out
         self._offset = unix - now
-        self._known: dict = {}           # backend -> (start as told, start as taken)
+        self._known: dict = {}  # backend -> (start as told, start as taken)
 
     def told_time(self, now: float, unix: float) -> None:
         """Discovery's own word of what time it is."""
@@ -38,12 +39,12 @@
             return told
         known = self._known.get(backend)
         if known and known[0] == told:
-            return known[1]              # once taken it stays, or each list would tell of another start
+            return known[1]  # once taken it stays, or each list would tell of another start
         at = told - self._offset
         if news:
             if 0 <= now - at <= NEWS:
                 self.confirmed = True
-            elif now - at > NEWS:        # the clock is ahead: how old it is nobody knows
+            elif now - at > NEWS:  # the clock is ahead: how old it is nobody knows
                 at = now
         elif not self.confirmed and now - at >= self.cold:
             at = now
--- a/sloeferry/core/timers.py
+++ b/sloeferry/core/timers.py
@@ -1,4 +1,5 @@
 """The timers of one instance: what is called when, and by how much the host runs late.  No decisions."""
+
 from sloeferry.core.records import Txn
 
 
@@ -19,6 +20,6 @@
 
     def woken(self, now, token):
         at, do, what = self.timers.pop(token, (now, None, ()))
-        self.late += (min(now - at, self.longest) - self.late) / 8       # one long stall is no want of time
+        self.late += (min(now - at, self.longest) - self.late) / 8  # one long stall is no want of time
         if do:
             do(now, *what)
--- a/sloeferry/fleet/ask.py
+++ b/sloeferry/fleet/ask.py
@@ -1,16 +1,18 @@
 """Asks many addresses side by side, each call bounded in time and in bytes.  Whoever does not answer is unknown."""
+
 import asyncio
 import json
 import re
 from typing import NamedTuple
 
-AT_ONCE = 64                             # calls under way
-PATIENCE = 2.0                           # seconds for a whole call
-MOST = 1 << 20                           # bytes of an answer
+AT_ONCE = 64  # calls under way
+PATIENCE = 2.0  # seconds for a whole call
+MOST = 1 << 20  # bytes of an answer
 
 
 class Unknown(NamedTuple):
     """Why nothing is known: refused, silent, or an answer that can't be one."""
+
     how: str
     why: str
 
@@ -21,7 +23,7 @@
     try:
         async with asyncio.timeout(PATIENCE):
             reader, writer = await asyncio.open_connection(*address, limit=MOST)
-            how = "hung"                 # its machine took the connection, the process says nothing
+            how = "hung"  # its machine took the connection, the process says nothing
             writer.write(f"{method} {path} HTTP/1.1\r\nHost: {address[0]}\r\nConnection: close\r\n\r\n".encode())
             said = await reader.read(1)
             how = "garbled"
@@ -85,6 +87,7 @@
     async def list_now():
         nonlocal newest
         newest = await call(roll.discovery, "/v1/endpoints")
+
     work = [asyncio.create_task(one(at, proxy)) for at, proxy in enumerate(roll.proxies)]
     if roll.discovery:
         work.append(asyncio.create_task(list_now()))
--- a/sloeferry/fleet/bring_up.py
+++ b/sloeferry/fleet/bring_up.py
@@ -4,13 +4,14 @@
 other, `pace` seconds apart and in an order by chance, so that discovery gets no more calls a second than that, however many
 lag.  What a call does not mend is left to whoever replaces processes, and said.
 """
+
 import asyncio
 from random import Random
 
 from sloeferry.fleet.ask import Unknown, ask_all, call
 from sloeferry.fleet.audit import audit
 
-LOOK = 0.5                               # seconds between two audits while something may still come
+LOOK = 0.5  # seconds between two audits while something may still come
 STEPS = {"list": "/admin/relist", "settings": "/admin/reread"}
 
 
--- a/sloeferry/fleet/roll.py
+++ b/sloeferry/fleet/roll.py
@@ -1,4 +1,5 @@
 """The fleet's roll: a file that names every proxy's operators' address, and discovery where it may be asked."""
+
 from typing import NamedTuple
 
 from sloeferry import tables, terms
--- a/sloeferry/handover/folder.py
+++ b/sloeferry/handover/folder.py
@@ -4,6 +4,7 @@
 nobody is taken for alive who is not.  What is known is written beside it and put in place whole; whoever reads it
 checks all of it, and does without what is not as it should be.
 """
+
 import contextlib
 import fcntl
 import hashlib
@@ -12,8 +13,8 @@
 import secrets
 
 VERSION = 2
-LARGEST = 4 << 20                        # bytes of a snapshot; more is neither written nor read
-OLDEST = 60_000.0                        # ms: what is older tells nothing of a minute that is gone
+LARGEST = 4 << 20  # bytes of a snapshot; more is neither written nor read
+OLDEST = 60_000.0  # ms: what is older tells nothing of a minute that is gone
 
 
 def boot():
@@ -31,9 +32,9 @@
         self.path = os.path.join(path, "sloeferry-" + hashlib.sha256(f"{name} {site}".encode()).hexdigest()[:16])
         self.name, self.site = name, site
         os.makedirs(self.path, exist_ok=True)
-        self.ident = secrets.token_hex(8)        # not the process's number: that may be another's in the next room
-        self.fault = None                # why the last snapshot could not be written
-        self.boot = boot()               # the monotonic clock goes on from process to process, until the machine starts anew
+        self.ident = secrets.token_hex(8)  # not the process's number: that may be another's in the next room
+        self.fault = None  # why the last snapshot could not be written
+        self.boot = boot()  # the monotonic clock goes on from process to process, until the machine starts anew
         self.own, self.shown = os.path.join(self.path, f"process-{self.ident}"), None
         self.lock = self.locked()
 
@@ -62,10 +63,10 @@
             try:
                 fd = os.open(path, os.O_RDONLY | os.O_CLOEXEC)
             except OSError:
-                continue                 # it has just left
+                continue  # it has just left
             try:
                 fcntl.flock(fd, fcntl.LOCK_SH | fcntl.LOCK_NB)
-                os.unlink(path)          # nobody holds it: that process has ended
+                os.unlink(path)  # nobody holds it: that process has ended
             except BlockingIOError:
                 alive += 1
                 ready += os.pread(fd, 5, 0) == b"ready"
@@ -79,8 +80,18 @@
         """A snapshot, whole or not at all; whether it is there.  `now` in ms of the machine's monotonic clock."""
         ours = f"{self.path}/snapshot-{self.ident}"
         try:
-            text = json.dumps({"v": VERSION, "name": self.name, "site": self.site, "now": now, "boot": self.boot,
-                               "known": known, "memory": memory}, allow_nan=False).encode()
+            text = json.dumps(
+                {
+                    "v": VERSION,
+                    "name": self.name,
+                    "site": self.site,
+                    "now": now,
+                    "boot": self.boot,
+                    "known": known,
+                    "memory": memory,
+                },
+                allow_nan=False,
+            ).encode()
             if len(text) > LARGEST:
                 raise ValueError(f"{len(text)} bytes, {LARGEST} at most")
             with open(ours, "wb") as file:
@@ -89,7 +100,7 @@
             self.fault = None
         except (OSError, ValueError) as fault:
             self.fault = fault
-            with contextlib.suppress(OSError):   # a full disk is not to be filled by what is of no use
+            with contextlib.suppress(OSError):  # a full disk is not to be filled by what is of no use
                 os.unlink(ours)
         return self.fault is None
 
@@ -102,7 +113,7 @@
             return fault.strerror
         if hashlib.sha256(text).hexdigest().encode() != digest:
             return "cut short or changed"
-        said = json.loads(text)          # it is what its writer wrote
+        said = json.loads(text)  # it is what its writer wrote
         if (said["v"], said["name"], said["site"]) != (VERSION, self.name, self.site):
             return "of another version or proxy"
         if said["boot"] != self.boot or not 0 <= now - said["now"] < OLDEST:
--- a/sloeferry/handover/memory.py
+++ b/sloeferry/handover/memory.py
@@ -3,9 +3,10 @@
 Learned things go by name and id, never by place: the next process may have other settings.  Times are those of this
 machine's monotonic clock, in float ms, which all its processes share.
 """
+
 from sloeferry.core.histogram import Histogram
 
-SAME = 500.0                             # ms: starts so near are one start, read off two processes' clocks
+SAME = 500.0  # ms: starts so near are one start, read off two processes' clocks
 BACKEND = ("others", "heard", "fails", "rest_until", "pace", "learned")
 
 
@@ -13,15 +14,36 @@
     """All that makes the next process decide as this one does."""
     board, terms = proxy.board, proxy.terms
     return {
-        "schemes": {terms[f"schemes.{at}.name"]: {"unit": s.took.unit, "took": s.took.as_list(), "lost": s.lost,
-                                                  "hint": s.hint, "hints": s.hints, "most_left": s.most_left}
-                    for at, s in enumerate(proxy.schemes) if not s.dropped},
-        "curve": [seen.as_list() for seen in board.curve.seen], "spread": board.spread.as_list(),
-        "gap": proxy.gap, "mean_gain": proxy.mean_gain, "cured": board.cured, "errs": board.errs,
+        "schemes": {
+            terms[f"schemes.{at}.name"]: {
+                "unit": s.took.unit,
+                "took": s.took.as_list(),
+                "lost": s.lost,
+                "hint": s.hint,
+                "hints": s.hints,
+                "most_left": s.most_left,
+            }
+            for at, s in enumerate(proxy.schemes)
+            if not s.dropped
+        },
+        "curve": [seen.as_list() for seen in board.curve.seen],
+        "spread": board.spread.as_list(),
+        "gap": proxy.gap,
+        "mean_gain": proxy.mean_gain,
+        "cured": board.cured,
+        "errs": board.errs,
         "refused": board.refused,
-        "backends": {b.ident: {**{name: finite(getattr(b, name)) for name in BACKEND}, "launched": b.launched,
-                               "others": b.others + b.own, "slow": b.slow.as_list(), "sent": list(b.sent)}
-                     for b in board.known.values()}}
+        "backends": {
+            b.ident: {
+                **{name: finite(getattr(b, name)) for name in BACKEND},
+                "launched": b.launched,
+                "others": b.others + b.own,
+                "slow": b.slow.as_list(),
+                "sent": list(b.sent),
+            }
+            for b in board.known.values()
+        },
+    }
 
 
 def taken(proxy, said):
@@ -38,14 +60,21 @@
         raise ValueError("curve: another number of levels")
     seen = [Histogram(1.0, 60).of_list(one) for one in said["curve"]]
     acts.append((board.curve, {"seen": seen}))
-    acts.append((board, {"spread": Histogram(1.0, 400).of_list(said["spread"]),
-                         **{name: number(said[name]) for name in ("cured", "errs", "refused")}}))
+    acts.append(
+        (
+            board,
+            {
+                "spread": Histogram(1.0, 400).of_list(said["spread"]),
+                **{name: number(said[name]) for name in ("cured", "errs", "refused")},
+            },
+        )
+    )
     acts.append((proxy, {name: number(said[name]) for name in ("gap", "mean_gain")}))
     met = []
     for ident, one in said["backends"].items():
         b = board.all.get(ident)
         if b is None or abs(b.launched - number(one["launched"])) > SAME:
-            continue                     # gone, or started anew: nothing of it holds
+            continue  # gone, or started anew: nothing of it holds
         slow = Histogram(1.0, 12).of_list(one["slow"])
         sent = [(number(at), number(work)) for at, work in one["sent"]]
         acts.append((b, {"slow": slow, **{name: number(one[name]) for name in BACKEND}}))
--- a/sloeferry/load/callers.py
+++ b/sloeferry/load/callers.py
@@ -4,6 +4,7 @@
 all connections that callers may hold are taken, the newest waits first and for a quarter of its SLA time at
 most.  A caller that gives up closes its connection.  What came of all is written as JSON on standard output.
 """
+
 import asyncio
 import gc
 import json
@@ -16,12 +17,13 @@
 from sloeferry.load import tally as t
 from sloeferry.load.plan import Plan, arrivals
 
-AFTER = 0.05                             # seconds past its patience that a caller's socket still listens
-AHEAD = 0.002                            # seconds between two looks at what is due
+AFTER = 0.05  # seconds past its patience that a caller's socket still listens
+AHEAD = 0.002  # seconds between two looks at what is due
 
 
 class Ask:
     """One txn of a caller, through all of its tries."""
+
     __slots__ = ("arrival", "due", "ends", "sent", "tries", "call", "over", "reason")
 
     def __init__(self, arrival, due):
@@ -46,10 +48,10 @@
             if head < 0:
                 return
             at = data.lower().find(b"content-length:", 0, head)
-            length = int(data[at + 15:data.find(b"\r", at)]) if at >= 0 else 0
+            length = int(data[at + 15 : data.find(b"\r", at)]) if at >= 0 else 0
             self.size = head + 4 + length
         if len(data) >= self.size:
-            text, self.rest, self.size = data, data[self.size:], None
+            text, self.rest, self.size = data, data[self.size :], None
             self.crew.answered(self, int(text[9:12]), text)
 
     def connection_lost(self, fault):
@@ -64,7 +66,7 @@
         self.rng, self.tally, self.free, self.waiting = Random(plan.seed + 7), t.Tally(), [], []
         self.more, self.open, self.count, self.out = self.tally.more, 0, 0, set()
         self.bodies = [b"x" * scheme.body for scheme in plan.schemes]
-        self.late = 0.0                  # by how much this worker itself ran late, at the worst
+        self.late = 0.0  # by how much this worker itself ran late, at the worst
 
     async def run(self):
         coming = arrivals(self.plan)
@@ -143,20 +145,21 @@
         key = f"Idempotency-Key: {self.plan.seed}-{ask.arrival.number}\r\n" if scheme.kind == "referenced" else ""
         again = "X-Again: 1\r\n" if ask.tries > 1 else ""
         name = "nobody" if ask.arrival.refused else scheme.name
-        head = (f"{'GET' if scheme.kind == 'repeatable' else 'POST'} /api HTTP/1.1\r\nHost: backend.local\r\n"
-                f"X-Call-Id: {ident}\r\nX-Call-Class: {name}\r\nX-Caller: {tenant}\r\n"
-                f"X-Budget-Ms: {left}\r\n{key}{again}"
-                + (f"Content-Length: {len(body)}\r\n" if body or key else "") + "\r\n")
+        head = (
+            f"{'GET' if scheme.kind == 'repeatable' else 'POST'} /api HTTP/1.1\r\nHost: backend.local\r\n"
+            f"X-Call-Id: {ident}\r\nX-Call-Class: {name}\r\nX-Caller: {tenant}\r\n"
+            f"X-Budget-Ms: {left}\r\n{key}{again}" + (f"Content-Length: {len(body)}\r\n" if body or key else "") + "\r\n"
+        )
         call.transport.write(head.encode() + body)
 
     def answered(self, call, status, text):
         ask, call.ask = call.ask, None
-        if ask is None:                  # nobody asked: an answer that came twice
+        if ask is None:  # nobody asked: an answer that came twice
             self.more["twice"] += 1
             return call.transport.close()
         now, scheme = monotonic(), self.plan.schemes[ask.arrival.scheme]
         ask.call = None
-        if b"onnection: close" in text[:text.find(b"\r\n\r\n")] or ask.arrival.fresh:
+        if b"onnection: close" in text[: text.find(b"\r\n\r\n")] or ask.arrival.fresh:
             call.transport.close()
         else:
             self.rest(call)
@@ -174,7 +177,7 @@
         wait = self.plan.habits.backoff / 1000
         at = text.lower().find(b"retry-after:")
         if at >= 0 and self.rng.random() < self.plan.habits.honour:
-            wait = max(wait, float(text[at + 12:text.find(b"\r", at)]))
+            wait = max(wait, float(text[at + 12 : text.find(b"\r", at)]))
         if ask.tries > self.plan.habits.retries or now + wait >= ask.ends:
             return self.end(ask, ask.reason)
         ask.sent = 0.0
@@ -205,7 +208,7 @@
 
 async def work(told):
     gc.freeze()
-    gc.disable()                         # a worker lives for one play
+    gc.disable()  # a worker lives for one play
     crew = Crew(asyncio.get_running_loop(), Plan.of_json(told["plan"]), tuple(told["address"]), told["start"])
     await crew.run()
     return dict(crew.tally.as_json(), late=crew.late)
--- a/sloeferry/load/cli.py
+++ b/sloeferry/load/cli.py
@@ -1,4 +1,5 @@
 """`sloeferry load`: what is typed, checked and handed on."""
+
 import json
 
 import click
@@ -10,22 +11,44 @@
 
 def common(command):
     """Options of every play."""
-    for option in reversed((
-            click.option("--cores", type=click.FloatRange(0.0, 1.0), default=0.7, show_default=True,
-                         help="Share of a core a daemon gets; 0: no throttle."),
+    for option in reversed(
+        (
+            click.option(
+                "--cores",
+                type=click.FloatRange(0.0, 1.0),
+                default=0.7,
+                show_default=True,
+                help="Share of a core a daemon gets; 0: no throttle.",
+            ),
             click.option("--daemons", type=click.IntRange(1, 4), default=1, show_default=True),
-            click.option("--workers", type=click.IntRange(1, 6), default=2, show_default=True,
-                         help="Caller processes at least."),
+            click.option("--workers", type=click.IntRange(1, 6), default=2, show_default=True, help="Caller processes at least."),
             click.option("--seed", type=int, default=1, show_default=True),
             click.option("--retries", type=click.IntRange(0, 5), default=1, show_default=True),
-            click.option("--fresh", type=click.FloatRange(0, 1), default=0.0, show_default=True,
-                         help="Share of txns on a connection of their own."),
-            click.option("--connections", type=click.IntRange(1, 20000), default=320, show_default=True,
-                         help="Connections that all callers may hold."),
-            click.option("--work-ms", type=click.FloatRange(0, 1000), default=4.0, show_default=True,
-                         help="Mean work of a stand-in backend."),
+            click.option(
+                "--fresh",
+                type=click.FloatRange(0, 1),
+                default=0.0,
+                show_default=True,
+                help="Share of txns on a connection of their own.",
+            ),
+            click.option(
+                "--connections",
+                type=click.IntRange(1, 20000),
+                default=320,
+                show_default=True,
+                help="Connections that all callers may hold.",
+            ),
+            click.option(
+                "--work-ms",
+                type=click.FloatRange(0, 1000),
+                default=4.0,
+                show_default=True,
+                help="Mean work of a stand-in backend.",
+            ),
             click.option("--target", help="host:port of a proxy that runs already; loopback only."),
-            click.option("--json", "as_json", is_flag=True, help="The figures as JSON."))):
+            click.option("--json", "as_json", is_flag=True, help="The figures as JSON."),
+        )
+    ):
         command = option(command)
     return command
 
@@ -35,8 +58,7 @@
     if target and not target.startswith("127."):
         raise p.Fault(f"--target: {target!r} is no loopback address")
     habits = p.Habits(retries=retries, fresh=fresh, connections=connections)
-    return p.Plan(((1.0, 0.0),), seed, habits=habits), Rig(cores or None, daemons, workers, work_ms=work_ms,
-                                                            target=target)
+    return p.Plan(((1.0, 0.0),), seed, habits=habits), Rig(cores or None, daemons, workers, work_ms=work_ms, target=target)
 
 
 def plain(said):
@@ -73,8 +95,10 @@
         factors = [float(text) for text in factors.split(",")]
     except ValueError:
         raise p.Fault(f"--factors: {factors!r} is no list of numbers") from None
+
     def say(text):
         click.echo(text, err=as_json)
+
     with workshop() as folder:
         rate = saturation or s.saturation(plan, rig, say)
         say(f"saturation: {rate:.0f} txns a second")
@@ -88,8 +112,17 @@
     if plot:
         s.plot(rows, plot, f"Goodput past saturation ({rate:.0f} a second), simulated backends")
     if as_json:
-        click.echo(json.dumps({"saturation": rate, "held": held, "cpu": cost, "goodput": good, "rows": [
-            (factor, [plain(f) for f in own], [plain(f) for f in other]) for factor, own, other in rows]}))
+        click.echo(
+            json.dumps(
+                {
+                    "saturation": rate,
+                    "held": held,
+                    "cpu": cost,
+                    "goodput": good,
+                    "rows": [(factor, [plain(f) for f in own], [plain(f) for f in other]) for factor, own, other in rows],
+                }
+            )
+        )
 
 
 @load.command()
@@ -105,8 +138,10 @@
             click.echo(json.dumps(plain(said) | {"case": one}))
         else:
             back = "never" if said["recovery"] is None else f"{said['recovery']:.0f} s"
-            click.echo(f"{one:14} back after {back:>6}; gain {said['gain']:.2f}, lost {said['lost']:.0f}/s, overdue "
-                       f"{said['overdue']:.0f}/s, undecided {said.get('undecided', 0)}   ({hard.CASES[one].about})")
+            click.echo(
+                f"{one:14} back after {back:>6}; gain {said['gain']:.2f}, lost {said['lost']:.0f}/s, overdue "
+                f"{said['overdue']:.0f}/s, undecided {said.get('undecided', 0)}   ({hard.CASES[one].about})"
+            )
 
 
 @load.command()
--- a/sloeferry/load/daemons.py
+++ b/sloeferry/load/daemons.py
@@ -1,4 +1,5 @@
 """Daemons under load: started from a tree, on a core of their own, held to a share of it in user space."""
+
 import json
 import os
 import pathlib
@@ -11,7 +12,7 @@
 from sloeferry.load.plan import Fault, Plan
 from sloeferry.standins import platform, processes
 
-PATIENCE = 20.0                          # seconds for a daemon to become ready
+PATIENCE = 20.0  # seconds for a daemon to become ready
 
 
 class Lag(threading.Thread):
@@ -42,10 +43,15 @@
 
 def settings(plan: Plan, ordinal: int, instances: int) -> dict:
     """The platform's settings for what the callers of a plan ask."""
-    schemes = [platform.scheme(s.name, "repeatable" if s.kind == "repeatable" else "referenced", s.sla, s.expiry, s.gain,
-                               window_ms=30_000) for s in plan.schemes]
-    return platform.settings(schemes, plan.tenants, instances=instances, ordinal=ordinal, zones=["a"], kinds=["m"],
-                             cold_s=23.0, cold_from=0.12)
+    schemes = [
+        platform.scheme(
+            s.name, "repeatable" if s.kind == "repeatable" else "referenced", s.sla, s.expiry, s.gain, window_ms=30_000
+        )
+        for s in plan.schemes
+    ]
+    return platform.settings(
+        schemes, plan.tenants, instances=instances, ordinal=ordinal, zones=["a"], kinds=["m"], cold_s=23.0, cold_from=0.12
+    )
 
 
 class Daemon:
@@ -54,8 +60,20 @@
     def __init__(self, tree, folder, name, address, discovery, plan, cores, core, sockets, memory, ordinal, instances):
         self.name, self.address = name, address
         path, self.log = pathlib.Path(folder, f"{name}.json"), pathlib.Path(folder, f"{name}.log")
-        path.write_text(json.dumps(platform.berth(name, address, discovery, settings(plan, ordinal, instances),
-                                                  seed=plan.seed, sockets=sockets, memory_mb=memory, cores=cores or 1.0)))
+        path.write_text(
+            json.dumps(
+                platform.berth(
+                    name,
+                    address,
+                    discovery,
+                    settings(plan, ordinal, instances),
+                    seed=plan.seed,
+                    sockets=sockets,
+                    memory_mb=memory,
+                    cores=cores or 1.0,
+                )
+            )
+        )
         with open(self.log, "wb") as log:
             self.process = processes.start(path, log, tree)
         if core is not None:
@@ -96,8 +114,7 @@
     root = pathlib.Path(__file__).resolve().parents[2]
     target = pathlib.Path(folder, "rev")
     target.mkdir()
-    archive = subprocess.run(["git", "-C", str(root), "archive", "--format=tar", revision, "sloeferry"],
-                             capture_output=True)
+    archive = subprocess.run(["git", "-C", str(root), "archive", "--format=tar", revision, "sloeferry"], capture_output=True)
     if archive.returncode:
         raise Fault(f"--against: {revision!r} is no revision of this repository")
     subprocess.run(["tar", "-x", "-C", str(target)], input=archive.stdout, check=True)
--- a/sloeferry/load/day.py
+++ b/sloeferry/load/day.py
@@ -4,6 +4,7 @@
 One process plays backends, discovery and clients; the daemons are the real ones.  Every part ends by itself.  Figures
 are of this machine and of stand-ins that answer at once.
 """
+
 import asyncio
 import contextlib
 import json
@@ -20,9 +21,9 @@
 from sloeferry.standins.processes import memory
 
 REPORT = b'{"inflight":1,"queue":0,"util":0.1}'
-LONG = 32 << 20                          # bytes of a long answer
-READY = 10.0                             # seconds that a daemon may take until it is ready
-SLOW = 65536                             # bytes a second that a slow reader takes
+LONG = 32 << 20  # bytes of a long answer
+READY = 10.0  # seconds that a daemon may take until it is ready
+SLOW = 65536  # bytes a second that a slow reader takes
 
 
 class Yard:
@@ -35,8 +36,19 @@
 
     async def __aenter__(self):
         ports = [await self.serve(self.backend) for _ in range(self.count)]
-        self.members = [{"id": f"b{at}", "host_port": f"127.0.0.1:{port}", "locality": "a", "flavor": "m", "cell": 0,
-                         "phase": "active", "size": 1.0, "up_since_ms": 0} for at, port in enumerate(ports)]
+        self.members = [
+            {
+                "id": f"b{at}",
+                "host_port": f"127.0.0.1:{port}",
+                "locality": "a",
+                "flavor": "m",
+                "cell": 0,
+                "phase": "active",
+                "size": 1.0,
+                "up_since_ms": 0,
+            }
+            for at, port in enumerate(ports)
+        ]
         self.roster = await self.serve(self.discovery)
         return self
 
@@ -83,11 +95,20 @@
             ops = free.getsockname()[1]
         path = f"{self.folder}/config{self.made}.json"
         with open(path, "w") as file:
-            json.dump(platform.berth("n0", ("127.0.0.1", self.port), ("127.0.0.1", self.roster),
-                                     settings(Plan(((1.0, 1.0),)), 0, 1), seed=self.made, sockets=self.sockets,
-                                     memory_mb=self.memory, ops=("127.0.0.1", ops)), file)
-        process = processes.start(path, fds=[self.sock.fileno()], TMPDIR=self.folder,
-                                  BALANCER_LISTEN_FD=str(self.sock.fileno()))
+            json.dump(
+                platform.berth(
+                    "n0",
+                    ("127.0.0.1", self.port),
+                    ("127.0.0.1", self.roster),
+                    settings(Plan(((1.0, 1.0),)), 0, 1),
+                    seed=self.made,
+                    sockets=self.sockets,
+                    memory_mb=self.memory,
+                    ops=("127.0.0.1", ops),
+                ),
+                file,
+            )
+        process = processes.start(path, fds=[self.sock.fileno()], TMPDIR=self.folder, BALANCER_LISTEN_FD=str(self.sock.fileno()))
         self.processes.append((process, ops))
         until = monotonic() + READY
         while monotonic() < until:
@@ -112,7 +133,7 @@
 
     def __init__(self, yard, count, pause=0.0):
         self.yard, self.count, self.pause, self.over = yard, count, pause, False
-        self.ends, self.number = [], 0   # (when, how, ms)
+        self.ends, self.number = [], 0  # (when, how, ms)
 
     async def __aenter__(self):
         self.tasks = [asyncio.get_running_loop().create_task(self.one()) for _ in range(self.count)]
@@ -131,8 +152,10 @@
                 if connection is None:
                     connection, kept = await asyncio.open_connection("127.0.0.1", self.yard.port), False
                 reader, writer = connection
-                writer.write(b"GET /small HTTP/1.1\r\nHost: x\r\nX-Call-Id: s%x\r\nX-Call-Class: pull\r\nX-Caller: grid-ops\r\n"
-                             b"X-Budget-Ms: 400\r\n\r\n" % number)
+                writer.write(
+                    b"GET /small HTTP/1.1\r\nHost: x\r\nX-Call-Id: s%x\r\nX-Call-Class: pull\r\nX-Caller: grid-ops\r\n"
+                    b"X-Budget-Ms: 400\r\n\r\n" % number
+                )
                 head = await reader.readuntil(b"\r\n\r\n")
                 await reader.readexactly(int(re.search(rb"(?i)content-length: (\d+)", head)[1]))
                 how, kept = head.split()[1].decode(), True
@@ -140,7 +163,7 @@
                     writer.close()
                     connection = None
             except (OSError, asyncio.IncompleteReadError):
-                how = "crossed" if kept else "turned back"       # a kept connection that ended: asked once more
+                how = "crossed" if kept else "turned back"  # a kept connection that ended: asked once more
                 connection = None
             self.ends.append((monotonic(), how, 1000 * (monotonic() - began)))
             if self.pause:
@@ -193,9 +216,16 @@
                 after.append(load.figures(changed, changed + 1.0))
                 process = other
             counts = load.figures()[0]
-    return {"rounds": rounds, "ready_s": max(ready), "left_s": max(ends), "ends": counts, "p99_before_ms": calm[2],
-            "p99_first_second_ms": max(p99 for _, _, p99 in after), "median_before_ms": calm[1],
-            "median_first_second_ms": max(middle for _, middle, _ in after)}
+    return {
+        "rounds": rounds,
+        "ready_s": max(ready),
+        "left_s": max(ends),
+        "ends": counts,
+        "p99_before_ms": calm[2],
+        "p99_first_second_ms": max(p99 for _, _, p99 in after),
+        "median_before_ms": calm[1],
+        "median_first_second_ms": max(middle for _, middle, _ in after),
+    }
 
 
 async def long_answers(folder, count=64, seconds=12.0):
@@ -207,14 +237,23 @@
             before, begun = load.figures(monotonic() - 1.5), monotonic()
             got = await asyncio.gather(*(slowly(yard, at, seconds) for at in range(count)))
             beside, peak = load.figures(begun), memory(process.pid, "VmHWM")
-    return {"answers": count, "least_bytes": min(got), "most_bytes": max(got), "peak_mb": peak, "p99_before_ms": before[2],
-            "p99_beside_ms": beside[2], "ends_beside": beside[0]}
+    return {
+        "answers": count,
+        "least_bytes": min(got),
+        "most_bytes": max(got),
+        "peak_mb": peak,
+        "p99_before_ms": before[2],
+        "p99_beside_ms": beside[2],
+        "ends_beside": beside[0],
+    }
 
 
 async def slowly(yard, number, seconds):
     reader, writer = await asyncio.open_connection("127.0.0.1", yard.port, limit=SLOW)
-    writer.write(b"GET /long HTTP/1.1\r\nHost: x\r\nX-Call-Id: l%x\r\nX-Call-Class: pull\r\nX-Caller: grid-ops\r\n"
-                 b"X-Budget-Ms: 400\r\n\r\n" % number)
+    writer.write(
+        b"GET /long HTTP/1.1\r\nHost: x\r\nX-Call-Id: l%x\r\nX-Call-Class: pull\r\nX-Caller: grid-ops\r\n"
+        b"X-Budget-Ms: 400\r\n\r\n" % number
+    )
     got, until = 0, monotonic() + seconds
     while monotonic() < until and (data := await reader.read(SLOW // 4)):
         got += len(data)
@@ -236,8 +275,10 @@
                 held.append(await asyncio.open_connection("127.0.0.1", yard.port))
                 held[-1][1].write(text)
             await asyncio.sleep(0.5)
-            said[name] = {"bytes": (memory(process.pid) - before[0]) * (1 << 20) / count,
-                          "descriptors": (len(os.listdir(f"/proc/{process.pid}/fd")) - before[1]) / count}
+            said[name] = {
+                "bytes": (memory(process.pid) - before[0]) * (1 << 20) / count,
+                "descriptors": (len(os.listdir(f"/proc/{process.pid}/fd")) - before[1]) / count,
+            }
             for _, writer in held:
                 writer.transport.abort()
             await asyncio.sleep(0.5)
--- a/sloeferry/load/plan.py
+++ b/sloeferry/load/plan.py
@@ -3,6 +3,7 @@
 Arrivals are open-loop: none of them waits for an answer.  A curve is a list of (seconds, rate); within one
 piece arrivals are Poisson, so that bursts come as chance has them.
 """
+
 from dataclasses import asdict, dataclass, field
 from random import Random
 from typing import Iterator
@@ -17,8 +18,9 @@
 @dataclass(frozen=True)
 class Tariff:
     """One scheme as callers use it.  Times in milliseconds; `share` of all txns; `body` in bytes."""
+
     name: str
-    kind: str                            # repeatable or referenced
+    kind: str  # repeatable or referenced
     share: float
     gain: float
     sla: float
@@ -35,18 +37,20 @@
     """How callers behave.  `patience`: least and most part of the expiry that a try is given; `retries`: further
     tries at most; `backoff`: ms before one; `honour`: share of callers that keep to a Retry-After; `fresh`:
     share of txns on a connection of their own; `connections`: most at once, all workers together."""
+
     patience: tuple[float, float] = (0.7, 1.0)
     retries: int = 1
     backoff: float = 50.0
     honour: float = 1.0
     fresh: float = 0.0
     connections: int = 320
-    refused: float = 0.0                 # share of heads that no proxy takes
+    refused: float = 0.0  # share of heads that no proxy takes
 
 
 @dataclass(frozen=True)
 class Plan:
     """One play: the curve in (seconds, txns a second), who asks and what."""
+
     curve: tuple[tuple[float, float], ...]
     seed: int = 1
     schemes: tuple[Tariff, ...] = SCHEMES
@@ -62,17 +66,23 @@
     @classmethod
     def of_json(cls, told: dict) -> "Plan":
         habits = dict(told["habits"], patience=tuple(told["habits"]["patience"]))
-        return cls(tuple(tuple(piece) for piece in told["curve"]), told["seed"],
-                   tuple(Tariff(**scheme) for scheme in told["schemes"]),
-                   tuple(tuple(tenant) for tenant in told["tenants"]), Habits(**habits))
+        return cls(
+            tuple(tuple(piece) for piece in told["curve"]),
+            told["seed"],
+            tuple(Tariff(**scheme) for scheme in told["schemes"]),
+            tuple(tuple(tenant) for tenant in told["tenants"]),
+            Habits(**habits),
+        )
 
     def part(self, at: int, of: int) -> "Plan":
         """The share of one of several workers: sums of Poisson streams are one."""
         most = self.habits.connections
-        habits = Habits(**dict(asdict(self.habits), patience=tuple(self.habits.patience),
-                               connections=max(1, most // of + (at < most % of))))
-        return Plan(tuple((length, rate / of) for length, rate in self.curve), self.seed * 1009 + at, self.schemes,
-                    self.tenants, habits)
+        habits = Habits(
+            **dict(asdict(self.habits), patience=tuple(self.habits.patience), connections=max(1, most // of + (at < most % of)))
+        )
+        return Plan(
+            tuple((length, rate / of) for length, rate in self.curve), self.seed * 1009 + at, self.schemes, self.tenants, habits
+        )
 
 
 def parse_curve(text: str) -> tuple[tuple[float, float], ...]:
@@ -92,6 +102,7 @@
 @dataclass(slots=True)
 class Arrival:
     """One txn to ask for: when (seconds from the start), what, and with how much patience (ms)."""
+
     at: float
     number: int
     scheme: int
@@ -111,8 +122,14 @@
         at = begun
         while rate and (at := at + rng.expovariate(rate)) < begun + length:
             scheme = rng.choices(range(len(shares)), shares)[0]
-            yield Arrival(at, number, scheme, rng.choices(range(len(tenants)), tenants)[0],
-                          plan.schemes[scheme].expiry * rng.uniform(low, high), rng.random() < plan.habits.fresh,
-                          rng.random() < plan.habits.refused)
+            yield Arrival(
+                at,
+                number,
+                scheme,
+                rng.choices(range(len(tenants)), tenants)[0],
+                plan.schemes[scheme].expiry * rng.uniform(low, high),
+                rng.random() < plan.habits.fresh,
+                rng.random() < plan.habits.refused,
+            )
             number += 1
         begun += length
--- a/sloeferry/load/play.py
+++ b/sloeferry/load/play.py
@@ -1,4 +1,5 @@
 """One play: stand-ins, daemons and callers together, from start to figures."""
+
 import json
 import os
 import pathlib
@@ -13,13 +14,14 @@
 from sloeferry.load.tally import Tally
 from sloeferry.standins.processes import free_ports
 
-LEAD = 1.0                               # seconds for the workers to start before the first arrival
+LEAD = 1.0  # seconds for the workers to start before the first arrival
 HOST = "127.0.0.1"
 
 
 @dataclass(frozen=True)
 class Rig:
     """What a plan is played on.  `cores` None: unthrottled; `target` host:port of a proxy that runs already."""
+
     cores: float | None = 0.7
     daemons: int = 1
     workers: int = 2
@@ -32,10 +34,10 @@
     memory: int = 128
     tree: str | None = None
     target: str | None = None
-    troubles: tuple[tuple[int, str, float, float], ...] = ()     # backend, silent or errs, from, to in seconds
-    shares: tuple[tuple[float, float], ...] = ()                 # at this second the daemons get so much of a core
-    stalls: tuple[tuple[float, float], ...] = ()                 # at this second they stand still for so long
-    restart: float | None = None                                 # at this second they are killed and started anew
+    troubles: tuple[tuple[int, str, float, float], ...] = ()  # backend, silent or errs, from, to in seconds
+    shares: tuple[tuple[float, float], ...] = ()  # at this second the daemons get so much of a core
+    stalls: tuple[tuple[float, float], ...] = ()  # at this second they stand still for so long
+    restart: float | None = None  # at this second they are killed and started anew
     keep_logs: str | None = None
 
 
@@ -48,17 +50,18 @@
     have = sorted(os.sched_getaffinity(0))
     if len(have) < rig.daemons + 2:
         return [None] * rig.daemons, None
-    return have[-rig.daemons:], set(have[:-rig.daemons])
+    return have[-rig.daemons :], set(have[: -rig.daemons])
 
 
 def start(module, told, cores):
-    process = subprocess.Popen([sys.executable, "-m", module], cwd=root(), stdin=subprocess.PIPE,
-                               stdout=subprocess.PIPE, text=True)
+    process = subprocess.Popen(
+        [sys.executable, "-m", module], cwd=root(), stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+    )
     if cores:
         os.sched_setaffinity(process.pid, cores)
     process.stdin.write(json.dumps(told))
     process.stdin.close()
-    process.stdin = None                 # communicate would flush it again
+    process.stdin = None  # communicate would flush it again
     return process
 
 
@@ -70,9 +73,9 @@
     own, others = cores_for(rig)
     with workshop() as folder:
         ports = free_ports(HOST, rig.backends + 1 + rig.daemons)
-        places = [f"{HOST}:{port}" for port in ports[:rig.backends]]
+        places = [f"{HOST}:{port}" for port in ports[: rig.backends]]
         discovery = f"{HOST}:{ports[rig.backends]}"
-        addresses = [(HOST, port) for port in ports[rig.backends + 1:]]
+        addresses = [(HOST, port) for port in ports[rig.backends + 1 :]]
         begin = monotonic() + 1.5 + LEAD
         standins, daemons, workers = None, [], []
         try:
@@ -80,25 +83,53 @@
                 host, _, port = rig.target.rpartition(":")
                 addresses = [(host, int(port))]
             else:
-                standins = start("sloeferry.load.standins", {
-                    "places": places, "discovery": discovery, "cores": rig.backend_cores, "queue": rig.queue,
-                    "work_ms": rig.work_ms, "body": rig.body, "seed": plan.seed, "at_most": plan.seconds() + 60,
-                    "troubles": {str(at): (what, begin + since, begin + until)
-                                 for at, what, since, until in rig.troubles}}, others)
+                standins = start(
+                    "sloeferry.load.standins",
+                    {
+                        "places": places,
+                        "discovery": discovery,
+                        "cores": rig.backend_cores,
+                        "queue": rig.queue,
+                        "work_ms": rig.work_ms,
+                        "body": rig.body,
+                        "seed": plan.seed,
+                        "at_most": plan.seconds() + 60,
+                        "troubles": {str(at): (what, begin + since, begin + until) for at, what, since, until in rig.troubles},
+                    },
+                    others,
+                )
                 if standins.stdout.readline().strip() != "ready":
                     raise Fault("stand-ins: did not come up")
 
                 def daemon(at):
-                    return Daemon(rig.tree or root(), folder, f"n{at}", addresses[at], discovery, plan, rig.cores,
-                                  own[at], rig.sockets, rig.memory, at, rig.daemons)
+                    return Daemon(
+                        rig.tree or root(),
+                        folder,
+                        f"n{at}",
+                        addresses[at],
+                        discovery,
+                        plan,
+                        rig.cores,
+                        own[at],
+                        rig.sockets,
+                        rig.memory,
+                        at,
+                        rig.daemons,
+                    )
+
                 daemons = [daemon(at) for at in range(rig.daemons)]
                 for one in daemons:
                     one.ready()
             begin = max(begin, monotonic() + LEAD)
             for at in range(rig.workers):
                 address = addresses[at % len(addresses)]
-                workers.append(start("sloeferry.load.callers", {
-                    "plan": plan.part(at, rig.workers).as_json(), "address": address, "start": begin}, others))
+                workers.append(
+                    start(
+                        "sloeferry.load.callers",
+                        {"plan": plan.part(at, rig.workers).as_json(), "address": address, "start": begin},
+                        others,
+                    )
+                )
             before = watch(plan, rig, begin, daemons, daemon if daemons else None)
             tally, late = Tally(), 0.0
             for worker in workers:
@@ -154,10 +185,14 @@
         spent = sum(after) - sum(used)
         txns = tally.offered(0, plan.seconds())
         lags = sorted(ms for one in daemons for at, ms in one.lag.seen if begin + since <= at < begin + plan.seconds())
-        said.update(cpu_us=spent * 1e6 / max(1, txns), cpu_us_served=spent * 1e6 / max(1, tally.total("in_time")),
-                    cpu=spent / plan.seconds() / rig.daemons, memory_mb=max(one.memory() for one in daemons),
-                    lag_p50=lags[len(lags) // 2] if lags else float("nan"),
-                    lag_p99=lags[int(len(lags) * 0.99)] if lags else float("nan"))
+        said.update(
+            cpu_us=spent * 1e6 / max(1, txns),
+            cpu_us_served=spent * 1e6 / max(1, tally.total("in_time")),
+            cpu=spent / plan.seconds() / rig.daemons,
+            memory_mb=max(one.memory() for one in daemons),
+            lag_p50=lags[len(lags) // 2] if lags else float("nan"),
+            lag_p99=lags[int(len(lags) * 0.99)] if lags else float("nan"),
+        )
         said["undecided"] = sum(one.log.read_text().count("no answer decided in time") for one in daemons)
     if standins:
         standins.send_signal(signal.SIGTERM)
--- a/sloeferry/load/standins.py
+++ b/sloeferry/load/standins.py
@@ -5,6 +5,7 @@
 stated span it may be silent (takes all, answers nothing) or err at once.  On SIGTERM the process writes what it
 has seen on standard output and ends.
 """
+
 import asyncio
 import json
 import signal
@@ -19,8 +20,8 @@
 from sloeferry.standins.nodes import Node
 from sloeferry.standins.roster import Roster
 
-SIGMA = 0.5                              # of the logarithm of the work
-EVER = 1e6                               # connections, seconds: what has no bound here
+SIGMA = 0.5  # of the logarithm of the work
+EVER = 1e6  # connections, seconds: what has no bound here
 
 
 class Book(Ledger):
@@ -51,10 +52,22 @@
     def address(place):
         host, _, port = place.rpartition(":")
         return host, int(port)
-    kind = SimpleNamespace(kind="m", cores=told["cores"], queue=told["queue"] / told["cores"], speed=1.0, cold_s=0.0,
-                           connections=EVER, idle_s=EVER, report_ms=0.0, drops_late=False, choke=None)
-    roster = Roster(loop, SimpleNamespace(call_ms=0.0, spread_ms=0.0), {"any": address(told["discovery"])}, book,
-                    Random(told["seed"]), time)
+
+    kind = SimpleNamespace(
+        kind="m",
+        cores=told["cores"],
+        queue=told["queue"] / told["cores"],
+        speed=1.0,
+        cold_s=0.0,
+        connections=EVER,
+        idle_s=EVER,
+        report_ms=0.0,
+        drops_late=False,
+        choke=None,
+    )
+    roster = Roster(
+        loop, SimpleNamespace(call_ms=0.0, spread_ms=0.0), {"any": address(told["discovery"])}, book, Random(told["seed"]), time
+    )
     for at, place in enumerate(told["places"]):
         node = Node(loop, kind, f"b{at}", address(place), "a", book, {}, None, Random(f"{told['seed']} {at}"))
         await node.start(warm=True)
@@ -62,7 +75,7 @@
         nodes.append(node)
         mood, since, until = told["troubles"].get(str(at), ("", 0.0, 0.0))
         if mood:
-            what = {"mute": True} if mood == "silent" else {"odds_err": 2.0}     # every one errs, at once
+            what = {"mute": True} if mood == "silent" else {"odds_err": 2.0}  # every one errs, at once
             loop.call_later(since - monotonic(), lambda node=node, what=what: node.change(**what))
             loop.call_later(until - monotonic(), lambda node=node: node.change(mute=False, odds_err=0.0))
     await roster.start()
--- a/sloeferry/machine.py
+++ b/sloeferry/machine.py
@@ -3,11 +3,12 @@
 This is the one seam for a rehearsal, which plays a whole bank in one process on a clock and a network of its own
 (`sloeferry/rehearsal/`): it puts its own in their place before anything is built.  Nothing else ever does.
 """
+
 import select
 import socket
 import time
 
-monotonic, unix = time.monotonic, time.time      # in seconds
+monotonic, unix = time.monotonic, time.time  # in seconds
 epoll = select.epoll
 
 
--- a/sloeferry/net/alarms.py
+++ b/sloeferry/net/alarms.py
@@ -1,11 +1,12 @@
 """Times by which something must have ended.  Nearly all are called off long before: an alarm costs a push."""
+
 from heapq import heappop, heappush
 
 
 class Alarms:
     """One timer of the loop for all; an entry is (time, number, [task or None])."""
 
-    STEP = 0.002                         # seconds: not more often than this
+    STEP = 0.002  # seconds: not more often than this
 
     def __init__(self, loop):
         self.loop, self.heap, self.count, self.timer, self.due = loop, [], 0, None, 0.0
--- a/sloeferry/net/backends.py
+++ b/sloeferry/net/backends.py
@@ -1,4 +1,5 @@
 """The backends: postings and probes, each on a connection that carries one at a time and is then kept."""
+
 import asyncio
 import json
 import math
@@ -14,13 +15,14 @@
 from sloeferry.net.log import warn
 
 
-DIAL_AGAIN, DIAL_AGAIN_AT_MOST = 5.0, 80.0       # ms between two dials that this machine could not make
-LOADS = 512                              # load reports that are kept read
-SETTLED = 0.006                          # seconds: a second answer may come so much later (some ms, by the protocol)
+DIAL_AGAIN, DIAL_AGAIN_AT_MOST = 5.0, 80.0  # ms between two dials that this machine could not make
+LOADS = 512  # load reports that are kept read
+SETTLED = 0.006  # seconds: a second answer may come so much later (some ms, by the protocol)
 
 
 class Ended(NamedTuple):
     """How a posting ended: how far it came, why it ended there, and the answer if one came whole."""
+
     reached: int
     why: int
     answer: http1.Message | None = None
@@ -38,7 +40,7 @@
         """Whether it still stands, and its backend won't close it for idleness any moment."""
         if machine.monotonic() - self.since > self.backends.idle_limit:
             return False
-        return http1.quiet(self.sock)    # else an end, or bytes that nobody asked for
+        return http1.quiet(self.sock)  # else an end, or bytes that nobody asked for
 
     def stands(self):
         """Whether its backend still listens where this leads: it may have moved meanwhile."""
@@ -78,7 +80,7 @@
     def __init__(self, loop, facade, terms, seats, buffers):
         self.loop, self.facade, self.seats, self.buffers = loop, facade, seats, buffers
         self.addresses, self.idle, self.tasks, self.alarms = {}, {}, set(), Alarms(loop)
-        self.loads = {}                  # load reports as they came, read
+        self.loads = {}  # load reports as they came, read
         self.settle(terms)
         self.fields = [name for name in terms["load_info.fields"].split(",") if name]
         self.status = b"/status/load" if self.fields else b"/health"
@@ -162,7 +164,7 @@
             while not upload.whole:
                 data = await upload.more()
                 if not http1.quiet(link.sock):
-                    return f.BROKEN      # it has answered already, or ended: the rest is not wanted
+                    return f.BROKEN  # it has answered already, or ended: the rest is not wanted
                 alarm = self.alarms.set(self.loop.time() + STALLED, task)
                 try:
                     await self.loop.sock_sendall(link.sock, data)
@@ -237,16 +239,16 @@
         except OSError:
             pass
         except asyncio.CancelledError:
-            task.uncancel()              # it goes on: whoever it is a part of was not meant
+            task.uncancel()  # it goes on: whoever it is a part of was not meant
             why = f.WITHDRAWN if not alarm.rang else f.SPOILT if reached == f.BEGUN and f.clock() < until else f.LATE
-        except Exception as fault:       # whatever it was, it has ended, and may have run
+        except Exception as fault:  # whatever it was, it has ended, and may have run
             warn("exchange", "failed: {!r}", fault)
             reached = f.WHOLE
         alarm.off()
         if answer and upload and not upload.whole:
-            answer.keep = False          # it came before all of the request had gone out: what is left there is no answer
+            answer.keep = False  # it came before all of the request had gone out: what is left there is no answer
         if answer and not answer.done:
-            answer.link = Download(link, answer)         # whoever passes it on, or has no use for it, lets go of it
+            answer.link = Download(link, answer)  # whoever passes it on, or has no use for it, lets go of it
         elif link and (answer or why == f.VOID):
             link.done(why == f.VOID or answer.keep)
         elif link:
@@ -269,14 +271,23 @@
 
         def wanted():
             return self.facade.goes_on(errand, seq, ident) and (not upload or upload.claim(seq))
-        ended = await self.exchange(ident, errand.ends, wanted, write, upload, seq, waits=True,
-                                    sending=lambda: self.facade.sent(errand, seq, ident),
-                                    # Given up past half of its time a request is given up too late (protocol).
-                                    dial_until=min((errand.began + errand.ends) / 2, began + 2000 * self.rest_time))
+
+        ended = await self.exchange(
+            ident,
+            errand.ends,
+            wanted,
+            write,
+            upload,
+            seq,
+            waits=True,
+            sending=lambda: self.facade.sent(errand, seq, ident),
+            # Given up past half of its time a request is given up too late (protocol).
+            dial_until=min((errand.began + errand.ends) / 2, began + 2000 * self.rest_time),
+        )
         if upload and not upload.bound:
-            upload.release(seq)          # it is all there still: another may have it
+            upload.release(seq)  # it is all there still: another may have it
         elif upload and upload.began:
-            began = upload.began         # until then the client took the time
+            began = upload.began  # until then the client took the time
         why, load, answer = ended.why, (), ended.answer
         if answer:
             load = self.load(answer.header(b"x-load-report"))
@@ -284,13 +295,13 @@
             why = f.SERVED if answer.status == 200 else f.REJECTED if rejected else f.ERRED
         relieved = inline and errand.relief is None
         if inline:
-            errand.relief = None         # back: what the report orders needs nobody else
+            errand.relief = None  # back: what the report orders needs nobody else
         used = False
         try:
             used = self.facade.report(errand, seq, ended.reached, why, f.clock() - began, load, answer)
-        except Exception as fault:       # a decision that failed ends no more than its own part
+        except Exception as fault:  # a decision that failed ends no more than its own part
             logger.opt(exception=True).error("posting failed: {!r}", fault)
-            used = errand.over           # its answer is under way all the same
+            used = errand.over  # its answer is under way all the same
         if answer and answer.link and (not used or errand.abandoned):
             answer.link.close()
         return relieved
@@ -303,8 +314,12 @@
     async def probe(self, ident):
         # It waits for no connection to have rested: it would pass for unanswered, and does no harm with another's answer.
         began = f.clock()
-        ended = await self.exchange(ident, began + self.dial_time, lambda: self.facade.stands(ident), lambda:
-                                    http1.request(b"GET", self.status, [(b"Host", b"backend.local")]))
+        ended = await self.exchange(
+            ident,
+            began + self.dial_time,
+            lambda: self.facade.stands(ident),
+            lambda: http1.request(b"GET", self.status, [(b"Host", b"backend.local")]),
+        )
         why, load = ended.why, ()
         if ended.answer:
             why = f.SERVED if ended.answer.status == 200 else f.ERRED
@@ -332,7 +347,7 @@
         if not text or not self.fields:
             return ()
         if (load := self.loads.get(text)) is not None:
-            return load                  # few figures in a report: most have been read before
+            return load  # few figures in a report: most have been read before
         try:
             said = json.loads(text)
             load = [float(said[name]) for name in self.fields]
--- a/sloeferry/net/buffers.py
+++ b/sloeferry/net/buffers.py
@@ -1,4 +1,5 @@
 """Buffers of one size, used again; and seats: all connections together stay below the limit of sockets."""
+
 from sloeferry import machine
 from sloeferry.net.http1 import quiet
 
@@ -21,16 +22,18 @@
     """One seat a connection, to one kind of peer.  A full table sheds by what each has shown: first those idle
     longest who have had an answer, and may ask anew elsewhere; then those who have said nothing yet, whose first
     request may be on its way; then those half way through a message of whom nothing more has come for longest."""
-    REST, SHY, STUCK = 0.05, 0.15, 0.4   # seconds until a connection counts as idle; as silent; as stuck half way
+
+    REST, SHY, STUCK = 0.05, 0.15, 0.4  # seconds until a connection counts as idle; as silent; as stuck half way
 
     def __init__(self, most):
         self.most = self.whole = most
         self.taken = 0
-        self.idle, self.shy, self.begun = {}, {}, {}     # connection -> (since when, how to end it), oldest first
+        self.idle, self.shy, self.begun = {}, {}, {}  # connection -> (since when, how to end it), oldest first
 
     def take(self):
-        if self.taken >= self.most and not (self.shed(self.idle, self.REST) or self.shed(self.shy, self.SHY)
-                                            or self.shed(self.begun, self.STUCK)):
+        if self.taken >= self.most and not (
+            self.shed(self.idle, self.REST) or self.shed(self.shy, self.SHY) or self.shed(self.begun, self.STUCK)
+        ):
             return False
         self.taken += 1
         return True
@@ -46,7 +49,7 @@
             if quiet(connection.sock):
                 end()
                 return True
-            table[connection] = machine.monotonic(), end     # it is there, and only not read yet; so may be the end
+            table[connection] = machine.monotonic(), end  # it is there, and only not read yet; so may be the end
         return False
 
     def divide(self, processes):
--- a/sloeferry/net/clients.py
+++ b/sloeferry/net/clients.py
@@ -1,4 +1,5 @@
 """The clients: the listener, one connection each, /ready, and the way out after SIGTERM."""
+
 import asyncio
 import contextlib
 import functools
@@ -15,29 +16,31 @@
 from sloeferry.net.lobby import Lobby
 from sloeferry.net.log import warn
 
-IDLE, CROWDED = 60.0, 2.0                # seconds between requests; where an eighth of the seats are taken
-READING, SENDING = 3.0, 5.0              # seconds for a head, the first from connecting; for a slice of an answer to go
-PACE = 32768                             # bytes a second that a body brings at the least, over all of its time
-OVERDUE, LOOK = 30.0, 0.01               # ms past a txn's expiry, when its answer waits for no decision; how often
-LINGER, AT_MOST = 0.5, 16                # seconds that a refused sender has to read why, while so many reads last
-STALE = 0.2                              # seconds after which a quarter of the seats being idle is too many
+IDLE, CROWDED = 60.0, 2.0  # seconds between requests; where an eighth of the seats are taken
+READING, SENDING = 3.0, 5.0  # seconds for a head, the first from connecting; for a slice of an answer to go
+PACE = 32768  # bytes a second that a body brings at the least, over all of its time
+OVERDUE, LOOK = 30.0, 0.01  # ms past a txn's expiry, when its answer waits for no decision; how often
+LINGER, AT_MOST = 0.5, 16  # seconds that a refused sender has to read why, while so many reads last
+STALE = 0.2  # seconds after which a quarter of the seats being idle is too many
 # Seconds after SIGTERM: for connections (protocol; the last is still on its way then), then for what they ask.
 STILL_COMING, LAST = 0.4 + f.SLACK / 1000, 0.2
 # Seconds after SIGTERM, beside the longest expiry: the end may come from there on (protocol).
 KILLED = 0.7 - f.SLACK / 1000
-BACKLOG, AT_ONCE = 1024, 16              # connections: that wait outside, that are let in in a row
-PASSES = 3                               # of the loop: until what was there to be read is read
-PAUSE = 0.01                             # seconds until a full table is tried again
+BACKLOG, AT_ONCE = 1024, 16  # connections: that wait outside, that are let in in a row
+PASSES = 3  # of the loop: until what was there to be read is read
+PAUSE = 0.01  # seconds until a full table is tried again
 METHODS = (b"GET", b"POST", b"PUT", b"PATCH", b"DELETE")
-OURS = http1.HOP | {b"x-budget-ms"}      # of a request, what a backend is told anew
+OURS = http1.HOP | {b"x-budget-ms"}  # of a request, what a backend is told anew
 REFUSALS = {http1.MALFORMED: 400, http1.UNWANTED: 400, http1.TOO_LARGE: 413, http1.OVERDUE: 408}
 # A whole request in its plainest form, which may be turned away unparsed; whatever else comes is parsed first.
 PLAIN = re.compile(rb"(?:GET|POST) /[!-~]* HTTP/1\.1\r\n(?:[!#-'*+.0-9A-Z^-z|~-]+:[\t -~]*\r\n)+\r\n")
-SAID = re.compile(rb"(?i)\r\n(x-call-class|x-caller|x-again|x-budget-ms|content-length|transfer-encoding|expect"
-                  rb"|connection):[ \t]*([^\r]*?)[ \t]*(?=\r\n)")
-ENTITY = re.compile(rb"(?:^|,)[ \t]*entity=([!-+.-~]{1,64})[ \t]*(?=,|$)")      # a txn's key: any short word
+SAID = re.compile(
+    rb"(?i)\r\n(x-call-class|x-caller|x-again|x-budget-ms|content-length|transfer-encoding|expect"
+    rb"|connection):[ \t]*([^\r]*?)[ \t]*(?=\r\n)"
+)
+ENTITY = re.compile(rb"(?:^|,)[ \t]*entity=([!-+.-~]{1,64})[ \t]*(?=,|$)")  # a txn's key: any short word
 ODD = {b"transfer-encoding", b"expect", b"connection"}
-KEPT_BACK = http1.HOP | {b"x-load-report", b"x-rejected"}      # of an answer, what is not the client's
+KEPT_BACK = http1.HOP | {b"x-load-report", b"x-rejected"}  # of an answer, what is not the client's
 
 
 def spelt(names):
@@ -55,15 +58,14 @@
 
     def __init__(self, clients, sock):
         self.clients, self.sock, self.loop = clients, sock, clients.loop
-        self.wire = http1.Wire(clients.loop, sock, clients.buffers, answers=False, wanted=clients.wanted,
-                               glance=self.glance)
+        self.wire = http1.Wire(clients.loop, sock, clients.buffers, answers=False, wanted=clients.wanted, glance=self.glance)
         self.errand, self.busy, self.fresh, self.ended, self.barred = None, False, True, False, 0.0
         self.sending, self.enrolled, self.overdue, self.waited = None, False, False, 0.0
-        self.reading, self.lingered, self.ident = False, False, None     # ident: of its open txn
-        self.outside = None              # since when it may have waited, with others, to be let in
-        self.since = machine.monotonic()         # it connected, was answered, or began to ask again
-        self.upload = self.download = self.pulling = None        # a body on its way; since when it is waited for
-        clients.guests[self] = None   # in the order they came, not a set's, which is chance's
+        self.reading, self.lingered, self.ident = False, False, None  # ident: of its open txn
+        self.outside = None  # since when it may have waited, with others, to be let in
+        self.since = machine.monotonic()  # it connected, was answered, or began to ask again
+        self.upload = self.download = self.pulling = None  # a body on its way; since when it is waited for
+        clients.guests[self] = None  # in the order they came, not a set's, which is chance's
         self.task = self.loop.create_task(self.serve())
 
     async def serve(self, carried=None):
@@ -75,14 +77,14 @@
             while keep:
                 keep = await self.one()
             if keep is False and self.wire.fault != http1.CLOSED and not http1.quiet(self.sock):
-                await self.linger()      # it has sent more than was answered
-        except OSError:                  # the client has gone, or takes nothing more
+                await self.linger()  # it has sent more than was answered
+        except OSError:  # the client has gone, or takes nothing more
             keep = False
-        except Exception as fault:       # exceptions stop here: this connection ends, no other
+        except Exception as fault:  # exceptions stop here: this connection ends, no other
             logger.opt(exception=True).error("connection failed: {!r}", fault)
             keep = False
         finally:
-            if keep is not None:         # relieved, it is another's by now
+            if keep is not None:  # relieved, it is another's by now
                 self.end()
 
     async def one(self):
@@ -96,7 +98,7 @@
             self.clients.seats.rest(self, self.turn_out, self.fresh, begun)
             if not begun and self.clients.facade.door.shut() and not self.clients.duty.leaving:
                 await self.clients.lobby.park(self)
-                if wire.whole or wire.fault or wire.begun:       # read there already
+                if wire.whole or wire.fault or wire.begun:  # read there already
                     self.clients.seats.wake(self)
                     continue
             try:
@@ -109,13 +111,13 @@
                 came = wire.fault = http1.OVERDUE
             finally:
                 self.reading = False
-            self.clients.seats.wake(self)        # something came, if not a whole request: not idle
-            if not wire.whole:           # its last byte is yet to come, and its time runs from that
+            self.clients.seats.wake(self)  # something came, if not a whole request: not idle
+            if not wire.whole:  # its last byte is yet to come, and its time runs from that
                 self.outside = None
             if came is http1.DISMISSED:
                 return await self.dismiss()
             if wire.begun and not begun and not self.fresh:
-                self.since = machine.monotonic()         # for all of it, or drops would hold it for ever
+                self.since = machine.monotonic()  # for all of it, or drops would hold it for ever
             if wire.begun and wire.message.expects and not wire.fault:
                 wire.message.expects = False
                 await self.send(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -132,7 +134,7 @@
             # Its time went by while this program stood still: the door turns it away, whatever it could take.
             scheme, tenant, _ = message.asks
             message.barred = self.clients.facade.bars(scheme, tenant, message.header(b"x-again") == b"1", True)
-        if message.barred is not None:   # more than its body was to be read, or it was no plain one
+        if message.barred is not None:  # more than its body was to be read, or it was no plain one
             self.barred = message.barred
             return await self.dismiss(self.keeps(message))
         return await self.reply(message, await self.answer(message, waited))
@@ -142,7 +144,7 @@
         if said is None:
             return None
         status, body, headers = said
-        if 400 <= status < 500:          # whoever asks so once does it again: not on a connection that is kept
+        if 400 <= status < 500:  # whoever asks so once does it again: not on a connection that is kept
             return await self.refuse(status)
         keep = self.keeps(message)
         if isinstance(body, Download):
@@ -150,7 +152,7 @@
         else:
             await self.send(http1.answer(status, body, headers, keep))
         if not message.done:
-            await self.linger()          # answered before all of its body had come
+            await self.linger()  # answered before all of its body had come
         self.busy, self.since = False, machine.monotonic()
         return keep
 
@@ -183,7 +185,7 @@
         self.pulling = machine.monotonic()
         try:
             await self.wire.fill()
-        finally:                         # given up meanwhile it waits for nothing: its answer may be long
+        finally:  # given up meanwhile it waits for nothing: its answer may be long
             self.pulling = None
 
     def glance(self, buffer, n, last=False):
@@ -199,16 +201,22 @@
         said = {}
         for name, value in SAID.findall(text, 0, head.end() - 2):
             if (name := name.lower()) in said or name in ODD:
-                return False             # said twice, or framed otherwise: for the parser to judge
+                return False  # said twice, or framed otherwise: for the parser to judge
             said[name] = value
         length, budget = said.get(b"content-length", b"0"), said.get(b"x-budget-ms", b"")
         scheme, tenant = clients.schemes.get(said.get(b"x-call-class")), clients.tenant(said.get(b"x-caller"))
-        if (scheme is None or tenant is None or not budget.isdigit() or not length.isdigit() or len(length) > 9
-                or head.end() + int(length) != n):
+        if (
+            scheme is None
+            or tenant is None
+            or not budget.isdigit()
+            or not length.isdigit()
+            or len(length) > 9
+            or head.end() + int(length) != n
+        ):
             return False
         pause = clients.facade.bars(scheme, tenant, said.get(b"x-again") == b"1", last)
         if pause is None:
-            clients.passed = True        # asked and let in: not asked again once it is parsed
+            clients.passed = True  # asked and let in: not asked again once it is parsed
             return False
         self.barred = pause
         return True
@@ -224,29 +232,37 @@
         """The last word to one that can't be read or is not wanted; nothing of what it sent goes on."""
         if status:
             message = self.wire.message
-            warn("refused", "{} {}: {!r} {!r} {!r}", status, self.wire.fault or "", message.method, message.url[:80],
-                 message.headers[:12])
+            warn(
+                "refused",
+                "{} {}: {!r} {!r} {!r}",
+                status,
+                self.wire.fault or "",
+                message.method,
+                message.url[:80],
+                message.headers[:12],
+            )
             await self.send(http1.answer(status, keep=False))
             await self.linger()
         return False
 
     async def answer(self, message, waited=0.0):
         """Status, body and headers for one request."""
-        if message.asks is None:         # /ready
+        if message.asks is None:  # /ready
             return 200 if self.clients.duty.ready() else 503, b"", ()
         ident = message.header(b"x-call-id")
         if other := self.clients.open_ids.get(ident):
-            if not other.gone():         # another txn's: backends and clients would take one for the other
+            if not other.gone():  # another txn's: backends and clients would take one for the other
                 return 409, b"", ()
-            self.clients.facade.report_left(other.errand)        # its client comes again, and nobody had seen it leave
+            self.clients.facade.report_left(other.errand)  # its client comes again, and nobody had seen it leave
         self.clients.open_ids[ident], self.ident = self, ident
         try:
             errand = self.errand = self.clients.taken(message, waited)
         except Exception as fault:
             return self.failed(fault)
         errand.gone = self.gone
-        opening = http1.opening(message.method, message.url, message.passed_on(OURS),
-                                message.size if message.done else message.length)
+        opening = http1.opening(
+            message.method, message.url, message.passed_on(OURS), message.size if message.done else message.length
+        )
         self.upload = None if message.done else Upload(self, message, self.clients.facade, errand)
         return await self.carry(errand, message, opening, {})
 
@@ -263,7 +279,7 @@
     def let_go(self):
         """Its txn, if it had one, is none of this connection's any more."""
         errand, self.errand = self.errand, None
-        if self.clients.open_ids.get(self.ident) is self:        # else another has come under that id
+        if self.clients.open_ids.get(self.ident) is self:  # else another has come under that id
             del self.clients.open_ids[self.ident]
         return errand
 
@@ -274,7 +290,7 @@
                 for answer in self.clients.facade.abandon(errand):
                     if answer.link:
                         answer.link.close()
-            except Exception as fault:   # a decision that failed must not keep a connection from its end
+            except Exception as fault:  # a decision that failed must not keep a connection from its end
                 warn("txn", "dropped: {!r}", fault)
 
     async def carry(self, errand, message, opening, out):
@@ -284,7 +300,7 @@
             said = await self.txn(errand, message, opening, out)
         except Exception as fault:
             return self.failed(fault)
-        except BaseException:            # the connection ends, and with it what it asked
+        except BaseException:  # the connection ends, and with it what it asked
             self.drop()
             raise
         if said is not None:
@@ -314,7 +330,7 @@
                     return None
                 out.clear()
             elif order == f.WITHDRAW:
-                await asyncio.sleep(0)   # a task cancelled before its first step would never report
+                await asyncio.sleep(0)  # a task cancelled before its first step would never report
                 if what[0] in out:
                     out[what[0]].cancel()
             elif order == f.SETTLE:
@@ -326,7 +342,7 @@
                 return 504, b"", ()
 
     async def send(self, data):
-        self.sending = machine.monotonic()       # the sweep looks at it: a timer for each answer costs more than the answer
+        self.sending = machine.monotonic()  # the sweep looks at it: a timer for each answer costs more than the answer
         await self.loop.sock_sendall(self.sock, data)
         self.sending = None
 
@@ -369,14 +385,14 @@
             return
         self.ended = True
         current, carries = asyncio.current_task(), self.errand and self.errand.relief
-        if carries:                      # its task is out with its posting, and would take a cancel for a word to that
+        if carries:  # its task is out with its posting, and would take a cancel for a word to that
             self.errand.relief = None
             self.clients.backends.adopt(self.task)
         elif current is not self.task:
             self.task.cancel()
         self.drop()
         if self.upload and self.upload.task not in (None, current, None if carries else self.task):
-            self.upload.task.cancel()    # it reads from the connection that ends
+            self.upload.task.cancel()  # it reads from the connection that ends
         self.clients.guests.pop(self, None)
         if self.enrolled:
             self.clients.lobby.leave(self)
@@ -390,13 +406,13 @@
     def __init__(self, loop, facade, berth, seats, buffers, backends, duty):
         self.loop, self.facade, self.seats, self.buffers = loop, facade, seats, buffers
         self.backends, self.duty, self.guests = backends, duty, {}
-        self.open_ids, self.lingering, self.passed = {}, 0, False        # open_ids: whose each is
+        self.open_ids, self.lingering, self.passed = {}, 0, False  # open_ids: whose each is
         self.lobby = Lobby(loop, facade, buffers)
-        self.turn, self.late = f.clock(), 0.0    # when this loop last turned; for how long it just stood still, in ms
-        self.stalled = 0                 # so many more who wait outside may have come while this loop stood still
-        self.crowd = None                # since when more wait outside than are let in in a row
-        self.left = False                # it leaves, and who never asked has had his time
-        self.killed = math.inf           # by then (ms) whatever is taken has its answer
+        self.turn, self.late = f.clock(), 0.0  # when this loop last turned; for how long it just stood still, in ms
+        self.stalled = 0  # so many more who wait outside may have come while this loop stood still
+        self.crowd = None  # since when more wait outside than are let in in a row
+        self.left = False  # it leaves, and who never asked has had his time
+        self.killed = math.inf  # by then (ms) whatever is taken has its answer
         self.inherited, self.listening = berth.inherited, False
         self.retune(berth)
         self.sock = None
@@ -432,9 +448,15 @@
         said = message.named.get
         scheme, budget = self.schemes.get(said(b"x-call-class")), said(b"x-budget-ms") or b""
         tenant = self.tenant(said(b"x-caller"))
-        if (scheme is None or tenant is None or not said(b"x-call-id") or not said(b"host")
-                or not (budget.isdigit() and len(budget) < 10 and int(budget))
-                or scheme in self.keyed and not said(b"idempotency-key")):
+        if (
+            scheme is None
+            or tenant is None
+            or not said(b"x-call-id")
+            or not said(b"host")
+            or not (budget.isdigit() and len(budget) < 10 and int(budget))
+            or scheme in self.keyed
+            and not said(b"idempotency-key")
+        ):
             return False
         message.asks = scheme, tenant, min(float(budget), self.expiry[scheme])
         if not passed and self.facade.door.shut() and not self.duty.leaving:
@@ -449,11 +471,12 @@
         """The errand of a request; `waited`: for how long it lay unread while this program stood still, in ms."""
         scheme, tenant, left = message.asks
         left -= waited
-        if message.done:                 # one read ahead of its turn has waited here already
+        if message.done:  # one read ahead of its turn has waited here already
             left -= (machine.monotonic() - message.at) * 1000
         key = self.warm_keys and ENTITY.search(message.header(b"x-call-info") or b"")
-        return self.facade.take(scheme, tenant, self.in_time(left), message.header(b"x-again") == b"1",
-                                key[1].decode("latin-1") if key else 0)
+        return self.facade.take(
+            scheme, tenant, self.in_time(left), message.header(b"x-again") == b"1", key[1].decode("latin-1") if key else 0
+        )
 
     def in_time(self, left):
         """Of so many ms from now those in which a txn has to be answered.  Of one whose last byte comes late after
@@ -527,7 +550,7 @@
                 continue
             guest.waited = f.clock() - self.crowd
             self.stalled -= 1
-            if not self.stalled:         # whoever stood outside then has been let in
+            if not self.stalled:  # whoever stood outside then has been let in
                 self.crowd = f.clock()
         self.crowd = self.crowd or f.clock()
         return False
@@ -556,7 +579,7 @@
                 self.nudge()
             # Some ask once and stay for good; those who let clients connect allow them only so many.
             idle = list(self.seats.idle.items())
-            for guest, (since, end) in idle[:max(0, len(idle) - self.seats.most // 4)]:
+            for guest, (since, end) in idle[: max(0, len(idle) - self.seats.most // 4)]:
                 if machine.monotonic() - since > STALE and http1.quiet(guest.sock):
                     end()
 
@@ -600,12 +623,12 @@
         for guest in self.guests:
             guest.waited = 0.0 if guest.busy or http1.quiet(guest.sock) else late
         if not self.duty.leaving:
-            before = dict(self.guests)   # not how many: who comes in may push out another who idles
-            self.accept(BACKLOG)         # those who came meanwhile
+            before = dict(self.guests)  # not how many: who comes in may push out another who idles
+            self.accept(BACKLOG)  # those who came meanwhile
             for guest in self.guests:
                 if guest not in before:
                     guest.waited = late
-            if self.crowd is not None:   # there was no room for all: who is let in later has waited for as long, too
+            if self.crowd is not None:  # there was no room for all: who is let in later has waited for as long, too
                 self.crowd, self.stalled = self.crowd - late, BACKLOG
 
     # The way out
@@ -621,18 +644,21 @@
         if guest.wire.begun:
             return False
         asked = not guest.fresh or machine.monotonic() > guest.since + STILL_COMING
-        if not (self.left or asked and (self.duty.leaving and not self.duty.companions and not guest.fresh
-                                        or self.duty.lets_go(f.clock()))):
+        if not (
+            self.left
+            or asked
+            and (self.duty.leaving and not self.duty.companions and not guest.fresh or self.duty.lets_go(f.clock()))
+        ):
             return False
-        return http1.quiet(guest.sock)   # else a request, or an end, is there to be read
+        return http1.quiet(guest.sock)  # else a request, or an end, is there to be read
 
     async def leave(self):
         """Takes what still comes for a while, ends what is idle, waits for the rest."""
-        self.duty.leave()                # asks who else is there
+        self.duty.leave()  # asks who else is there
         self.killed = f.clock() + max(self.expiry.values()) + 1000 * KILLED
         logger.info("{}, {} connections", self.duty.state(len(self.guests)), len(self.guests))
         if not self.duty.accepts():
-            self.hush()                  # whoever connects now is the other process's
+            self.hush()  # whoever connects now is the other process's
         self.nudge()
         await asyncio.sleep(STILL_COMING)
         # What the machine has accepted and nobody has fetched yet is reset with the listener: with a full table it
--- a/sloeferry/net/desk.py
+++ b/sloeferry/net/desk.py
@@ -2,6 +2,7 @@
 
 It has descriptors of its own, set aside from those of clients and backends, and holds no more callers than those.
 Some call and say nothing: the one who has said nothing for longest makes room for the next."""
+
 import asyncio
 import json
 import socket
@@ -11,8 +12,8 @@
 from sloeferry.net import http1
 from sloeferry.net.log import warn
 
-MOST = 12                                # callers at a time, a descriptor each
-GRACE, PATIENCE = 0.02, 5.0              # seconds: a caller's own to begin, before others push it out; for a whole call
+MOST = 12  # callers at a time, a descriptor each
+GRACE, PATIENCE = 0.02, 5.0  # seconds: a caller's own to begin, before others push it out; for a whole call
 BACKLOG = 128
 NO_CALL = {http1.MALFORMED: 400, http1.UNWANTED: 400, http1.TOO_LARGE: 413, http1.OVERDUE: 408}
 
@@ -22,8 +23,12 @@
         """`figures`: what to tell beside the state, as a map; `guard`: the counters of the guard of sending."""
         self.loop, self.duty, self.buffers, self.figures = loop, duty, buffers, figures
         self.callers, self.sock, self.timer = {}, None, None
-        self.calls = {b"/admin/health": (b"GET", self.health), b"/admin/quiesce": (b"POST", self.quiesce),
-                      b"/admin/resume": (b"POST", self.resume), b"/admin/guard": (b"GET", lambda query=b"": (200, guard()))}
+        self.calls = {
+            b"/admin/health": (b"GET", self.health),
+            b"/admin/quiesce": (b"POST", self.quiesce),
+            b"/admin/resume": (b"POST", self.resume),
+            b"/admin/guard": (b"GET", lambda query=b"": (200, guard())),
+        }
 
     # The calls: status, and what is told
 
@@ -42,7 +47,7 @@
 
     def answer(self, message):
         target, _, query = message.url.partition(b"?")
-        path = target[target.find(b"/", 8):] if target.startswith(b"http://") else target
+        path = target[target.find(b"/", 8) :] if target.startswith(b"http://") else target
         method, call = self.calls.get(path, (None, None))
         if call is None:
             return http1.answer(404, b'{"error":"no such call"}\n', JSON, False)
@@ -118,8 +123,8 @@
                 await self.loop.sock_sendall(sock, said)
                 sock.shutdown(socket.SHUT_WR)
         except (OSError, TimeoutError):
-            pass                         # gone, or silent for too long
-        except Exception as fault:       # this call ends, nothing else
+            pass  # gone, or silent for too long
+        except Exception as fault:  # this call ends, nothing else
             warn("operators", "call failed: {!r}", fault)
         finally:
             wire.close()
--- a/sloeferry/net/discovery.py
+++ b/sloeferry/net/discovery.py
@@ -1,4 +1,5 @@
 """The list of backends: a watch on discovery, whenever the decisions ask for one."""
+
 import asyncio
 import contextlib
 import json
@@ -16,28 +17,28 @@
 from sloeferry.net.values import Values
 
 PHASES = {"active": "ready", "leaving": "draining", "left": "gone"}
-SILENCE = 2.5                            # seconds; a watch says something every 2 s
-WAITED = 0.25                            # of a call's patience: discovery that ends it sooner is there, and has no time
-AWAY = 0.5                               # of it: a call that waits on with no byte of an answer is taken for an outage's
-PASSES, MOST_PASSES = 5, 1000            # of the loop: until what was there to be read is taken in; and no more
-SHORT = 40.0                             # ms: a shorter grace than that paces no dials
-LOGGED = 20                              # backends named in the log line of a list, at the most
-LINE = 1 << 22                           # the longest list that is read, in characters
+SILENCE = 2.5  # seconds; a watch says something every 2 s
+WAITED = 0.25  # of a call's patience: discovery that ends it sooner is there, and has no time
+AWAY = 0.5  # of it: a call that waits on with no byte of an answer is taken for an outage's
+PASSES, MOST_PASSES = 5, 1000  # of the loop: until what was there to be read is taken in; and no more
+SHORT = 40.0  # ms: a shorter grace than that paces no dials
+LOGGED = 20  # backends named in the log line of a list, at the most
+LINE = 1 << 22  # the longest list that is read, in characters
 
 
 @dataclass
 class Call:
     """One call for the list, from its dial to its end.  Times are ms of `facade.clock`."""
 
-    number: int                          # in the log
+    number: int  # in the log
     began: float
-    tried: float                         # when its last dial began, or its request was written
-    dialled: bool = False                # whether a socket was to be had at all
+    tried: float  # when its last dial began, or its request was written
+    dialled: bool = False  # whether a socket was to be had at all
     connected: bool = False
-    answered: bool = False               # whether anything of an answer with status 200 came
-    presumed: bool = False               # whether its wait has been looked at once
-    told: bool = False                   # whether it brought its list: a watch from then on
-    silent_since: float | None = None    # when it was last heard, if it was given up as silent
+    answered: bool = False  # whether anything of an answer with status 200 came
+    presumed: bool = False  # whether its wait has been looked at once
+    told: bool = False  # whether it brought its list: a watch from then on
+    silent_since: float | None = None  # when it was last heard, if it was given up as silent
 
     def end(self, now: float, patience: float) -> CallEnd:
         """How it failed, for one that brought no list; `patience` is for how long (ms) a call may take."""
@@ -52,7 +53,7 @@
 
 class Discovery:
     def __init__(self, loop, facade, berth, seats, buffers, backends, duty, careful=False):
-        self.duty = duty                 # told once a list is at hand
+        self.duty = duty  # told once a list is at hand
         self.loop, self.facade, self.backends = loop, facade, backends
         self.seats, self.buffers = seats, buffers
         # Of the start, for as long as it runs: what is known counts by their places.
@@ -60,10 +61,10 @@
         self.pushed = berth.terms["discovery"] != "subscribe"
         self.retune(berth)
         self.known, self.revision, self.standing = {}, None, False
-        self.watching = self.former = None       # the watch, and after a move the one before until this stands
-        self.socks = {}                  # of the watches that stand or begin: after a move there are two
-        self.calls = 0                   # so many were begun: each call's number in the log
-        self.witness = None              # where versions are kept account of
+        self.watching = self.former = None  # the watch, and after a move the one before until this stands
+        self.socks = {}  # of the watches that stand or begin: after a move there are two
+        self.calls = 0  # so many were begun: each call's number in the log
+        self.witness = None  # where versions are kept account of
         # Where changes come unasked, what was told before this process began binds it from its first moment (rule 3):
         # the list as last held is no list until it is known that there is none to be had.
         self.held = berth.known if self.pushed else None
@@ -95,7 +96,7 @@
             await self.facade.pick(self.facade.listing)
             if not self.watching or self.watching.done():
                 self.watching = self.loop.create_task(self.watch())
-            elif self.standing:          # it stands already, and all it said has been passed on
+            elif self.standing:  # it stands already, and all it said has been passed on
                 self.facade.report_list(False, ())
 
     def late(self):
@@ -109,12 +110,24 @@
         """The list as it is known, in discovery's form."""
         zones, kinds = ({at: name for name, at in names.items()} for names in (self.zones, self.kinds))
         phases = {ours: theirs for theirs, ours in PHASES.items()}
-        return {"revision": self.revision or 0, "complete": True, "members": [
-            {"id": ident, "host_port": "{}:{}".format(*self.backends.addresses[ident]),
-             "locality": zones.get(zone, zone), "flavor": kinds.get(kind, kind), "cell": cell,
-             "phase": phases[standing], "size": share, "up_since_ms": started}
-            for ident, zone, kind, cell, standing, share, started in self.known.values()
-            if ident in self.backends.addresses]}
+        return {
+            "revision": self.revision or 0,
+            "complete": True,
+            "members": [
+                {
+                    "id": ident,
+                    "host_port": "{}:{}".format(*self.backends.addresses[ident]),
+                    "locality": zones.get(zone, zone),
+                    "flavor": kinds.get(kind, kind),
+                    "cell": cell,
+                    "phase": phases[standing],
+                    "size": share,
+                    "up_since_ms": started,
+                }
+                for ident, zone, kind, cell, standing, share, started in self.known.values()
+                if ident in self.backends.addresses
+            ],
+        }
 
     def move(self, address):
         """Discovery is somewhere else: the whole list is asked for there, since its revisions are its own.
@@ -152,11 +165,11 @@
                     del self.socks[sock]
                     sock.close()
                     self.seats.give()
-        except Exception as fault:       # never the end of the program: the list as known goes on serving
+        except Exception as fault:  # never the end of the program: the list as known goes on serving
             why = repr(fault)
         self.ended(call, why)
         if asyncio.current_task() is not self.watching:
-            return                       # its successor is on its way, and will say how that went
+            return  # its successor is on its way, and will say how that went
         self.standing = False
         self.late()
         self.duty.list_came()
@@ -164,7 +177,7 @@
             self.facade.report_no_watch()
         else:
             self.facade.report_no_list()
-        if self.pushed:                  # the newest: a former one may stand on, and tells nothing of the new place
+        if self.pushed:  # the newest: a former one may stand on, and tells nothing of the new place
             self.loop.call_later(self.pause / 1000, self.facade.watch)
 
     def ended(self, call, why):
@@ -174,14 +187,14 @@
         if call.silent_since is not None:
             self.facade.report_silent(call.silent_since)
         elif call.told:
-            if current or not self.standing:     # else its successor has told the list meanwhile
+            if current or not self.standing:  # else its successor has told the list meanwhile
                 self.facade.report_watch_ended()
         elif current:
             self.facade.report_call_failed(call.end(now, self.patience), call.tried)
 
     async def catch_up(self):
         """This program stood still: goes on until what discovery wrote meanwhile is read and taken in."""
-        quiet = 0                        # turns in a row: what was read last is yet to be taken in
+        quiet = 0  # turns in a row: what was read last is yet to be taken in
         for _ in range(MOST_PASSES):
             await asyncio.sleep(0)
             quiet = quiet + 1 if all(http1.quiet(sock) for sock in self.socks) else 0
@@ -232,6 +245,7 @@
                 call.answered = True
                 came.extend(values.feed(data))
                 alive = alive or b"\n" in data and not values.held
+
         wire = http1.Wire(self.loop, sock, self.buffers, answers=True, stream=stream)
         after = "" if self.revision is None else f"&index={self.revision}"
         host = "{}:{}".format(*self.address).encode()
@@ -306,8 +320,11 @@
                 lines[line[0]] = line
         known = lines if whole else self.known | lines
         # Told while the watch stood, a start is news; what the first line brings may be of any age.
-        news = {ident for ident, line in lines.items() if self.standing and not whole
-                and (ident not in self.known or self.known[ident][6] != line[6])}
+        news = {
+            ident
+            for ident, line in lines.items()
+            if self.standing and not whole and (ident not in self.known or self.known[ident][6] != line[6])
+        }
         ours = cached or asyncio.current_task() is self.watching
         if ours:
             self.revision = revision
@@ -316,7 +333,7 @@
             self.backends.told(ident, None)
         self.log_list(number, revision, whole, lines)
         if ours and not cached:
-            if self.former:              # its list is whole now
+            if self.former:  # its list is whole now
                 self.former.cancel()
             self.former, self.standing = None, True
             self.duty.list_came()
@@ -332,9 +349,15 @@
         """One line a list: its source, its revision, and the backends that it says are to get nothing new."""
         source = f"call {number}" if number else "as last held"
         leaving = [f"{ident} {line[4]}" for ident, line in lines.items() if line[4] != "ready"]
-        logger.info("list taken in ({}): revision {}, {}, {} entries; {}", source, revision, "whole" if whole else "changes",
-                    len(lines), ", ".join(leaving[:LOGGED]) + (f" and {len(leaving) - LOGGED} more" if len(leaving) > LOGGED else "")
-                    or "none leaves")
+        logger.info(
+            "list taken in ({}): revision {}, {}, {} entries; {}",
+            source,
+            revision,
+            "whole" if whole else "changes",
+            len(lines),
+            ", ".join(leaving[:LOGGED]) + (f" and {len(leaving) - LOGGED} more" if len(leaving) > LOGGED else "")
+            or "none leaves",
+        )
 
     def member(self, said):
         """One entry; one that can't be read stays as it was known."""
@@ -351,8 +374,10 @@
                 raise ValueError
             # One that the settings don't name stands for itself: two of them are not one zone (rule 2), and each proxy
             # tells them apart alike, whichever it met first.
-            zone, kind = (places.get(name, str(name)) for places, name in (
-                (self.zones, said.get("locality")), (self.kinds, said.get("flavor"))))
+            zone, kind = (
+                places.get(name, str(name))
+                for places, name in ((self.zones, said.get("locality")), (self.kinds, said.get("flavor")))
+            )
             line = ident, zone, kind, int(said.get("cell", 0)), standing, share, started
         except (KeyError, TypeError, ValueError, AttributeError, OSError, OverflowError):
             warn("list entry", "not understood, ignored: {!r}", str(said)[:120])
--- a/sloeferry/net/flow.py
+++ b/sloeferry/net/flow.py
@@ -1,11 +1,12 @@
 """Bodies that are longer than what is held of them: they go on as they come, and nobody takes faster than the other
 side gives or wants.  Nothing is read that can't be written yet, so a body of any length costs a buffer."""
+
 from sloeferry import machine
 from sloeferry.core import facade as f
 from sloeferry.net import http1
 
-SLICE = 16384                            # bytes written at a time, each within the time that a write may take
-STALLED = 10.0                           # seconds without a byte from a backend whose answer has begun
+SLICE = 16384  # bytes written at a time, each within the time that a write may take
+STALLED = 10.0  # seconds without a byte from a backend whose answer has begun
 
 
 class Broken(Exception):
@@ -20,7 +21,7 @@
 
     def __init__(self, guest, message, facade, errand):
         self.guest, self.message, self.facade, self.errand = guest, message, facade, errand
-        self.left = errand.ends - f.clock()      # the time that there is from the last byte on
+        self.left = errand.ends - f.clock()  # the time that there is from the last byte on
         self.held, self.taken, self.bound, self.began, self.task = message.take(), None, False, None, None
         self.whole, message.flows = False, True  # whether its last byte has come
 
@@ -85,7 +86,7 @@
         while True:
             data = self.message.take()
             for at in range(0, len(data), SLICE):
-                piece = data[at:at + SLICE]
+                piece = data[at : at + SLICE]
                 await guest.send(http1.chunk(piece) if chunked else piece)
             if self.message.done:
                 break
--- a/sloeferry/net/handover.py
+++ b/sloeferry/net/handover.py
@@ -3,6 +3,7 @@
 The two share a listening socket that the platform holds, and a folder.  Each looks there several times a second who
 else lives and who of them serves.  From then on the rules' budgets are divided between them, without a word more.
 """
+
 import asyncio
 import hashlib
 
@@ -14,8 +15,8 @@
 from sloeferry.handover.folder import Folder
 from sloeferry.net.log import warn
 
-LOOK, WRITE = 0.2, 1.0                   # seconds between two looks, two snapshots
-READY_IN = 3.0                           # seconds that a new process waits for the list, where it has an older one
+LOOK, WRITE = 0.2, 1.0  # seconds between two looks, two snapshots
+READY_IN = 3.0  # seconds that a new process waits for the list, where it has an older one
 
 
 class Handover:
@@ -37,7 +38,7 @@
             try:
                 memory.taken(facade.proxy, self.memory)
                 logger.info("took over what the process before had learned")
-            except Exception as fault:   # it is a help, and no more
+            except Exception as fault:  # it is a help, and no more
                 logger.warning("snapshot not taken over: {!r}", fault)
         self.known = self.memory = None
         self.look()
@@ -55,7 +56,7 @@
             logger.info("{} more processes of this proxy, {} of them serve", alive, ready)
             if alive > self.alive:
                 self.facade.divided(alive + 1)
-            else:                        # what the one that has gone sent last still counts for its budgets
+            else:  # what the one that has gone sent last still counts for its budgets
                 self.loop.call_later(self.span, lambda: self.facade.divided(self.alive + 1))
             self.alive = alive
             for seats in (self.clients.seats, self.clients.backends.seats):
--- a/sloeferry/net/http1.py
+++ b/sloeferry/net/http1.py
@@ -1,4 +1,5 @@
 """HTTP/1.1 on one socket, with httptools.  What goes wrong is a value, never an exception."""
+
 import asyncio
 import errno
 import socket
@@ -10,34 +11,62 @@
 
 # Why there is no (further) message.
 CLOSED, MALFORMED, TOO_LARGE, UNWANTED, OVERDUE = "closed", "malformed", "too large", "unwanted", "overdue"
-DISMISSED = "dismissed"                  # no fault: a whole request, seen to before it was parsed
-KEPT, HEAD = 65536, 16384                # the most of a body that is held, and all else of a message
-LONGEST = 1 << 26                        # bytes of the longest body that is passed on
-FRAMING = 9                              # bytes of chunk lines that a byte of a body may bring along
-HOP = {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
-       b"expect", b"content-length"}     # headers that speak of one connection alone, or are written anew
-BARE = (204, 304)                        # answers that have no body, whatever their head says
+DISMISSED = "dismissed"  # no fault: a whole request, seen to before it was parsed
+KEPT, HEAD = 65536, 16384  # the most of a body that is held, and all else of a message
+LONGEST = 1 << 26  # bytes of the longest body that is passed on
+FRAMING = 9  # bytes of chunk lines that a byte of a body may bring along
+HOP = {
+    b"connection",
+    b"keep-alive",
+    b"proxy-connection",
+    b"te",
+    b"trailer",
+    b"transfer-encoding",
+    b"upgrade",
+    b"expect",
+    b"content-length",
+}  # headers that speak of one connection alone, or are written anew
+BARE = (204, 304)  # answers that have no body, whatever their head says
 
 
 class Message:
     """A request or an answer."""
-    __slots__ = ("url", "headers", "named", "parts", "size", "asks", "barred", "method", "status", "keep",
-                 "expects", "at", "headed", "done", "length", "old", "link", "flows")
+
+    __slots__ = (
+        "url",
+        "headers",
+        "named",
+        "parts",
+        "size",
+        "asks",
+        "barred",
+        "method",
+        "status",
+        "keep",
+        "expects",
+        "at",
+        "headed",
+        "done",
+        "length",
+        "old",
+        "link",
+        "flows",
+    )
 
     def __init__(self):
         self.url, self.headers, self.named, self.parts, self.size, self.asks = b"", [], {}, [], 0, None
         self.barred = self.link = None
         self.method, self.status, self.keep, self.expects, self.at = b"", 0, False, False, 0.0
-        self.headed = self.done = self.old = False       # its head is there; all of it is; it speaks HTTP/1.0
-        self.flows = False               # somebody takes it as it comes: at its end it is nobody's next one
-        self.length = None               # of its body, where its head tells
+        self.headed = self.done = self.old = False  # its head is there; all of it is; it speaks HTTP/1.0
+        self.flows = False  # somebody takes it as it comes: at its end it is nobody's next one
+        self.length = None  # of its body, where its head tells
 
     def header(self, name):
         """The one value of a header; None if it is missing or said twice."""
         return self.named.get(name)
 
     def body(self):
-        self.parts = [b"".join(self.parts)]      # not both: bodies are most of the memory
+        self.parts = [b"".join(self.parts)]  # not both: bodies are most of the memory
         return self.parts[0]
 
     def take(self):
@@ -76,8 +105,8 @@
     def on_header(self, name, value):
         message = self.message
         if message.headed:
-            return                       # a trailer: it must not pass for a header, of its own message or the next
-        name, value = name.lower(), value.strip(b" \t")      # blanks may stand at either end of a value
+            return  # a trailer: it must not pass for a header, of its own message or the next
+        name, value = name.lower(), value.strip(b" \t")  # blanks may stand at either end of a value
         message.headers.append((name, value))
         message.named[name] = None if name in message.named else value
         message.size += len(name) + len(value) + 4
@@ -105,7 +134,7 @@
             if not length.isdigit() or b"transfer-encoding" in named:
                 self.fail(MALFORMED)
             if len(length) > 9 or int(length) > self.most:
-                self.fail(TOO_LARGE)     # here: not a byte more of it is read
+                self.fail(TOO_LARGE)  # here: not a byte more of it is read
             message.length = int(length)
         if self.answers:
             message.status = self.parser.get_status_code()
@@ -113,7 +142,7 @@
             message.method = self.parser.get_method()
             message.expects = b"expect" in named and (named[b"expect"] or b"").lower() == b"100-continue"
             if self.wanted and not self.wanted(message):
-                self.fail(UNWANTED)      # before its body, which may be large or never come
+                self.fail(UNWANTED)  # before its body, which may be large or never come
 
     def on_body(self, data):
         self.beside = max(0, self.beside - (1 + FRAMING) * len(data))
@@ -127,7 +156,7 @@
     def on_message_complete(self):
         self.begun, self.message.at, self.message.done = False, machine.monotonic(), True
         if not 100 <= self.message.status < 200:
-            if not self.message.flows:   # taken once more it would be sent twice
+            if not self.message.flows:  # taken once more it would be sent twice
                 self.whole.append(self.message)
             self.beside = 0
 
@@ -154,9 +183,8 @@
         """Takes in what has been received; no bytes are an end.  Why nothing more will come, or None."""
         if not n:
             message = self.message
-            if (self.answers and self.unmeasured() and b"transfer-encoding" not in message.named
-                    and message.status not in BARE):
-                message.keep = False     # the end of the connection is its end; one that is cut off is reset
+            if self.answers and self.unmeasured() and b"transfer-encoding" not in message.named and message.status not in BARE:
+                message.keep = False  # the end of the connection is its end; one that is cut off is reset
                 self.on_message_complete()
             self.fault = CLOSED
             return self.fault
@@ -182,7 +210,7 @@
     def __init__(self, loop, sock, buffers, answers, stream=None, wanted=None, most=LONGEST, glance=None):
         super().__init__(answers, stream, wanted, most)
         self.loop, self.sock, self.buffers, self.glance = loop, sock, buffers, glance
-        self.filling = None              # a receive that goes on
+        self.filling = None  # a receive that goes on
 
     def close(self):
         super().close()
@@ -245,13 +273,26 @@
     the other side.  Closed without that they go on whenever they can, be it seconds later, with the end behind them."""
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    except OSError:                      # it has ended already
+    except OSError:  # it has ended already
         pass
 
 
 # connect(2): what tells of this machine, not of the one called.  It may have passed in a moment.
-OWN_WANT = frozenset({errno.EADDRNOTAVAIL, errno.EAGAIN, errno.EINTR, errno.EMFILE, errno.ENETDOWN, errno.ENETUNREACH,
-                      errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EACCES, errno.EPERM})
+OWN_WANT = frozenset(
+    {
+        errno.EADDRNOTAVAIL,
+        errno.EAGAIN,
+        errno.EINTR,
+        errno.EMFILE,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EACCES,
+        errno.EPERM,
+    }
+)
 
 
 async def dial(loop, address, patience):
@@ -271,7 +312,7 @@
         if fault.errno in OWN_WANT:
             raise
         return None
-    except BaseException:                # withdrawn while it dialled
+    except BaseException:  # withdrawn while it dialled
         sock.close()
         raise
 
@@ -294,15 +335,27 @@
     return opening(method, url, headers, len(body)) + b"\r\n" + body
 
 
-REASONS = {200: b"OK", 202: b"Accepted", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout", 413: b"Content Too Large",
-           409: b"Conflict", 503: b"Service Unavailable", 504: b"Gateway Timeout"}
+REASONS = {
+    200: b"OK",
+    202: b"Accepted",
+    400: b"Bad Request",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    409: b"Conflict",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
 
 
 def answer(status, body=b"", headers=(), keep=True, framing=None):
     """An answer; with `framing`, its header lines about that, only the head of one whose body follows."""
-    head = [b"HTTP/1.1 %d %b" % (status, REASONS[status]),
-            *([b"Content-Length: %d" % len(body)] if framing is None else framing),
-            *(b"%b: %b" % h for h in headers)]
+    head = [
+        b"HTTP/1.1 %d %b" % (status, REASONS[status]),
+        *([b"Content-Length: %d" % len(body)] if framing is None else framing),
+        *(b"%b: %b" % h for h in headers),
+    ]
     if not keep:
         head.append(b"Connection: close")
     return b"\r\n".join(head) + b"\r\n\r\n" + body
--- a/sloeferry/net/lobby.py
+++ b/sloeferry/net/lobby.py
@@ -7,14 +7,15 @@
 may take.  A request that is to be turned away and is there already is read here by a plain recv_into, the one
 exception from asyncio's calls: it happens while the door is shut, and only where epoll has said that bytes wait.
 """
+
 import select
 from collections import deque
 
 from sloeferry import machine
 from sloeferry.net import http1
 
-EVERY = 0.003                            # seconds between two looks
-LATEST = 512                             # events taken in a look
+EVERY = 0.003  # seconds between two looks
+LATEST = 512  # events taken in a look
 
 
 class Lobby:
@@ -51,7 +52,7 @@
         self.timer = None
         try:
             self.deal(machine.monotonic(), self.facade.door)
-        finally:                         # whatever fails, nobody waits here for ever
+        finally:  # whatever fails, nobody waits here for ever
             if self.parked and self.timer is None:
                 self.timer = self.loop.call_later(EVERY, self.look)
 
@@ -62,7 +63,7 @@
         if not door.shut():
             return self.open()
         waiting, longest, room = self.waiting, door.patience / 1000, door.room()
-        while waiting and room > 0:      # counted down here: those let in are taken on only once they are read
+        while waiting and room > 0:  # counted down here: those let in are taken on only once they are read
             room -= self.go(waiting.pop()[1])
         while waiting and waiting[0][0] < now - longest:
             # Rule 1: whatever turning away may cost, nobody is left without an answer until expiry.
@@ -98,10 +99,10 @@
                     guest.since, guest.fresh = machine.monotonic(), False
                     self.epoll.modify(fd, select.EPOLLIN | select.EPOLLONESHOT)
                     return
-                n = 0                    # it takes nothing more: it ends as one that has closed
+                n = 0  # it takes nothing more: it ends as one that has closed
             guest.wire.feed(buffer, n)
         except (BlockingIOError, InterruptedError):
-            pass                         # nothing there after all: it reads as ever
+            pass  # nothing there after all: it reads as ever
         except OSError:
             guest.wire.fault = http1.CLOSED
         finally:
--- a/sloeferry/net/values.py
+++ b/sloeferry/net/values.py
@@ -1,4 +1,5 @@
 """JSON values out of a stream: one a line, or each over as many lines as its writer likes.  No socket here."""
+
 import codecs
 import json
 import re
@@ -6,7 +7,7 @@
 # Where an object may have ended: nothing follows, or the next one.  Within an object a comma or a bracket would.
 ENDED = re.compile(r"}\s*(?:{|\Z)")
 LAST_WORD = re.compile(r"[\w.+-]*\s*\Z")
-first = json.JSONDecoder().raw_decode    # of a text: the value that it begins with, and where that ends
+first = json.JSONDecoder().raw_decode  # of a text: the value that it begins with, and where that ends
 
 
 class Values:
@@ -19,7 +20,9 @@
     def cut(self, fault):
         """Whether the text may just go on: it ends where the fault is, or in the middle of a word, a number or a string
         (which can't hold the end of a line)."""
-        in_string = fault.msg.startswith("Unterminated") or fault.msg.startswith("Invalid \\") and "\n" not in self.held[fault.pos:]
+        in_string = (
+            fault.msg.startswith("Unterminated") or fault.msg.startswith("Invalid \\") and "\n" not in self.held[fault.pos :]
+        )
         return in_string or LAST_WORD.match(self.held, fault.pos) is not None
 
     def feed(self, data):
--- a/sloeferry/operators.py
+++ b/sloeferry/operators.py
@@ -1,5 +1,6 @@
 """The operators' own file: which subsystems that the platform knows nothing of are on.  Its path is in
 SLOEFERRY_OPERATOR; without it nothing of them is imported.  A table a subsystem; a fault names its key."""
+
 from sloeferry import tables
 from sloeferry.terms import Fault
 
--- a/sloeferry/ops/cli.py
+++ b/sloeferry/ops/cli.py
@@ -1,4 +1,5 @@
 """`sloeferry ops`: the operators' calls from a shell.  Exit 0 where the answer is yes, 1 where it is no."""
+
 import http.client
 import json
 import sys
@@ -8,7 +9,7 @@
 from sloeferry.faults import Unusable
 from sloeferry.terms import Fault, address
 
-PATIENCE = 5.0                           # seconds; an answer is due within one
+PATIENCE = 5.0  # seconds; an answer is due within one
 
 
 def asked(method, path, at):
--- a/sloeferry/ops/duty.py
+++ b/sloeferry/ops/duty.py
@@ -4,8 +4,8 @@
 the state: whether a list of backends is at hand, whether operators sent the clients away, whether SIGTERM came; and
 how many other processes serve beside this one on the same listening socket.  Times in float ms, monotonic.
 """
-STARTING, SERVING, QUIESCING, QUIET, LEAVING, REPLACED = (
-    "starting", "serving", "quiescing", "quiet", "leaving", "replaced")
+
+STARTING, SERVING, QUIESCING, QUIET, LEAVING, REPLACED = ("starting", "serving", "quiescing", "quiet", "leaving", "replaced")
 # After a drain began, in ms: until then new connections may come, and clients go on using what they have; each answer
 # tells them to close it, which loses nothing.  From then on the idle are let go, each of which may cross a request.
 CROSSING = 1200.0
@@ -14,8 +14,8 @@
 class Duty:
     def __init__(self):
         self.listed, self.leaving, self.quiesced = False, False, None
-        self.companions = 0              # other processes of this proxy that serve
-        self.heeds = []                  # called at once when any of the first three changes
+        self.companions = 0  # other processes of this proxy that serve
+        self.heeds = []  # called at once when any of the first three changes
 
     def change(self, **facts):
         before = self.listed, self.leaving, self.quiesced
--- a/sloeferry/rehearsal/bank.py
+++ b/sloeferry/rehearsal/bank.py
@@ -2,6 +2,7 @@
 
 The same for the rehearsal's own loop and for a real one; `House` says what differs between the two.
 """
+
 import json
 import math
 import pathlib
@@ -14,18 +15,19 @@
 from sloeferry.standins.nodes import Memory, Node
 from sloeferry.standins.roster import Roster
 
-READY = 30.0                             # seconds until a play begins whoever is ready
-LONGEST = 3.7                            # seconds from SIGTERM to SIGKILL
+READY = 30.0  # seconds until a play begins whoever is ready
+LONGEST = 3.7  # seconds from SIGTERM to SIGKILL
 
 
 class House(Protocol):
     """Where the stand-ins run."""
-    loop: object                         # of whoever causes the troubles
-    folder: str                          # where proxies' configurations stand
+
+    loop: object  # of whoever causes the troubles
+    folder: str  # where proxies' configurations stand
 
     def rng(self, what: str): ...
     def unix(self) -> float: ...
-    def place(self, name: str, address: tuple, zone: str | None): ...      # the loop of one who stands there
+    def place(self, name: str, address: tuple, zone: str | None): ...  # the loop of one who stands there
     def cut(self, address: tuple, so: bool) -> None: ...
     def proxy(self, bank, at: int): ...  # a proxy: start, kill, leave, stop(seconds), starve(share), renew
 
@@ -65,8 +67,14 @@
         self.places = [(f"p{at}", (spot(10, at), port), zones[at % len(zones)]) for at in range(scenario.bank.proxies)]
         self.judge.proxies = {name: zone for name, _, zone in self.places}
         lists = {name: (spot(30, 0), port + 500 + at) for at, (name, _, _) in enumerate(self.places)}
-        self.roster = Roster(house.place("roster", (spot(30, 0), 0), zones[0]), scenario.discovery, lists, self.judge,
-                             house.rng("roster"), house.unix)
+        self.roster = Roster(
+            house.place("roster", (spot(30, 0), 0), zones[0]),
+            scenario.discovery,
+            lists,
+            self.judge,
+            house.rng("roster"),
+            house.unix,
+        )
         self.memories = {}
         self.nodes, self.made = [], 0
         for told, zone in expand(scenario):
@@ -85,8 +93,17 @@
         ident = f"s-{at:04x}"
         # A scheme's group says who remembers its repeats: all nodes, or those of one zone.
         memories = {group: self.memories.setdefault(where, Memory()) for group, where in (("all", ""), ("zone", zone))}
-        return Node(self.house.place(ident, address, zone), told, ident, address, zone, self.judge, memories,
-                    self.scenario.obligations, self.house.rng(f"node-{at}"))
+        return Node(
+            self.house.place(ident, address, zone),
+            told,
+            ident,
+            address,
+            zone,
+            self.judge,
+            memories,
+            self.scenario.obligations,
+            self.house.rng(f"node-{at}"),
+        )
 
     def settings(self, at):
         """What the platform tells the proxy of that number, times in microseconds."""
@@ -94,20 +111,40 @@
         cold_s, cold_from = told.cold()
         schemes = [platform.scheme(s.name, s.kind, s.sla_ms, s.expiry_ms, s.gain, s.group, s.window_ms) for s in told.scheme]
         return platform.settings(
-            schemes, [(c.name, c.share) for c in told.customer], instances=told.bank.proxies, ordinal=at,
-            zones=told.network.zones, kinds={nodes.kind for nodes in told.nodes}, discovery=told.discovery.mode,
-            idle_s=min((n.idle_s for n in told.nodes), default=30.0), cold_s=cold_s, cold_from=cold_from,
-            drain_grace_ms=told.obligations.drain_grace_ms, fall_ms=told.obligations.fall_ms,
-            fall_multiple=told.obligations.fall_multiple, must_ask_in_s=told.discovery.patience_s,
-            cross_zone=told.prices.cross, probe=told.prices.probe)
+            schemes,
+            [(c.name, c.share) for c in told.customer],
+            instances=told.bank.proxies,
+            ordinal=at,
+            zones=told.network.zones,
+            kinds={nodes.kind for nodes in told.nodes},
+            discovery=told.discovery.mode,
+            idle_s=min((n.idle_s for n in told.nodes), default=30.0),
+            cold_s=cold_s,
+            cold_from=cold_from,
+            drain_grace_ms=told.obligations.drain_grace_ms,
+            fall_ms=told.obligations.fall_ms,
+            fall_multiple=told.obligations.fall_multiple,
+            must_ask_in_s=told.discovery.patience_s,
+            cross_zone=told.prices.cross,
+            probe=told.prices.probe,
+        )
 
     def berth(self, at, seed):
         """The configuration of the proxy of that number, as the platform writes it."""
         name, address, _ = self.places[at]
         bank = self.scenario.bank
-        return platform.berth(name, address, self.roster.addresses[name], self.settings(at), seed=seed,
-                              sockets=bank.sockets, memory_mb=bank.memory_mb, cores=bank.share,
-                              ops=(address[0], address[1] + OPS), known=self.roster.known_to(name))
+        return platform.berth(
+            name,
+            address,
+            self.roster.addresses[name],
+            self.settings(at),
+            seed=seed,
+            sockets=bank.sockets,
+            memory_mb=bank.memory_mb,
+            cores=bank.share,
+            ops=(address[0], address[1] + OPS),
+            known=self.roster.known_to(name),
+        )
 
     async def open(self):
         """Nodes, warm ones, and discovery."""
--- a/sloeferry/rehearsal/baselines.py
+++ b/sloeferry/rehearsal/baselines.py
@@ -23,8 +23,15 @@
         """As Board.choose: the backend, the odds of its answer in time, and how long is expected."""
         board, rules, work = self.board, self.p.rules, txn.scheme.typical()
         board.usable(now)
-        fit = [b for b in board.open if b.ident not in board.sick and rules.list_usable(now)
-               and b not in leave_out and rules.drops_repeats(txn, b) and rules.cold_room(b, now, work)]
+        fit = [
+            b
+            for b in board.open
+            if b.ident not in board.sick
+            and rules.list_usable(now)
+            and b not in leave_out
+            and rules.drops_repeats(txn, b)
+            and rules.cold_room(b, now, work)
+        ]
         if not fit:
             return None, 0.0, 0.0
         b = self.pick(fit, now)
--- a/sloeferry/rehearsal/cli.py
+++ b/sloeferry/rehearsal/cli.py
@@ -1,4 +1,5 @@
 """`sloeferry rehearse`: what is typed, checked and handed on."""
+
 import json
 import pathlib
 import statistics
@@ -26,6 +27,7 @@
     def show(now, bank):
         ended = sum(1 for ask in bank.judge.asks if ask.how)
         click.echo(f"\r{text}: {now:5.1f} s played in {time.monotonic() - begun:.0f} s, {ended} txns ended ", nl=False, err=True)
+
     return show
 
 
@@ -33,8 +35,10 @@
     """A line for each that `kind`, a module of scenarios or of plans, has shipped."""
     for name in kind.shipped():
         told = kind.read(name)
-        click.echo(f"{name:{wide}s} {told.seconds:4.0f} s  {told.bank.proxies:3d} proxies  "
-                   f"{sum(nodes.count for nodes in told.nodes):3d} nodes  {told.about}")
+        click.echo(
+            f"{name:{wide}s} {told.seconds:4.0f} s  {told.bank.proxies:3d} proxies  "
+            f"{sum(nodes.count for nodes in told.nodes):3d} nodes  {told.about}"
+        )
 
 
 def clear():
@@ -47,17 +51,22 @@
     service, txns = record["service"], record["txns"]
     parts = " ".join(f"{key} {value:.3f}" for key, value in service.items() if isinstance(value, float) and key != "total")
     prices = " ".join(f"{key} {value:.3f}" for key, value in service["prices"].items())
-    lines = [f"{record['scenario']}, seed {record['seed']}, {record['policy']}: service {service['total']:.3f}",
-             f"  {parts}; prices: {prices}",
-             "  txns: " + ", ".join(f"{value} {key.replace('_', ' ')}" for key, value in txns.items() if value),
-             "  seconds  asked  service  declined  reversed"]
+    lines = [
+        f"{record['scenario']}, seed {record['seed']}, {record['policy']}: service {service['total']:.3f}",
+        f"  {parts}; prices: {prices}",
+        "  txns: " + ", ".join(f"{value} {key.replace('_', ' ')}" for key, value in txns.items() if value),
+        "  seconds  asked  service  declined  reversed",
+    ]
     for window in record["windows"]:
         share = "      -" if window["service"] is None else f"{window['service']:7.3f}"
-        lines.append(f"  {window['at']:3.0f}-{window['at'] + WINDOW:3.0f}  {window['asked']:5d}  {share}"
-                     f"  {window['declined']:8d}  {window['reversed']:8d}")
+        lines.append(
+            f"  {window['at']:3.0f}-{window['at'] + WINDOW:3.0f}  {window['asked']:5d}  {share}"
+            f"  {window['declined']:8d}  {window['reversed']:8d}"
+        )
     broken = {rule: count for rule, count in record["rules"].items() if count}
-    lines.append("  rules kept" if not broken else "  RULES BROKEN: " + ", ".join(
-        f"{rule}: {count}" for rule, count in broken.items()))
+    lines.append(
+        "  rules kept" if not broken else "  RULES BROKEN: " + ", ".join(f"{rule}: {count}" for rule, count in broken.items())
+    )
     lines += [f"    {text}" for text in record["breaches"]]
     lines += [f"  fault in a process: {text}" for text in record["faults"]]
     return "\n".join(lines)
@@ -76,10 +85,20 @@
 @click.argument("scenario")
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
 @click.option("--live", is_flag=True, help="Real daemons on loopback, in real time.")
-@click.option("--policy", type=click.Choice(POLICIES), default="design", show_default=True,
-              help="A baseline in the place of the design; not live.")
-@click.option("--chance", type=click.IntRange(0), default=0, show_default=True,
-              help="The same day with other luck: of the network and the proxies alone; not live.")
+@click.option(
+    "--policy",
+    type=click.Choice(POLICIES),
+    default="design",
+    show_default=True,
+    help="A baseline in the place of the design; not live.",
+)
+@click.option(
+    "--chance",
+    type=click.IntRange(0),
+    default=0,
+    show_default=True,
+    help="The same day with other luck: of the network and the proxies alone; not live.",
+)
 @click.option("--record", type=click.Path(dir_okay=False, path_type=pathlib.Path), help="Where the record is written, as JSON.")
 @click.option("--json", "as_json", is_flag=True, help="The record on standard output.")
 @click.option("--log", is_flag=True, help="The proxies' log on standard error.")
@@ -94,9 +113,11 @@
         raise s.Fault(f"--record: {record.parent} is no folder")
     if live:
         from sloeferry.rehearsal.live import play
+
         said = play(told, seed, progress(told.name), show)
     else:
         from sloeferry.rehearsal.play import play
+
         said = play(told, seed, policy, progress(told.name), show, chance)
     clear()
     text = json.dumps(said, indent=1, sort_keys=True) + "\n"
@@ -116,8 +137,10 @@
 def check(scenario):
     """Reads and checks SCENARIO; exit 2 and one line where it can't be played."""
     told = s.read(scenario)
-    click.echo(f"{told.name}: {told.seconds:g} s, {told.bank.proxies} proxies, {sum(n.count for n in told.nodes)} nodes, "
-               f"{len(told.trouble)} troubles: good")
+    click.echo(
+        f"{told.name}: {told.seconds:g} s, {told.bank.proxies} proxies, {sum(n.count for n in told.nodes)} nodes, "
+        f"{len(told.trouble)} troubles: good"
+    )
 
 
 def span(text):
@@ -145,12 +168,12 @@
 def compare(scenario, seeds, vs, as_json):
     """Plays SCENARIO with the design and with a baseline, seed by seed, and tells the difference and its noise."""
     from sloeferry.rehearsal.play import play
+
     told, pairs = s.read(scenario), []
     for seed in span(seeds):
         pair = [play(told, seed, policy, progress(f"{told.name} {seed} {policy}")) for policy in ("design", vs)]
         clear()
-        pairs.append((seed, *[one["service"]["total"] for one in pair],
-                      *[sum(one["rules"].values()) for one in pair]))
+        pairs.append((seed, *[one["service"]["total"] for one in pair], *[sum(one["rules"].values()) for one in pair]))
     mean, off = noise([ours - other for _, ours, other, _, _ in pairs])
     if as_json:
         click.echo(json.dumps({"scenario": told.name, "vs": vs, "pairs": pairs, "mean": mean, "noise": off}))
