--- a/sloeferry/rehearsal/judge.py
+++ b/sloeferry/rehearsal/judge.py
@@ -3,6 +3,7 @@
 Callers, nodes and discovery tell it what they send and see, with the time; the proxies' own word is not heard.
 Free of I/O.
 """
+
 from dataclasses import dataclass, field
 from math import log, sqrt
 from random import Random
@@ -10,27 +11,28 @@
 from sloeferry.standins.frames import content
 from sloeferry.rehearsal.scenario import BadTxns, Heavy, Waits
 
-WINDOW = 5.0                             # seconds
+WINDOW = 5.0  # seconds
 RULES = ("1", "2", "3", "4", "protocol", "drain", "crash")
-TEXTS = 20                               # breaches that are kept in words
+TEXTS = 20  # breaches that are kept in words
 
 
 @dataclass(slots=True)
 class Ask:
     """One txn as its client means it; drawn ahead."""
+
     number: int
-    at: float                            # seconds from the start
+    at: float  # seconds from the start
     scheme: int
     customer: int
     client: int
     work: float
-    patience: float                      # part of the expiry that a try is given
+    patience: float  # part of the expiry that a try is given
     leaves: bool
     drips: bool
     honours: bool
-    bad: bool = False                    # errs at any node, worth nothing
+    bad: bool = False  # errs at any node, worth nothing
     first: float = 0.0
-    how: str = ""                        # how it ended
+    how: str = ""  # how it ended
     ended: float = 0.0
     tries: int = 0
 
@@ -38,6 +40,7 @@
 @dataclass(slots=True)
 class Try:
     """One request: an id of its own."""
+
     ask: Ask
     ends: float
     proxy: str
@@ -56,8 +59,9 @@
     begun, found, pieces = 0.0, [], list(scenario.callers.curve)
     if sum(length for length, _ in pieces) < scenario.seconds:
         pieces.append((scenario.seconds, pieces[-1][1]))
-    weights = [1 / (1 + scenario.callers.skew) ** (client % len(scenario.network.zones))
-               for client in range(scenario.callers.clients)]
+    weights = [
+        1 / (1 + scenario.callers.skew) ** (client % len(scenario.network.zones)) for client in range(scenario.callers.clients)
+    ]
     for length, rate in pieces:
         at, end = begun, min(begun + length, scenario.seconds)
         while rate and (at := at + rng.expovariate(rate)) < end:
@@ -67,19 +71,32 @@
             work = told.work_ms * (rng.lognormvariate(*shape(told.spread)) if told.spread else 1.0)
             bad = False
             for trouble in drawn:
-                if (strikes(trouble, told, customers[customer:customer + 1])
-                        and trouble.at <= at < trouble.at + trouble.lasts and rng.random() < trouble.part):
+                if (
+                    strikes(trouble, told, customers[customer : customer + 1])
+                    and trouble.at <= at < trouble.at + trouble.lasts
+                    and rng.random() < trouble.part
+                ):
                     if isinstance(trouble, Heavy):
                         work *= trouble.times
                     elif isinstance(trouble, Waits):
                         work += trouble.ms
                     else:
                         bad = True
-            found.append(Ask(len(found), at, scheme, customer,
-                             rng.choices(range(scenario.callers.clients), weights)[0], work, rng.uniform(low, high),
-                             rng.random() < scenario.callers.impatient,
-                             bool(scenario.callers.drip_ms) and rng.random() < 0.125,
-                             rng.random() < scenario.callers.honour, bad))
+            found.append(
+                Ask(
+                    len(found),
+                    at,
+                    scheme,
+                    customer,
+                    rng.choices(range(scenario.callers.clients), weights)[0],
+                    work,
+                    rng.uniform(low, high),
+                    rng.random() < scenario.callers.impatient,
+                    bool(scenario.callers.drip_ms) and rng.random() < 0.125,
+                    rng.random() < scenario.callers.honour,
+                    bad,
+                )
+            )
         begun += length
         if begun >= scenario.seconds:
             break
@@ -102,6 +119,7 @@
 @dataclass
 class Judge:
     """`proxies`: the zone of each."""
+
     scenario: object
     asks: list
     begin: float = 0.0
@@ -110,7 +128,7 @@
     def __post_init__(self):
         self.tries, self.breaches, self.texts = {}, dict.fromkeys(RULES, 0), []
         self.gone, self.deemed, self.killed, self.stops = {}, {}, {}, {}
-        self.launched, self.heard, self.fallen = {}, {}, 0       # node -> when it started cold, in both clocks
+        self.launched, self.heard, self.fallen = {}, {}, 0  # node -> when it started cold, in both clocks
         self.work_done = self.probe_work = 0.0
         self.probes = self.crossings = self.postings = self.repeats = 0
         self.choked_nodes = {}
@@ -120,8 +138,9 @@
     def breach(self, rule, now, text):
         self.breaches[rule] += 1
         if len(self.texts) < TEXTS:
-            self.texts.append(f"{now - self.begin:9.4f} rule {rule}: {text}" if rule.isdigit()
-                              else f"{now - self.begin:9.4f} {rule}: {text}")
+            self.texts.append(
+                f"{now - self.begin:9.4f} rule {rule}: {text}" if rule.isdigit() else f"{now - self.begin:9.4f} {rule}: {text}"
+            )
 
     # The ledger, for nodes
 
@@ -213,10 +232,11 @@
 
     def stood(self, found):
         """Whether its proxy's machine stood still at its expiry, or for half of its time: nobody can answer then."""
-        spans = [(min(until, found.ends) - max(since, found.at), since <= found.ends <= until + self.slack)
-                 for since, until in self.stops.get(found.proxy, ())]
-        return (any(at_end for _, at_end in spans)
-                or sum(max(0.0, span) for span, _ in spans) >= (found.ends - found.at) / 2)
+        spans = [
+            (min(until, found.ends) - max(since, found.at), since <= found.ends <= until + self.slack)
+            for since, until in self.stops.get(found.proxy, ())
+        ]
+        return any(at_end for _, at_end in spans) or sum(max(0.0, span) for span, _ in spans) >= (found.ends - found.at) / 2
 
     def ended(self, ask, how, now):
         ask.how, ask.ended = how, now
@@ -302,8 +322,10 @@
     def fell(self, node, now, warmth, sent):
         """Rule 4 holds against those who could know: two thirds of the work came from who was told."""
         self.fallen += 1
-        if sum(work for then, work, ident in sent if self.knew_start(node, ident, then)) >= sum(
-                work for _, work, _ in sent) * 2 / 3:
+        if (
+            sum(work for then, work, ident in sent if self.knew_start(node, ident, then))
+            >= sum(work for _, work, _ in sent) * 2 / 3
+        ):
             self.breach("4", now, f"{node} fell over at {warmth:.2f} of its capacity")
 
     def was_killed(self, proxy, now):
@@ -332,42 +354,66 @@
         for ask in asks:
             windows[min(int(ask.at // WINDOW), len(windows) - 1)].append(ask)
         pairs = [a + b for a, b in zip(windows, windows[1:])] or windows
-        enough = len(asks) / len(windows) / 4        # a window with next to nobody is no worst one
+        enough = len(asks) / len(windows) / 4  # a window with next to nobody is no worst one
         parts = {
             "whole": self.share(asks),
             "worst_10s": least(self.share(pair) for pair in pairs if len(pair) >= enough),
             "worst_scheme": least(self.share([a for a in asks if a.scheme == at]) for at in range(len(scenario.scheme))),
-            "worst_customer": least(self.share([a for a in asks if a.customer == at])
-                                    for at in range(max(1, len(scenario.customer))))}
+            "worst_customer": least(
+                self.share([a for a in asks if a.customer == at]) for at in range(max(1, len(scenario.customer)))
+            ),
+        }
         weights = {key: getattr(scenario.goal, key) for key in parts}
         total = sum(weights.values())
         count, prices = max(1, len(asks)), scenario.prices
         gain = self.gain(asks) or 1.0
-        late = self.gain(a for a in asks if a.how not in ("settled", "left")
-                         and a.ended - a.first > scenario.scheme[a.scheme].sla_ms / 1000)
+        late = self.gain(
+            a for a in asks if a.how not in ("settled", "left") and a.ended - a.first > scenario.scheme[a.scheme].sla_ms / 1000
+        )
         useful = sum(a.work for a in asks if a.how == "settled")
         asked = sum(a.work for a in asks) or 1.0
-        prices = {"waste": prices.waste * max(0.0, self.work_done + self.probe_work - useful) / asked,
-                  "late": prices.late * late / gain, "cross": prices.cross * self.crossings / count,
-                  "probe": prices.probe * self.probes / count}
+        prices = {
+            "waste": prices.waste * max(0.0, self.work_done + self.probe_work - useful) / asked,
+            "late": prices.late * late / gain,
+            "cross": prices.cross * self.crossings / count,
+            "probe": prices.probe * self.probes / count,
+        }
         # Where nobody asked anything, nothing was left undone.
         mixed = sum(weights[key] * (1.0 if parts[key] is None else parts[key]) for key in parts) / total
         hows = [a.how for a in asks]
         return {
             "scenario": scenario.name,
-            "service": {"total": near(mixed - sum(prices.values())),
-                        **{key: near(value) for key, value in parts.items()},
-                        "prices": {key: near(value) for key, value in prices.items()}},
-            "rules": dict(self.breaches), "breaches": self.texts,
-            "windows": [{"at": near(at * WINDOW), "asked": len(window), "service": near(self.share(window)),
-                         **{how: sum(a.how == how for a in window) for how in ("settled", "declined", "reversed")}}
-                        for at, window in enumerate(windows)],
-            "txns": {"asked": len(asks), "in_time": sum(map(self.in_time, asks)),
-                     **{how: hows.count(how) for how in ("settled", "declined", "reversed", "lost", "killed", "left",
-                                                         "untaken", "late")},
-                     "tries": sum(a.tries for a in asks), "postings": self.postings, "runs_again": self.repeats,
-                     "probes": self.probes, "crossings": self.crossings},
-            "nodes": {"choked": len(self.choked_nodes), "fell": self.fallen, "work_s": near(self.work_done / 1000)}}
+            "service": {
+                "total": near(mixed - sum(prices.values())),
+                **{key: near(value) for key, value in parts.items()},
+                "prices": {key: near(value) for key, value in prices.items()},
+            },
+            "rules": dict(self.breaches),
+            "breaches": self.texts,
+            "windows": [
+                {
+                    "at": near(at * WINDOW),
+                    "asked": len(window),
+                    "service": near(self.share(window)),
+                    **{how: sum(a.how == how for a in window) for how in ("settled", "declined", "reversed")},
+                }
+                for at, window in enumerate(windows)
+            ],
+            "txns": {
+                "asked": len(asks),
+                "in_time": sum(map(self.in_time, asks)),
+                **{
+                    how: hows.count(how)
+                    for how in ("settled", "declined", "reversed", "lost", "killed", "left", "untaken", "late")
+                },
+                "tries": sum(a.tries for a in asks),
+                "postings": self.postings,
+                "runs_again": self.repeats,
+                "probes": self.probes,
+                "crossings": self.crossings,
+            },
+            "nodes": {"choked": len(self.choked_nodes), "fell": self.fallen, "work_s": near(self.work_done / 1000)},
+        }
 
 
 def name(ident):
--- a/sloeferry/rehearsal/live.py
+++ b/sloeferry/rehearsal/live.py
@@ -3,6 +3,7 @@
 What a virtual network can do and loopback can't: latencies, bytes in pieces, machines that are cut off (their nodes
 say nothing here, but their connections come up).  All processes started here are ended here, by id.
 """
+
 import asyncio
 import os
 import pathlib
@@ -18,7 +19,7 @@
 from sloeferry.standins import processes
 from sloeferry.standins.processes import Throttle, free_ports
 
-MOST, SECONDS = 16, 600                  # proxies, and length of a play, that a machine is asked to carry
+MOST, SECONDS = 16, 600  # proxies, and length of a play, that a machine is asked to carry
 
 
 class Street:
@@ -36,7 +37,7 @@
         return self.loop
 
     def cut(self, address, so):
-        pass                             # the node itself says nothing
+        pass  # the node itself says nothing
 
     def proxy(self, bank, at):
         return Daemon(self, bank, at)
@@ -68,8 +69,13 @@
         words, environ, folder = self.house.command(self)
         with open(self.path.with_suffix(".log"), "ab") as log:
             process = self.process = await asyncio.create_subprocess_exec(
-                *words, env={**environ, "BALANCER_CONFIG": str(self.path)}, stderr=log, cwd=folder,
-                stdin=asyncio.subprocess.DEVNULL, start_new_session=True)
+                *words,
+                env={**environ, "BALANCER_CONFIG": str(self.path)},
+                stderr=log,
+                cwd=folder,
+                stdin=asyncio.subprocess.DEVNULL,
+                start_new_session=True,
+            )
         self.house.placed(process)
         self.starve(self.share)
         self.bank.front.started(self.name)
--- a/sloeferry/rehearsal/network.py
+++ b/sloeferry/rehearsal/network.py
@@ -4,6 +4,7 @@
 write on, for the stand-ins.  What is in flight arrives in order.  A host that is cut off says nothing: its connections
 stand, and nothing comes or goes.
 """
+
 import asyncio
 import errno
 import os
@@ -11,8 +12,8 @@
 import socket
 from collections import deque
 
-SENT = 131072                            # bytes that may be under way or unread on a connection, each way
-LATER = 1.0                              # seconds until a connect that found a full table is tried again
+SENT = 131072  # bytes that may be under way or unread on a connection, each way
+LATER = 1.0  # seconds until a connect that found a full table is tried again
 BLOCKED = BlockingIOError(errno.EAGAIN, os.strerror(errno.EAGAIN))
 
 
@@ -33,7 +34,7 @@
 
     def __init__(self, world, same=0.0002, cross=0.001, client=0.0, jitter=0.0, pieces=0.0):
         self.world, self.same, self.cross, self.jitter, self.pieces = world, same, cross, jitter, pieces
-        self.client = client             # more, to and from callers' hosts (zone None)
+        self.client = client  # more, to and from callers' hosts (zone None)
         self.hosts, self.listeners, self.socks, self.fds = {}, {}, {}, 100
         self.rng, self.bytes, self.ports = world.rng("network"), 0, 32768
 
@@ -51,7 +52,7 @@
     def syn(self, sock, address, tries=0):
         target = self.hosts.get(address[0])
         if target is None or sock.closed:
-            return                       # no such machine: nothing ever comes back
+            return  # no such machine: nothing ever comes back
         late = self.latency(sock.process.host, target)
         self.world.at(sock.process.time() + late, self.arrive, sock, target, address, late, tries)
 
@@ -87,7 +88,7 @@
         if peer.process.host.cut or sock.process.host.cut:
             return
         if peer.closed:
-            if kind == "data":           # nobody is there any more: said so, without a socket
+            if kind == "data":  # nobody is there any more: said so, without a socket
                 self.world.after(self.latency(peer.process.host, sock.process.host), sock.broke)
             return
         if kind == "data":
@@ -203,7 +204,7 @@
                 raise
             if not chunk:
                 break
-            buffer[n:n + len(chunk)] = chunk
+            buffer[n : n + len(chunk)] = chunk
             n += len(chunk)
         return n
 
@@ -245,7 +246,7 @@
                     self.net.carry(self, "reset")
                 elif not self.ended:
                     self.net.carry(self, "end")
-            elif self.peer is not None and not self.fault:       # it was still coming up
+            elif self.peer is not None and not self.fault:  # it was still coming up
                 self.peer.broke()
         else:
             if self.net.listeners.get(self.address) is self:
@@ -321,7 +322,7 @@
     def stir(self):
         """Something may be read: whoever waits for that is told once its process comes to it."""
         if self.epoll is not None:
-            self.epoll.stir(self)        # the kernel's own, which needs no process
+            self.epoll.stir(self)  # the kernel's own, which needs no process
         if not self.stirred and (self.reader is not None or self.call):
             self.stirred = True
             self.process.came(self.react)
@@ -347,7 +348,7 @@
     def until_readable(self):
         self.check()
         self.reader = self.process.create_future()
-        if self.readable():              # it came between the look and this
+        if self.readable():  # it came between the look and this
             self.stir()
         return self.reader
 
@@ -444,7 +445,7 @@
     def flush(self):
         while self.rest and not self.over:
             try:
-                self.rest = self.rest[self.sock.send(self.rest):]
+                self.rest = self.rest[self.sock.send(self.rest) :]
             except BlockingIOError:
                 self.sock.writer = self.flush
                 return
--- a/sloeferry/rehearsal/play.py
+++ b/sloeferry/rehearsal/play.py
@@ -1,4 +1,5 @@
 """One play in virtual time: the daemon's own code, as many proxies as the scenario says, and everybody else."""
+
 import signal
 import sys
 import tempfile
@@ -12,8 +13,8 @@
 from sloeferry.rehearsal.scenario import moment
 from sloeferry.rehearsal.world import BEGIN, Process, World
 
-EPOCH = 1767225600.0                     # Unix time at the start where the scenario says none
-CALLS = {"read": 2, "write": 2, "dial": 3, "accept": 2}      # what calls cost, in parts of a txn's four calls
+EPOCH = 1767225600.0  # Unix time at the start where the scenario says none
+CALLS = {"read": 2, "write": 2, "dial": 3, "accept": 2}  # what calls cost, in parts of a txn's four calls
 
 
 class Virtual:
@@ -90,7 +91,7 @@
 
     def overdue(self, process):
         if not process.dead and process is self.process:
-            process.kill()               # what it still had is lost, and counts as lost
+            process.kill()  # what it still had is lost, and counts as lost
             self.start()
 
     def stop(self, seconds):
@@ -129,9 +130,13 @@
         world, log = house.world, Log(show)
         logger.remove()
         logger.add(log, level="INFO", format="{message}", catch=False)
-        real = machine.stand_in(monotonic=world.monotonic, unix=world.unix, tcp=house.net.sock,
-                                epoll=lambda: Epoll(house.net),
-                                ended=lambda sock: sock.closed or sock.eof or bool(sock.fault))
+        real = machine.stand_in(
+            monotonic=world.monotonic,
+            unix=world.unix,
+            tcp=house.net.sock,
+            epoll=lambda: Epoll(house.net),
+            ended=lambda sock: sock.closed or sock.eof or bool(sock.fault),
+        )
         try:
             bank = Bank(scenario, house)
             house.loop.create_task(bank.open())
--- a/sloeferry/rehearsal/scenario.py
+++ b/sloeferry/rehearsal/scenario.py
@@ -3,6 +3,7 @@
 A scenario says who stands where, who asks what, and which troubles come when.  Times are as their names say: `_ms`
 milliseconds, `_s` or none seconds.
 """
+
 import pathlib
 from datetime import datetime
 from typing import Annotated, Literal
@@ -29,6 +30,7 @@
 
 class Bank(Table):
     """The proxies.  `txn_us`: CPU of a plain txn, spread over its calls; `share`: of a core."""
+
     proxies: Annotated[int, Meta(ge=1, le=512)] = 4
     txn_us: From0 = 0.0
     share: Annotated[float, Meta(gt=0, le=1)] = 1.0
@@ -38,8 +40,8 @@
 
 class Network(Table):
     """One-way latencies.  `pieces`: chance that what is sent comes in two, and again for the rest."""
-    zones: Annotated[list[Name], Meta(min_length=1)] = msgspec.field(
-        default_factory=lambda: ["a", "b", "c", "d"])
+
+    zones: Annotated[list[Name], Meta(min_length=1)] = msgspec.field(default_factory=lambda: ["a", "b", "c", "d"])
     same_ms: Above = 0.15
     cross_ms: Above = 0.4
     client_ms: From0 = 0.9
@@ -49,6 +51,7 @@
 
 class Choke(Table):
     """A node with `at` txns a core waiting for `over_s` turns `slower`, until mostly idle for `rest_s`, or `most_s`."""
+
     at: Above = 5.0
     over_s: Above = 2.0
     slower: Annotated[float, Meta(ge=1)] = 2.5
@@ -58,18 +61,19 @@
 
 class Nodes(Table):
     """Some nodes of one kind, dealt out over the zones in turn or all in one."""
+
     count: Annotated[int, Meta(ge=0, le=1000)]
     kind: Name = "plain"
     zone: str = ""
     cores: Annotated[int, Meta(ge=1, le=256)] = 1
     speed: Above = 1.0
-    queue: Annotated[int, Meta(ge=0)] = 8            # waiting txns a core
+    queue: Annotated[int, Meta(ge=0)] = 8  # waiting txns a core
     cold_s: From0 = 0.0
     cold_from: Annotated[float, Meta(gt=0, le=1)] = 1.0
     idle_s: Above = 30.0
     connections: Annotated[int, Meta(ge=1)] = 700
     report_ms: From0 = 2.0
-    drops_late: bool = False             # waiting work whose txn is over is not begun
+    drops_late: bool = False  # waiting work whose txn is over is not begun
     choke: Choke | None = None
 
 
@@ -78,7 +82,7 @@
     kind: Literal["repeatable", "referenced", "once-only"] = "repeatable"
     share: Above = 1.0
     work_ms: Above = 90.0
-    spread: From0 = 0.6                  # coefficient of variation of the work
+    spread: From0 = 0.6  # coefficient of variation of the work
     sla_ms: Above = 320.0
     expiry_ms: Above = 800.0
     gain: Above = 1.0
@@ -95,44 +99,46 @@
 
 class Callers(Table):
     """Who asks.  `curve`: pieces of [seconds, txns a second]; beyond its end its last rate holds."""
+
     curve: Annotated[list[tuple[Above, From0]], Meta(min_length=1)]
     clients: Annotated[int, Meta(ge=1, le=2000)] = 32
     retries: Annotated[int, Meta(ge=0, le=10)] = 1
     backoff_ms: From0 = 60.0
-    honour: Part = 1.0                   # share of clients that keep to a Retry-After
-    patience: tuple[Part, Part] = (0.7, 1.0)         # of the expiry, for one try
-    impatient: Part = 0.0                # share of txns whose client leaves half way
-    drip_ms: From0 = 0.0                 # a request is sent byte by byte, so far apart (one txn in eight)
-    chunks: Part = 0.0                   # of the bodies come in chunks, with a trailer
+    honour: Part = 1.0  # share of clients that keep to a Retry-After
+    patience: tuple[Part, Part] = (0.7, 1.0)  # of the expiry, for one try
+    impatient: Part = 0.0  # share of txns whose client leaves half way
+    drip_ms: From0 = 0.0  # a request is sent byte by byte, so far apart (one txn in eight)
+    chunks: Part = 0.0  # of the bodies come in chunks, with a trailer
     idle_s: Above = 20.0
-    skew: From0 = 0.0                    # how unevenly clients stand over the zones
+    skew: From0 = 0.0  # how unevenly clients stand over the zones
 
 
 class Discovery(Table):
     mode: Literal["subscribe", "automatic"] = "subscribe"
-    add_s: From0 = 0.8                   # until a start is listed
-    notice_s: From0 = 2.5                # until an end is listed
-    silent_s: From0 = 8.0                # until silence is
+    add_s: From0 = 0.8  # until a start is listed
+    notice_s: From0 = 2.5  # until an end is listed
+    silent_s: From0 = 8.0  # until silence is
     spread_ms: From0 = 60.0
     call_ms: From0 = 2.0
-    patience_s: Above = 10.0             # how old a proxy's list may be
-    deemed_s: Above = 6.0                # what there is to tell counts as told by then
+    patience_s: Above = 10.0  # how old a proxy's list may be
+    deemed_s: Above = 6.0  # what there is to tell counts as told by then
 
 
 class Front(Table):
-    notice_s: From0 = 2.0                # until a dead proxy is noticed
-    entry_s: From0 = 0.3                 # how long a leaving one still gets new connections
+    notice_s: From0 = 2.0  # until a dead proxy is noticed
+    entry_s: From0 = 0.3  # how long a leaving one still gets new connections
 
 
 class Obligations(Table):
     drain_grace_ms: From0 = 250.0
     fall_multiple: Above = 3.0
     fall_ms: Above = 1500.0
-    slack_ms: From0 = 50.0               # what sockets are allowed on top of each limit
+    slack_ms: From0 = 50.0  # what sockets are allowed on top of each limit
 
 
 class Goal(Table):
     """Weights of service, scaled to sum 1."""
+
     whole: From0 = 0.45
     worst_10s: From0 = 0.15
     worst_scheme: From0 = 0.3
@@ -141,6 +147,7 @@
 
 class Prices(Table):
     """What each unit costs, of 1."""
+
     waste: From0 = 0.073
     late: From0 = 0.05
     cross: From0 = 0.005
@@ -154,17 +161,19 @@
 
 class Lasting(Trouble):
     lasts: Above = 10.0
-    part: Part = 0.3                     # of the nodes, or of what it strikes
+    part: Part = 0.3  # of the nodes, or of what it strikes
 
 
 class Stall(Lasting, tag="stall"):
     """Nodes stand still for `ms`, again and again."""
+
     ms: Above = 200.0
     every_ms: Above = 2500.0
 
 
 class Neighbour(Lasting, tag="neighbour"):
     """Another program takes so much of the machine, on and off."""
+
     takes: Part = 0.5
     every_ms: Above = 3000.0
 
@@ -175,11 +184,13 @@
 
 class Errs(Lasting, tag="errs"):
     """Nodes answer 500 for so much of what they get, half at once, half when the work is done."""
+
     odds: Part = 0.5
 
 
 class Cuts(Lasting, tag="cuts"):
     """Nodes break off in the middle of an answer's head."""
+
     odds: Part = 0.2
 
 
@@ -189,6 +200,7 @@
 
 class Heavy(Lasting, tag="heavy"):
     """So much of one scheme costs many times its work."""
+
     scheme: str = ""
     times: Above = 12.0
 
@@ -203,6 +215,7 @@
 
 class Deploy(Lasting, tag="deploy"):
     """Nodes are replaced a batch at a time; each drains first, its successor starts cold."""
+
     batch: Annotated[float, Meta(gt=0, le=1)] = 0.15
     drain_s: From0 = 3.0
 
@@ -221,11 +234,13 @@
 
 class ProxiesStop(Lasting, tag="proxies-stop"):
     """Get no time at all for `ms`, once."""
+
     ms: Above = 500.0
 
 
 class ProxiesStarve(Lasting, tag="proxies-starve"):
     """Get so much of a core."""
+
     share: Annotated[float, Meta(gt=0, le=1)] = 0.3
 
 
@@ -243,6 +258,7 @@
 
 class FalseReports(Lasting, tag="false-reports"):
     """Nodes are so many times slower, and report that they are idle, or still what they held when it began."""
+
     times: Annotated[float, Meta(ge=1)] = 2.0
     shows: Literal["idle", "stuck"] = "idle"
 
@@ -250,12 +266,14 @@
 class OneSided(Lasting, tag="one-sided"):
     """Nodes lose so much of what some proxies send them, half of it unseen and half when the work is done; they serve
     the other proxies, and all probes."""
+
     proxies: Part = 0.5
     odds: Part = 0.6
 
 
 class LossyWay(Lasting, tag="lossy-way"):
     """Between `zone` and the others: so much of the txns is lost, either way, and the rest takes longer each way."""
+
     odds: Part = 0.2
     delay_ms: From0 = 80.0
 
@@ -266,20 +284,43 @@
 
 class Waits(Lasting, tag="waits"):
     """So much of one customer's txns keeps its place so much longer, at any node."""
+
     customer: str = ""
     ms: Above = 500.0
 
 
-TROUBLES = (Stall | Neighbour | Slow | Errs | Cuts | Refuses | Heavy | Crash | Silent | Deploy | ProxiesDie
-            | ProxiesRoll | ProxiesQuiesce | ProxiesStop | ProxiesStarve | DiscoveryOut | DiscoveryMove | DiscoveryLag
-            | FalseReports | OneSided | LossyWay | BadTxns | Waits)
+TROUBLES = (
+    Stall
+    | Neighbour
+    | Slow
+    | Errs
+    | Cuts
+    | Refuses
+    | Heavy
+    | Crash
+    | Silent
+    | Deploy
+    | ProxiesDie
+    | ProxiesRoll
+    | ProxiesQuiesce
+    | ProxiesStop
+    | ProxiesStarve
+    | DiscoveryOut
+    | DiscoveryMove
+    | DiscoveryLag
+    | FalseReports
+    | OneSided
+    | LossyWay
+    | BadTxns
+    | Waits
+)
 
 
 class Scenario(Table, kw_only=True):
     name: Name
     about: str = ""
     seconds: Annotated[float, Meta(gt=0, le=86400)]
-    clock: str = ""                      # Unix time at the start, as 2026-12-31T23:59:50Z
+    clock: str = ""  # Unix time at the start, as 2026-12-31T23:59:50Z
     bank: Bank = Bank()
     network: Network = Network()
     nodes: list[Nodes]
@@ -337,9 +378,9 @@
 
     def no(key, why):
         raise Fault(f"{name}: {key}: {why}")
+
     zones, schemes = told.network.zones, [scheme.name for scheme in told.scheme]
-    for key, names in (("network.zones", zones), ("scheme", schemes),
-                       ("customer", [c.name for c in told.customer])):
+    for key, names in (("network.zones", zones), ("scheme", schemes), ("customer", [c.name for c in told.customer])):
         if len(set(names)) < len(names):
             no(key, "a name stands twice")
     for at, nodes in enumerate(told.nodes):
--- a/sloeferry/rehearsal/troubles.py
+++ b/sloeferry/rehearsal/troubles.py
@@ -1,11 +1,12 @@
 """What goes wrong, and when: each trouble of a scenario, carried out on the stand-ins and the proxies."""
+
 import asyncio
 
 from sloeferry.rehearsal import scenario as s
 from sloeferry.standins.callers import OPS, Line
 
-AWAY, BACK = 4.0, 2.0                    # seconds after which no client is left, and after which they may come again
-LEAVES = 2.0                             # seconds that a drained node waits for what it still has
+AWAY, BACK = 4.0, 2.0  # seconds after which no client is left, and after which they may come again
+LEAVES = 2.0  # seconds that a drained node waits for what it still has
 
 
 class Troubles:
@@ -35,6 +36,7 @@
             if self.loop.time() < end and node.up:
                 node.stall(trouble.ms / 1000 * rng.uniform(0.7, 1.3))
                 self.loop.call_later(trouble.every_ms / 1000 * rng.uniform(0.7, 1.3), again, node)
+
         for node in self.struck(trouble, rng):
             self.loop.call_later(trouble.every_ms / 1000 * rng.random(), again, node)
 
@@ -47,6 +49,7 @@
             node.change(neighbour=trouble.takes if on else 0.0)
             if self.loop.time() < end:
                 self.loop.call_later(trouble.every_ms / 1000 * rng.uniform(0.5, 1.5), turn, node, not on)
+
         for node in self.struck(trouble, rng):
             self.loop.call_later(trouble.every_ms / 1000 * rng.random(), turn, node, True)
 
@@ -70,13 +73,13 @@
             self.loop.call_later(trouble.lasts, node.refuse, False)
 
     def heavy(self, trouble, rng):
-        pass                             # drawn with the arrivals
+        pass  # drawn with the arrivals
 
     badtxns = waits = heavy
 
     def falsereports(self, trouble, rng):
         for node in self.struck(trouble, rng):
-            node.report()                # what it goes on showing
+            node.report()  # what it goes on showing
             node.change(slow=trouble.times, lie=trouble.shows)
             self.loop.call_later(trouble.lasts, lambda node=node: node.change(slow=1.0, lie=""))
 
@@ -92,10 +95,13 @@
 
     def lossyway(self, trouble, rng):
         way = trouble.odds, trouble.delay_ms / 1000
-        for here in (True, False):       # both directions: its nodes for the others' proxies, theirs for its own
-            self.ways([node for node in self.standing() if (node.zone == trouble.zone) == here],
-                      [proxy.name for proxy in self.bank.proxies if (proxy.zone == trouble.zone) != here], way,
-                      trouble.lasts)
+        for here in (True, False):  # both directions: its nodes for the others' proxies, theirs for its own
+            self.ways(
+                [node for node in self.standing() if (node.zone == trouble.zone) == here],
+                [proxy.name for proxy in self.bank.proxies if (proxy.zone == trouble.zone) != here],
+                way,
+                trouble.lasts,
+            )
 
     def crash(self, trouble, rng):
         for node in self.struck(trouble, rng):
@@ -126,7 +132,7 @@
     def deploy(self, trouble, rng):
         nodes = self.struck(trouble, rng)
         batch = max(1, round(trouble.batch * len(self.standing())))
-        batches = [nodes[at:at + batch] for at in range(0, len(nodes), batch)]
+        batches = [nodes[at : at + batch] for at in range(0, len(nodes), batch)]
         for at, some in enumerate(batches):
             for node in some:
                 self.loop.call_later(trouble.lasts * at / len(batches), self.replace, node, trouble.drain_s)
@@ -192,8 +198,7 @@
     async def call(self, proxy, name):
         """One call at a proxy's operators' address; whether it says yes."""
         try:
-            transport, line = await self.loop.create_connection(
-                lambda: Line(self.loop), proxy.address[0], proxy.address[1] + OPS)
+            transport, line = await self.loop.create_connection(lambda: Line(self.loop), proxy.address[0], proxy.address[1] + OPS)
             line.ask(b"POST /admin/%b HTTP/1.1\r\nHost: ops.local\r\n\r\n" % name)
             said = await line.answer
             transport.close()
--- a/sloeferry/rehearsal/world.py
+++ b/sloeferry/rehearsal/world.py
@@ -4,6 +4,7 @@
 loop runs in passes, as a real one does: what is ready at its beginning, and no more.  What it does costs CPU time
 (`spend`); while that lasts nothing else of that process runs, and its clock goes on within the pass.
 """
+
 import asyncio
 import signal
 from asyncio import events
@@ -11,13 +12,13 @@
 from heapq import heappop, heappush
 from random import Random
 
-BEGIN = 1000.0                           # what monotonic clocks show at the start, in seconds
+BEGIN = 1000.0  # what monotonic clocks show at the start, in seconds
 
 
 class World:
     """The clock and what is to happen; `current` is the process that runs now."""
 
-    LUCK = ("network", "proxy", "roster")        # what another draw of chance on the same day changes
+    LUCK = ("network", "proxy", "roster")  # what another draw of chance on the same day changes
 
     def __init__(self, seed, epoch=0.0, chance=0):
         self.seed, self.chance, self.now, self.epoch = seed, chance, BEGIN, epoch - BEGIN
@@ -27,8 +28,9 @@
 
     def rng(self, what):
         """A source of chance for one purpose: what another draws changes nothing in it."""
-        return Random(f"{self.seed}.{self.chance}/{what}" if self.chance and what.startswith(self.LUCK) else
-                      f"{self.seed}/{what}")
+        return Random(
+            f"{self.seed}.{self.chance}/{what}" if self.chance and what.startswith(self.LUCK) else f"{self.seed}/{what}"
+        )
 
     def at(self, when, call, *what):
         """Has it called then; the event, for `off`."""
@@ -70,6 +72,7 @@
 
 class Handle:
     """What a loop was asked to call; asyncio's own reads no more of it than this."""
+
     __slots__ = ("call", "what", "context", "due")
 
     def __init__(self, call, what, context, due=None):
@@ -90,11 +93,11 @@
 
     def __init__(self, world, host, name, costs=None):
         self.world, self.host, self.name, self.costs = world, host, name, costs or {}
-        self.share = 1.0                 # of a core that it gets
+        self.share = 1.0  # of a core that it gets
         self.ready, self.timers, self.count, self.incoming = deque(), [], 0, deque()
         self.running, self.cost, self.free, self.plan = False, 0.0, 0.0, None
         self.dead, self.tasks, self.socks, self.signals = False, {}, {}, {}
-        self.left = self.over = None     # how it ended by itself; who is told
+        self.left = self.over = None  # how it ended by itself; who is told
         world.processes.append(self)
 
     # The clock
@@ -122,7 +125,7 @@
 
     def create_task(self, work, *, name=None, context=None):
         task = asyncio.Task(work, loop=self, name=name)
-        self.tasks[task] = None          # kept until it ends, or chance would collect it
+        self.tasks[task] = None  # kept until it ends, or chance would collect it
         task.add_done_callback(self.tasks.pop)
         return task
 
@@ -170,7 +173,7 @@
     def turn(self):
         """One pass."""
         world, timers, ready = self.world, self.timers, self.ready
-        if world.now < self.free:        # it was halted after this had been planned
+        if world.now < self.free:  # it was halted after this had been planned
             self.plan = None
             return self.wake(self.free)
         self.plan, self.running, self.cost = None, True, 0.0
@@ -223,9 +226,11 @@
 
     def main(self, work, over):
         """Runs this as all that the process is for; with its end the process ends, and `over` is called."""
+
         def done(task):
             fault = task.exception() if not task.cancelled() else "cancelled"
             self.exit(repr(fault) if fault else "by itself")
+
         self.over = over
         self.create_task(work).add_done_callback(done)
 
@@ -268,7 +273,7 @@
                 try:
                     task.get_coro().close()
                 except (Exception, asyncio.CancelledError):
-                    pass                 # it had to end in any case
+                    pass  # it had to end in any case
         finally:
             events._set_running_loop(before)
             self.world.current = before
@@ -291,7 +296,7 @@
         view = memoryview(data)
         while True:
             try:
-                view = view[sock.send(view):]
+                view = view[sock.send(view) :]
                 if not view:
                     return
             except BlockingIOError:
--- a/sloeferry/rig/berth.py
+++ b/sloeferry/rig/berth.py
@@ -2,10 +2,11 @@
 
 SLOEFERRY_RIG_CLOCK: seconds by which its wall clock is off.  SLOEFERRY_RIG_CALLS: its system calls fail at times.
 """
+
 import signal
 
 early = []
-if __name__ == "__main__":               # as the daemon itself does it
+if __name__ == "__main__":  # as the daemon itself does it
     signal.signal(signal.SIGHUP, lambda *_: early.append(True))
 
 import os
--- a/sloeferry/rig/cli.py
+++ b/sloeferry/rig/cli.py
@@ -1,4 +1,5 @@
 """`sloeferry rig`: what is typed, checked and handed on."""
+
 import json
 import os
 import pathlib
@@ -13,7 +14,7 @@
 from sloeferry.rig import plan as p
 
 MEMORY = "/dev/shm"
-ERRORS_SHOWN = 3                         # lines of a proxy's log
+ERRORS_SHOWN = 3  # lines of a proxy's log
 EXPECTED = "SIGHUP, all stays as it was"  # the one error that a plan asks for: a file that can't be used
 
 
@@ -25,18 +26,24 @@
 def short(said):
     """A record in some lines."""
     txns, figures = said["txns"], said["figures"]
-    lines = [f"{said['plan']}, seed {said['seed']}: {said['verdict']}",
-             "  txns: " + ", ".join(f"{value} {key.replace('_', ' ')}" for key, value in txns.items() if value),
-             f"  service {said['service']['whole']:.3f}" if said["service"]["whole"] is not None else "  nobody asked",
-             "  late by, ms: " + (", ".join(f"{role} {ms:g}" for role, ms in said["late_ms"].items()) or "nobody")]
-    lines += [f"  {name}: least {least:g}, mean {mean:g}, most {most:g}" for name, (least, mean, most) in (
-        (name, each) for name, each in figures.items() if isinstance(each, list))]
+    lines = [
+        f"{said['plan']}, seed {said['seed']}: {said['verdict']}",
+        "  txns: " + ", ".join(f"{value} {key.replace('_', ' ')}" for key, value in txns.items() if value),
+        f"  service {said['service']['whole']:.3f}" if said["service"]["whole"] is not None else "  nobody asked",
+        "  late by, ms: " + (", ".join(f"{role} {ms:g}" for role, ms in said["late_ms"].items()) or "nobody"),
+    ]
+    lines += [
+        f"  {name}: least {least:g}, mean {mean:g}, most {most:g}"
+        for name, (least, mean, most) in ((name, each) for name, each in figures.items() if isinstance(each, list))
+    ]
     if "ready_s" in figures:
         lines.append(f"  {figures['ready']} ready after {figures['ready_s']:g} s")
     if "audit" in said:
         audit = said["audit"]
-        lines.append(f"  audit: {audit['current']} current, {audit['straggler']} behind, {audit['unknown']} unknown; "
-                     + ", ".join(audit["causes"]))
+        lines.append(
+            f"  audit: {audit['current']} current, {audit['straggler']} behind, {audit['unknown']} unknown; "
+            + ", ".join(audit["causes"])
+        )
     lines += [f"  VOID: {text}" for text in said["void"]] + [f"  FAILED: {text}" for text in said["failed"]]
     broken = {rule: count for rule, count in said["rules"].items() if count}
     lines.append("  rules kept" if not broken else "  RULES BROKEN: " + ", ".join(f"{r}: {n}" for r, n in broken.items()))
@@ -52,8 +59,9 @@
 @click.option("--nodes", type=click.IntRange(1, 1000), help="In all; the load goes with them.")
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
 @click.option("--record", type=click.Path(dir_okay=False, path_type=pathlib.Path), help="Where the record is written, as JSON.")
-@click.option("--keep-logs", type=click.Path(file_okay=False, path_type=pathlib.Path),
-              help="Where all processes' records and logs go.")
+@click.option(
+    "--keep-logs", type=click.Path(file_okay=False, path_type=pathlib.Path), help="Where all processes' records and logs go."
+)
 @click.option("--plant", help="A wrong line planted in the proxies' code (see `rig plants`).")
 @click.option("--virtual", is_flag=True, help="Its twin in virtual time: what has no part there is left out, and said.")
 @click.option("--json", "as_json", is_flag=True)
@@ -64,6 +72,7 @@
         raise s.Fault(f"--record: {record.parent} is no folder")
     if virtual:
         from sloeferry.rehearsal.play import play as play_virtual
+
         if plant:
             raise s.Fault("--plant: for real processes alone")
         scenario, without = p.twin(told)
@@ -85,13 +94,16 @@
     found = []
     for path in sorted(folder.glob("p*.log")):
         with open(path, errors="replace") as file:
-            found += [f"{path.stem}: {line.strip()[:200]}" for line in file if " ERROR " in line and EXPECTED not in line][:ERRORS_SHOWN]
+            found += [f"{path.stem}: {line.strip()[:200]}" for line in file if " ERROR " in line and EXPECTED not in line][
+                :ERRORS_SHOWN
+            ]
     return found
 
 
 def play_real(text, told, seed, proxies=None, nodes=None, plant=None, keep_logs=None):
     """One play with processes, judged."""
     from sloeferry.rig import crew, planted, verdict
+
     # A disk may take most of a second for a file that is cut short, and the driver would be late with it.
     with tempfile.TemporaryDirectory(prefix="rig-", dir=MEMORY if os.path.isdir(MEMORY) else None) as folder:
         tree = planted.plant(plant, folder) if plant else None
@@ -119,8 +131,10 @@
     """Reads and checks PLAN, and says what of it has no part in virtual time; exit 2 and one line where it can't be played."""
     told = p.read(plan)
     _, without = p.twin(told)
-    click.echo(f"{told.name}: {told.seconds:g} s, {told.bank.proxies} proxies, {sum(n.count for n in told.nodes)} nodes, "
-               f"{len(told.trouble)} troubles, {len(told.fault)} faults: good")
+    click.echo(
+        f"{told.name}: {told.seconds:g} s, {told.bank.proxies} proxies, {sum(n.count for n in told.nodes)} nodes, "
+        f"{len(told.trouble)} troubles, {len(told.fault)} faults: good"
+    )
     click.echo("  in virtual time: " + (f"all but {', '.join(without)}" if without else "all of it"))
 
 
@@ -128,5 +142,6 @@
 def plants():
     """The wrong lines that can be planted, and the plan that convicts each."""
     from sloeferry.rig import planted
+
     for name, one in planted.PLANTED.items():
         click.echo(f"{name:20s} {one.plan:12s} {one.about}")
--- a/sloeferry/rig/crew.py
+++ b/sloeferry/rig/crew.py
@@ -3,6 +3,7 @@
 The driver is also discovery, and the only one that starts, stops and signals proxies.  It holds for the rest what a
 bank holds in a rehearsal (rehearsal/bank.py), so that scenarios' troubles strike here as they do there.
 """
+
 import asyncio
 import gc
 import json
@@ -28,9 +29,9 @@
 from sloeferry.standins.callers import OPS, Front
 from sloeferry.standins.roster import Roster
 
-APART = 0.05                             # seconds between two starts of processes: a start holds the driver up
-STARTS = 2.0                             # seconds in which a process has read its file for certain
-GROUND = 12000, 32000, 2500              # ports: from, to, and how many a play may take
+APART = 0.05  # seconds between two starts of processes: a start holds the driver up
+STARTS = 2.0  # seconds in which a process has read its file for certain
+GROUND = 12000, 32000, 2500  # ports: from, to, and how many a play may take
 ROOT = str(pathlib.Path(__file__).resolve().parents[2])
 
 
@@ -45,11 +46,22 @@
     async def start(self, **more):
         crew = self.crew
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "sloeferry.rig.hands", cwd=ROOT, stdin=PIPE, stdout=PIPE, start_new_session=True)
+            sys.executable, "-m", "sloeferry.rig.hands", cwd=ROOT, stdin=PIPE, stdout=PIPE, start_new_session=True
+        )
         crew.house.placed(self.process, crew.house.ours)
         crew.loop.create_task(self.listen())
-        self.say({"role": self.role, "plan": crew.text, "proxies": crew.proxies_wanted, "nodes": crew.nodes_wanted,
-                  "seed": crew.house.seed, "record": str(self.record), "number": self.number, **more})
+        self.say(
+            {
+                "role": self.role,
+                "plan": crew.text,
+                "proxies": crew.proxies_wanted,
+                "nodes": crew.nodes_wanted,
+                "seed": crew.house.seed,
+                "record": str(self.record),
+                "number": self.number,
+                **more,
+            }
+        )
         await asyncio.wait_for(self.ready.wait(), READY)
 
     def say(self, what):
@@ -88,7 +100,13 @@
     def __init__(self, crew, at, told, kind, zone):
         self.crew, self.at, self.told, self.zone = crew, at, told, zone
         self.ident, self.address = f"s-{at:04x}", (spot(20, at), crew.port)
-        self.hand, self.up, self.draining, self.works, self.came = crew.hands_of_nodes[at % crew.plan.rig.nodes], False, False, True, None
+        self.hand, self.up, self.draining, self.works, self.came = (
+            crew.hands_of_nodes[at % crew.plan.rig.nodes],
+            False,
+            False,
+            True,
+            None,
+        )
         self.hand.do("make", at, self.ident, self.address, zone, kind)
 
     def do(self, name, *what):
@@ -111,10 +129,17 @@
             self.do("leave")
         return self.works is None
 
-    def change(self, **what): self.do("change", what)
-    def refuse(self, so): self.do("refuse", so)
-    def stall(self, seconds): self.do("stall", seconds)
-    def report(self): self.do("report")
+    def change(self, **what):
+        self.do("change", what)
+
+    def refuse(self, so):
+        self.do("refuse", so)
+
+    def stall(self, seconds):
+        self.do("stall", seconds)
+
+    def report(self):
+        self.do("report")
 
     mute = property(None, lambda self, so: self.change(mute=so))
 
@@ -143,7 +168,7 @@
     def __init__(self, loop, seed, folder, tree):
         super().__init__(loop, seed, folder)
         self.tree, self.offsets, self.flaky = tree, {}, set()
-        self.began = {}                  # proxy -> when its newest process was started
+        self.began = {}  # proxy -> when its newest process was started
         cores = sorted(os.sched_getaffinity(0))
         many = max(1, len(cores) * 3 // 8)
         self.ours, self.theirs = (set(cores[:many]), set(cores[many:])) if len(cores) > 2 else (set(cores), set(cores))
@@ -153,7 +178,7 @@
         try:
             os.sched_setaffinity(process.pid, cores or self.theirs)
         except ProcessLookupError:
-            pass                         # it has ended already: whoever waits for it will say so
+            pass  # it has ended already: whoever waits for it will say so
 
     def command(self, daemon):
         """As `run` starts it; where its wall clock is to be off, through the seam of machine.py."""
@@ -182,7 +207,7 @@
         self.faults, self.made, self.sla, self.made_of = [], 0, {}, {}
         self.judge = Scribe(plan, house.seed, folder / "driver.jsonl", self.loop.time)
         self.places = [(f"p{at}", (spot(10, at), port), zones[at % len(zones)]) for at in range(plan.bank.proxies)]
-        self.struck, self.links = {}, {}         # fault -> what it strikes; link -> where it listens, where it leads
+        self.struck, self.links = {}, {}  # fault -> what it strikes; link -> where it listens, where it leads
         self.draw()
         lists = {name: (spot(30, 0), port + 500 + at) for at, (name, _, _) in enumerate(self.places)}
         self.roster = Roster(self.loop, plan.discovery, lists, self.judge, house.rng("roster"), house.unix)
@@ -202,11 +227,13 @@
             some = fault.proxies or sorted(rng.sample(range(plan.bank.proxies), max(1, round(fault.part * plan.bank.proxies))))
             names = []
             if isinstance(fault, p.BETWEEN):
-                ends = sorted(rng.sample(range(count), max(1, round(fault.nodes * count)))) if fault.between == "nodes" else [None]
+                ends = (
+                    sorted(rng.sample(range(count), max(1, round(fault.nodes * count)))) if fault.between == "nodes" else [None]
+                )
                 for proxy in some:
                     for node in ends:
                         name = f"{fault.between}/{proxy}" + (f"/{node}" if node is not None else "")
-                        if name not in self.links:       # one address a proxy for its links, a port each
+                        if name not in self.links:  # one address a proxy for its links, a port each
                             turn = turns[proxy] = turns.get(proxy, -1) + 1
                             self.links[name] = fault.between, proxy, node, (spot(50, proxy), self.port + turn)
                         names.append(name)
@@ -246,14 +273,21 @@
 
     async def open(self):
         self.laid = asyncio.Event()
-        seen = [(name, self.links.get(f"callers/{at}", (0, 0, 0, address))[3], zone)
-                for at, (name, address, zone) in enumerate(self.places)]
+        seen = [
+            (name, self.links.get(f"callers/{at}", (0, 0, 0, address))[3], zone)
+            for at, (name, address, zone) in enumerate(self.places)
+        ]
         await asyncio.gather(*(hand.start(places=seen, of=self.plan.rig.callers) for hand in self.hands))
         for told, zone in expand(self.plan):
             self.nodes.append(self.node(told, zone))
         for name, (between, proxy, node, listen) in self.links.items():
-            target = (self.nodes[node].address if between == "nodes" else self.places[proxy][1] if between == "callers"
-                      else self.roster.addresses[f"p{proxy}"])
+            target = (
+                self.nodes[node].address
+                if between == "nodes"
+                else self.places[proxy][1]
+                if between == "callers"
+                else self.roster.addresses[f"p{proxy}"]
+            )
             self.relay.do("link", name, listen, target, between == "nodes")
             if between == "nodes":
                 self.roster.ways[f"p{proxy}", self.nodes[node].ident] = "{}:{}".format(*listen)
@@ -296,7 +330,7 @@
             if fault.between == "discovery":
                 for number in some:
                     self.judge.note(self.loop.time(), "unfed", f"p{number}", self.loop.time() + fault.lasts)
-            if fault.between == "callers":       # nobody can answer through it
+            if fault.between == "callers":  # nobody can answer through it
                 for number in some:
                     self.judge.stopped(f"p{number}", self.loop.time(), self.loop.time() + fault.lasts)
                     self.judge.note(self.loop.time(), "apart", f"p{number}", self.loop.time() + fault.lasts + 0.1)
@@ -331,13 +365,13 @@
                 del self.sla[at]
             proxy.write()
             if self.loop.time() < self.house.began.get(at, 0.0) + STARTS:
-                continue                 # it may not have read its file yet: started on half of one it would rightly end
+                continue  # it may not have read its file yet: started on half of one it would rightly end
             text = proxy.path.read_text()
             if fault.file == "cut":
-                proxy.path.write_text(text[:len(text) // 2])
+                proxy.path.write_text(text[: len(text) // 2])
             elif fault.file == "missing":
                 proxy.path.unlink()
-            elif fault.file == "swapped":        # another file in its place, while it is read
+            elif fault.file == "swapped":  # another file in its place, while it is read
                 other = proxy.path.with_suffix(".new")
                 other.write_text(text)
                 self.loop.call_soon(os.replace, other, proxy.path)
@@ -437,8 +471,11 @@
             if progress:
                 progress(loop.time() - began)
         used["cpu_s"] = [processes.cpu_seconds(one.process.pid) for one in crew.proxies if one.process]
-        figures |= {name: [round(min(each), 2), round(sum(each) / len(each), 2), round(max(each), 2)]
-                    for name, each in used.items() if each}
+        figures |= {
+            name: [round(min(each), 2), round(sum(each) / len(each), 2), round(max(each), 2)]
+            for name, each in used.items()
+            if each
+        }
         figures["began"] = began
     finally:
         await crew.end()
--- a/sloeferry/rig/draw_soak.py
+++ b/sloeferry/rig/draw_soak.py
@@ -5,6 +5,7 @@
 behind, counting anew, or failing each call in one way, for longer than news may go untold.  The rules are the oracle, with
 each proxy's own guard of sending (docs/rig.md).
 """
+
 from random import Random
 
 import msgspec
@@ -12,7 +13,7 @@
 from sloeferry.standins.call_failures import CallFailure
 
 SECONDS = 16.0
-LONGEST = 9.0                            # seconds that discovery's failures last, past the 6 s after which news counts as told
+LONGEST = 9.0  # seconds that discovery's failures last, past the 6 s after which news counts as told
 
 
 def text(seed: int) -> str:
@@ -27,29 +28,83 @@
     def link(ends):
         kind = rng.choice(["hold", "delay", "cut", "half-open", "break"])
         more = {"way": rng.choice(["there", "back"])} if kind in ("hold", "break") else {}
-        more |= {"bytes": rng.choice([0, 40, 300, 900])} if kind == "break" else {"ms": rng.choice([5, 60])} if kind == "delay" else {}
+        more |= (
+            {"bytes": rng.choice([0, 40, 300, 900])}
+            if kind == "break"
+            else {"ms": rng.choice([5, 60])}
+            if kind == "delay"
+            else {}
+        )
         return when(2.5, what=kind, between=ends, nodes=rng.choice([0.2, 0.6]), **more)
+
     failures = [failure.value for failure in CallFailure]
-    lists = [lambda: when(LONGEST, what="list-fail", how=rng.choice(failures)), lambda: when(LONGEST, what="list-fail", how=rng.choice(failures)),
-             lambda: when(2, what="list-out"), lambda: when(3, what="list-lag"), lambda: when(1, what="list-anew"),
-             lambda: when(2.5, what="list-older", by_s=rng.choice([1.0, 2.5]))]
-    others = [lambda: when(2, what="kill"), lambda: when(2, what="stop"), lambda: when(3, what="term"),
-              lambda: when(1, what="hup", lost=rng.choice([0, 0.3]), file=rng.choice(["whole", "cut", "stale", "swapped", "missing"])),
-              lambda: when(1, what="clock", by_s=rng.choice([-3600.0, -5.0, 5.0, 3600.0])), lambda: when(1, what="calls"),
-              lambda: link("nodes"), lambda: link("nodes"), lambda: link("callers")]
+    lists = [
+        lambda: when(LONGEST, what="list-fail", how=rng.choice(failures)),
+        lambda: when(LONGEST, what="list-fail", how=rng.choice(failures)),
+        lambda: when(2, what="list-out"),
+        lambda: when(3, what="list-lag"),
+        lambda: when(1, what="list-anew"),
+        lambda: when(2.5, what="list-older", by_s=rng.choice([1.0, 2.5])),
+    ]
+    others = [
+        lambda: when(2, what="kill"),
+        lambda: when(2, what="stop"),
+        lambda: when(3, what="term"),
+        lambda: when(1, what="hup", lost=rng.choice([0, 0.3]), file=rng.choice(["whole", "cut", "stale", "swapped", "missing"])),
+        lambda: when(1, what="clock", by_s=rng.choice([-3600.0, -5.0, 5.0, 3600.0])),
+        lambda: when(1, what="calls"),
+        lambda: link("nodes"),
+        lambda: link("nodes"),
+        lambda: link("callers"),
+    ]
     faults = [rng.choice(lists)() for _ in range(rng.randint(1, 2))] + [rng.choice(others)() for _ in range(rng.randint(4, 7))]
-    schemes = [{"name": "pull", "share": 2, "work_ms": work},
-               {"name": "push", "kind": "referenced", "group": rng.choice(["all", "zone"]), "window_ms": 10000, "work_ms": work, "body": 300},
-               {"name": "page", "kind": "once-only", "work_ms": work, "gain": 2, "body": 100}]
+    schemes = [
+        {"name": "pull", "share": 2, "work_ms": work},
+        {
+            "name": "push",
+            "kind": "referenced",
+            "group": rng.choice(["all", "zone"]),
+            "window_ms": 10000,
+            "work_ms": work,
+            "body": 300,
+        },
+        {"name": "page", "kind": "once-only", "work_ms": work, "gain": 2, "body": 100},
+    ]
     troubles = [{"what": "deploy", "at": 1.0, "lasts": 8.0, "part": 0.6, "batch": 0.15, "drain_s": rng.choice([0.6, 8.0])}]
-    troubles += rng.sample([
-        {"what": "crash", "at": 3.0, "lasts": 1.5, "part": 0.3}, {"what": "silent", "at": 2.0, "lasts": 2.0, "part": 0.2},
-        {"what": "errs", "at": 2.0, "lasts": 3.0, "part": 0.3, "odds": 0.4},
-        {"what": "stall", "at": 1.0, "lasts": 5.0, "part": 0.4, "ms": 400, "every_ms": 900}], rng.randint(0, 2))
+    troubles += rng.sample(
+        [
+            {"what": "crash", "at": 3.0, "lasts": 1.5, "part": 0.3},
+            {"what": "silent", "at": 2.0, "lasts": 2.0, "part": 0.2},
+            {"what": "errs", "at": 2.0, "lasts": 3.0, "part": 0.3, "odds": 0.4},
+            {"what": "stall", "at": 1.0, "lasts": 5.0, "part": 0.4, "ms": 400, "every_ms": 900},
+        ],
+        rng.randint(0, 2),
+    )
     cold = rng.random() < 0.5
-    return msgspec.toml.encode({
-        "name": f"soak-{seed}", "about": "Drawn.", "seconds": SECONDS, "bank": {"proxies": proxies}, "network": {"zones": ["a", "b"]},
-        "nodes": [{"count": nodes, "cores": 2, "cold_s": 4 if cold else 0, "cold_from": 0.2 if cold else 1.0, "idle_s": rng.choice([1, 30])}],
-        "scheme": schemes, "callers": {"curve": [[SECONDS, min(240.0, 0.4 * nodes * 2000 / work)]], "clients": 64, "impatient": rng.choice([0, 0.1])},
-        "discovery": {"notice_s": 0.8, "silent_s": 1.5, "add_s": 0.3},
-        "fault": sorted(faults, key=lambda fault: fault["at"]), "trouble": troubles}).decode()
+    return msgspec.toml.encode(
+        {
+            "name": f"soak-{seed}",
+            "about": "Drawn.",
+            "seconds": SECONDS,
+            "bank": {"proxies": proxies},
+            "network": {"zones": ["a", "b"]},
+            "nodes": [
+                {
+                    "count": nodes,
+                    "cores": 2,
+                    "cold_s": 4 if cold else 0,
+                    "cold_from": 0.2 if cold else 1.0,
+                    "idle_s": rng.choice([1, 30]),
+                }
+            ],
+            "scheme": schemes,
+            "callers": {
+                "curve": [[SECONDS, min(240.0, 0.4 * nodes * 2000 / work)]],
+                "clients": 64,
+                "impatient": rng.choice([0, 0.1]),
+            },
+            "discovery": {"notice_s": 0.8, "silent_s": 1.5, "add_s": 0.3},
+            "fault": sorted(faults, key=lambda fault: fault["at"]),
+            "trouble": troubles,
+        }
+    ).decode()
--- a/sloeferry/rig/flaky_calls.py
+++ b/sloeferry/rig/flaky_calls.py
@@ -2,15 +2,16 @@
 
 In each period calls fail for a part of it, a different error each time; between, reads and writes are short.
 """
+
 import errno
 import random
 import socket
 import time
 
-PERIOD, FAILING = 3.0, 0.5               # seconds
+PERIOD, FAILING = 3.0, 0.5  # seconds
 CONNECT_ERRORS = (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS, errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ECONNREFUSED)
 ACCEPT_ERRORS = (errno.ECONNABORTED, errno.EMFILE, errno.ENOBUFS, errno.EPROTO)
-SHORTEST = 7                             # bytes of a short read or write
+SHORTEST = 7  # bytes of a short read or write
 
 
 def failing() -> bool:
@@ -37,12 +38,12 @@
     def recv_into(self, buffer, nbytes=0, flags=0):
         if flags or len(buffer) <= SHORTEST:
             return super().recv_into(buffer, nbytes, flags)
-        return super().recv_into(memoryview(buffer)[:random.randint(SHORTEST, len(buffer))], 0, flags)
+        return super().recv_into(memoryview(buffer)[: random.randint(SHORTEST, len(buffer))], 0, flags)
 
     def send(self, data, flags=0):
         if len(data) <= SHORTEST:
             return super().send(data, flags)
-        return super().send(memoryview(data)[:random.randint(SHORTEST, len(data))], flags)
+        return super().send(memoryview(data)[: random.randint(SHORTEST, len(data))], flags)
 
 
 def tcp() -> FlakySocket:
--- a/sloeferry/rig/hands.py
+++ b/sloeferry/rig/hands.py
@@ -3,6 +3,7 @@
 The first line on standard input says who it is; each further one is a command.  What it has to say at once it says on
 standard output, what it saw goes into its record.
 """
+
 import asyncio
 import gc
 import json
@@ -46,8 +47,17 @@
 
     async def make(self, at, ident, address, zone, kind):
         memories = {group: self.memories.setdefault(where, Memory()) for group, where in (("all", ""), ("zone", zone))}
-        self.nodes[at] = Node(self.loop, self.plan.nodes[kind], ident, tuple(address), zone, self.scribe, memories,
-                              self.plan.obligations, Random(f"{self.told['seed']}/node-{at}"))
+        self.nodes[at] = Node(
+            self.loop,
+            self.plan.nodes[kind],
+            ident,
+            tuple(address),
+            zone,
+            self.scribe,
+            memories,
+            self.plan.obligations,
+            Random(f"{self.told['seed']}/node-{at}"),
+        )
 
     async def start(self, at, warm):
         await self.nodes[at].start(warm)
@@ -86,10 +96,22 @@
         places = [(name, tuple(address), zone) for name, address, zone in told["places"]]
         self.front, self.callers = Front(self.loop, self.plan.front, places), []
         for at, zone in enumerate(zones):
-            asks = [ask for ask in self.scribe.asks if ask.client % len(zones) == at
-                    and ask.client // len(zones) % told["of"] == told["number"]]
-            self.callers.append(Callers(self.loop, self.plan, zone, asks, self.front, self.scribe,
-                                        Random(f"{told['seed']}/callers-{zone}-{told['number']}")))
+            asks = [
+                ask
+                for ask in self.scribe.asks
+                if ask.client % len(zones) == at and ask.client // len(zones) % told["of"] == told["number"]
+            ]
+            self.callers.append(
+                Callers(
+                    self.loop,
+                    self.plan,
+                    zone,
+                    asks,
+                    self.front,
+                    self.scribe,
+                    Random(f"{told['seed']}/callers-{zone}-{told['number']}"),
+                )
+            )
 
     async def begin(self, now):
         self.scribe.begin = now
@@ -156,7 +178,7 @@
     hand = ROLES[told["role"]](loop, told, plan, scribe)
     await hand.open()
     gc.freeze()
-    gc.set_threshold(50000, 20, 50)      # a look at all that is kept takes longer than what is measured
+    gc.set_threshold(50000, 20, 50)  # a look at all that is kept takes longer than what is measured
     scribe.beat(loop, told["role"])
     await loop.connect_read_pipe(lambda: Orders(hand), sys.stdin)
     say(ready=told["role"])
--- a/sloeferry/rig/plan.py
+++ b/sloeferry/rig/plan.py
@@ -2,6 +2,7 @@
 
 Read, checked and given defaults in one place; a fault names its key.  Times are as their names say.
 """
+
 import pathlib
 import re
 from typing import Annotated, Literal
@@ -14,25 +15,28 @@
 from sloeferry.rig import draw, draw_soak
 
 SHIPPED = pathlib.Path(__file__).parent / "plans"
-MOST = 400                               # proxies on one machine
+MOST = 400  # proxies on one machine
 
 
 class Rig(Table):
     """The processes beside the proxies.  `late_ms`: whoever measures and ran later than that voids the play."""
+
     nodes: Annotated[int, Meta(ge=1, le=8)] = 1
     callers: Annotated[int, Meta(ge=1, le=8)] = 1
     late_ms: Above = 200.0
-    audit_s: Above | None = None         # when the fleet is audited; its word is held against the records
+    audit_s: Above | None = None  # when the fleet is audited; its word is held against the records
 
 
 class Expect(Table):
     """What the plan holds its proxies to, beside the four rules."""
-    service: Part = 0.0                  # the least part of the gain that is settled in time
-    lost: Annotated[int, Meta(ge=0)] = 0             # txns with no answer, whoever is to blame, at the most
+
+    service: Part = 0.0  # the least part of the gain that is settled in time
+    lost: Annotated[int, Meta(ge=0)] = 0  # txns with no answer, whoever is to blame, at the most
 
 
 class Struck(Table):
     """Which proxies: that part of them, drawn; or by number."""
+
     at: From0
     lasts: Above = 2.0
     part: Part = 0.3
@@ -53,13 +57,15 @@
 
 class Hup(Struck, tag_field="what", tag="hup"):
     """New settings and SIGHUP.  `file`: what of them stands there as it is read; `sla`: times the SLA time as it was."""
-    lost: Part = 0.0                     # of those struck, who never get the signal
+
+    lost: Part = 0.0  # of those struck, who never get the signal
     file: Literal["whole", "cut", "stale", "swapped", "missing"] = "whole"
     sla: Above = 1.0
 
 
 class Clock(Struck, tag_field="what", tag="clock"):
     """The wall clock of those processes is off by so much."""
+
     by_s: float = 3600.0
 
 
@@ -69,12 +75,14 @@
 
 class Link(Struck):
     """Between those proxies and `between`; `nodes`: the part of the nodes, drawn."""
+
     between: Literal["nodes", "discovery", "callers"] = "nodes"
     nodes: Part = 1.0
 
 
 class Hold(Link, tag_field="what", tag="hold"):
     """What is said waits until it is over, `way` or both ways; a machine that says nothing looks so."""
+
     way: Literal["there", "back", "both"] = "both"
 
 
@@ -92,6 +100,7 @@
 
 class Break(Link, tag_field="what", tag="break"):
     """Each connection is reset once so many bytes have gone that way on it: inside a message."""
+
     bytes: Annotated[int, Meta(ge=0)] = 40
     way: Literal["there", "back"] = "back"
 
@@ -106,11 +115,13 @@
 
 class ListOlder(Struck, tag_field="what", tag="list-older"):
     """Those are answered by a replica that stands where the list stood `by_s` before."""
+
     by_s: Above = 5.0
 
 
 class ListFail(Struck, tag_field="what", tag="list-fail"):
     """Their watches end, and each of their calls fails in that way (CallFailure)."""
+
     how: Literal["refused", "late-refused", "reset", "silent", "half", "unreachable"] = "refused"
 
 
@@ -154,6 +165,7 @@
 
     def no(key, why):
         raise Fault(f"{name}: {key}: {why}")
+
     if told.bank.proxies > MOST:
         no("bank.proxies", f"{told.bank.proxies} are too many for one machine, {MOST} at most")
     if told.clock:
@@ -181,8 +193,10 @@
         counts = [max(1, round(n.count * nodes / have)) for n in told.nodes]
         curve = [(length, rate * sum(counts) / have) for length, rate in told.callers.curve]
         told = msgspec.structs.replace(
-            told, nodes=[msgspec.structs.replace(n, count=count) for n, count in zip(told.nodes, counts)],
-            callers=msgspec.structs.replace(told.callers, curve=curve))
+            told,
+            nodes=[msgspec.structs.replace(n, count=count) for n, count in zip(told.nodes, counts)],
+            callers=msgspec.structs.replace(told.callers, curve=curve),
+        )
     return told
 
 
--- a/sloeferry/rig/planted.py
+++ b/sloeferry/rig/planted.py
@@ -4,6 +4,7 @@
 exactly once; where it does not, that is said, for then the table here is behind the code.  Where a second guard would hold
 what the first lets through, it is taken out as well: a build that breaks no rule shows nothing of the first.
 """
+
 import pathlib
 import shutil
 from typing import NamedTuple
@@ -14,65 +15,133 @@
 
 
 class Wrong(NamedTuple):
-    plan: str                            # the plan that convicts it
-    rules: str                           # which rules may be named for it
+    plan: str  # the plan that convicts it
+    rules: str  # which rules may be named for it
     about: str
     path: str
     right: str
     wrong: str
-    also: tuple = ()                     # the second guard in that file: (right, wrong)
+    also: tuple = ()  # the second guard in that file: (right, wrong)
 
 
 PLANTED = {
     "drain-forgotten": Wrong(
-        "lists", "3", "a node that drains is taken for ready", "net/discovery.py",
-        '"leaving": "draining"', '"leaving": "ready"'),
+        "lists", "3", "a node that drains is taken for ready", "net/discovery.py", '"leaving": "draining"', '"leaving": "ready"'
+    ),
     "changes-unheard": Wrong(
-        "lists", "3", "what changes in the list is not passed on to the decisions", "net/discovery.py",
+        "lists",
+        "3",
+        "what changes in the list is not passed on to the decisions",
+        "net/discovery.py",
         "        self.facade.report_list(whole, list(lines.values()), cached, news, ours)",
-        "        whole and self.facade.report_list(whole, list(lines.values()), cached, news, ours)"),
+        "        whole and self.facade.report_list(whole, list(lines.values()), cached, news, ours)",
+    ),
     "news-dropped": Wrong(
-        "zombies", "3", "after it stood still, what discovery wrote is dropped with the watch", "net/discovery.py",
-        "if http1.quiet(sock):", "if True:"),
+        "zombies",
+        "3",
+        "after it stood still, what discovery wrote is dropped with the watch",
+        "net/discovery.py",
+        "if http1.quiet(sock):",
+        "if True:",
+    ),
     "late-taken-for-new": Wrong(
-        "zombies", "1", "after it stood still, what lies unread is taken for new", "net/clients.py",
-        "if self.facade.door.stood(late):", "if False:",
+        "zombies",
+        "1",
+        "after it stood still, what lies unread is taken for new",
+        "net/clients.py",
+        "if self.facade.door.stood(late):",
+        "if False:",
         # Its clients have left at their expiry, which a look before the first byte sees.
-        ("return self.ended or machine.ended(self.sock)", "return self.ended")),
+        ("return self.ended or machine.ended(self.sock)", "return self.ended"),
+    ),
     "past-expiry": Wrong(
-        "errors", "1", "a txn's time is taken for longer than it is", "core/facade.py",
-        "left -= min(self.proxy.late, left / 2)", "left += 400"),
+        "errors",
+        "1",
+        "a txn's time is taken for longer than it is",
+        "core/facade.py",
+        "left -= min(self.proxy.late, left / 2)",
+        "left += 400",
+    ),
     "posted-again": Wrong(
-        "links", "2", "a once-only txn that may have run is posted again", "core/decide.py",
-        'return txn.scheme.kind == "referenced" and now < maybe[0].sent + txn.scheme.window - self.p.step', "return True"),
+        "links",
+        "2",
+        "a once-only txn that may have run is posted again",
+        "core/decide.py",
+        'return txn.scheme.kind == "referenced" and now < maybe[0].sent + txn.scheme.window - self.p.step',
+        "return True",
+    ),
     "out-of-group": Wrong(
-        "links", "2", "a referenced txn that may have run is posted out of its group", "core/decide.py",
-        'return b.zone == first.zone if scheme.group == "zone" else b.cell == first.cell', "return True"),
+        "links",
+        "2",
+        "a referenced txn that may have run is posted out of its group",
+        "core/decide.py",
+        'return b.zone == first.zone if scheme.group == "zone" else b.cell == first.cell',
+        "return True",
+    ),
     "whole-as-unwritten": Wrong(
-        "cut-answers", "2", "a posting that was written whole and cut counts as never run", "core/facade.py",
-        "    if reached < WHOLE:\n", "    if reached <= WHOLE and why == BROKEN:\n"),
+        "cut-answers",
+        "2",
+        "a posting that was written whole and cut counts as never run",
+        "core/facade.py",
+        "    if reached < WHOLE:\n",
+        "    if reached <= WHOLE and why == BROKEN:\n",
+    ),
     "declined-and-ran": Wrong(
-        "errors", "2", "what may have run is declined", "core/decide.py",
-        'if not txn.maybe() or kind == "repeatable" or kind', 'if True or kind == "repeatable" or kind'),
+        "errors",
+        "2",
+        "what may have run is declined",
+        "core/decide.py",
+        'if not txn.maybe() or kind == "repeatable" or kind',
+        'if True or kind == "repeatable" or kind',
+    ),
     "starts-unheeded": Wrong(
-        "colds", "4", "a node that has started anew is taken for warm", "core/decide.py",
-        "b.zone, b.cell, b.launched = zone, cell, launched", "b.zone, b.cell, b.launched = zone, cell, 0.0"),
+        "colds",
+        "4",
+        "a node that has started anew is taken for warm",
+        "core/decide.py",
+        "b.zone, b.cell, b.launched = zone, cell, launched",
+        "b.zone, b.cell, b.launched = zone, cell, 0.0",
+    ),
     "answered-twice": Wrong(
-        "errors", "1", "a refusal is said twice", "net/clients.py",
+        "errors",
+        "1",
+        "a refusal is said twice",
+        "net/clients.py",
         "await self.loop.sock_sendall(self.sock, data)\n        self.sending = None",
-        'await self.loop.sock_sendall(self.sock, data * (1 + (b" 504 " in data[:16])))\n        self.sending = None'),
+        'await self.loop.sock_sendall(self.sock, data * (1 + (b" 504 " in data[:16])))\n        self.sending = None',
+    ),
     "never-answered": Wrong(
-        "errors", "1", "one in forty answers is never given", "net/clients.py",
-        "                answer = what[0]\n", "                answer = what[0]\n                await asyncio.sleep(3 * (errand.ref % 40 == 7))\n"),
+        "errors",
+        "1",
+        "one in forty answers is never given",
+        "net/clients.py",
+        "                answer = what[0]\n",
+        "                answer = what[0]\n                await asyncio.sleep(3 * (errand.ref % 40 == 7))\n",
+    ),
     "error-as-answer": Wrong(
-        "errors", "1", "a node's error is passed on as its answer", "net/backends.py",
-        "why = f.SERVED if answer.status == 200 else f.REJECTED", "why = f.SERVED if answer.status in (200, 500) else f.REJECTED"),
+        "errors",
+        "1",
+        "a node's error is passed on as its answer",
+        "net/backends.py",
+        "why = f.SERVED if answer.status == 200 else f.REJECTED",
+        "why = f.SERVED if answer.status in (200, 500) else f.REJECTED",
+    ),
     "ends-at-once": Wrong(
-        "deaths", "1", "told to leave, it drops what it has", "__main__.py",
-        "        await clients.leave()\n", "        clients.shut()\n"),
+        "deaths",
+        "1",
+        "told to leave, it drops what it has",
+        "__main__.py",
+        "        await clients.leave()\n",
+        "        clients.shut()\n",
+    ),
     "bad-file-ends-it": Wrong(
-        "settings", "crash", "a file that can't be read ends the program", "__main__.py",
-        'return logger.error("SIGHUP, all stays as it was: {}", fault)', "os._exit(3)"),
+        "settings",
+        "crash",
+        "a file that can't be read ends the program",
+        "__main__.py",
+        'return logger.error("SIGHUP, all stays as it was: {}", fault)',
+        "os._exit(3)",
+    ),
 }
 
 
--- a/sloeferry/rig/relay.py
+++ b/sloeferry/rig/relay.py
@@ -2,13 +2,14 @@
 
 What goes from the near end (who dialled) to the far end goes `there`, the rest `back`.
 """
+
 import asyncio
 import socket
 import struct
 
 from sloeferry.standins.frames import Frames
 
-RESET = struct.pack("ii", 1, 0)          # SO_LINGER: what is closed then is reset
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER: what is closed then is reset
 
 
 def reset(transport):
@@ -22,7 +23,7 @@
 
     def __init__(self, loop, name, listen, target, scribe, heads=False):
         self.loop, self.name, self.listen, self.target, self.scribe = loop, name, listen, target, scribe
-        self.heads = heads               # whether requests' first bytes are written down as they come
+        self.heads = heads  # whether requests' first bytes are written down as they come
         self.pipes, self.server, self.state, self.told = {}, None, "", {}
 
     async def open(self):
@@ -55,14 +56,14 @@
 
     def __init__(self, link):
         self.link, self.near, self.far, self.held, self.half = link, None, None, [], False
-        self.due = {True: 0.0, False: 0.0}       # until when something is on its way, delayed
+        self.due = {True: 0.0, False: 0.0}  # until when something is on its way, delayed
         self.gone, self.frames, self.since = {True: 0, False: 0}, Frames() if link.heads else None, None
         link.pipes[self] = None
 
     async def dial(self):
         try:
             await self.link.loop.create_connection(lambda: End(self, False), *self.link.target)
-        except OSError:                  # nobody took what came here, though a connection stood
+        except OSError:  # nobody took what came here, though a connection stood
             link = self.link
             link.scribe.note(link.loop.time(), "refused", link.name)
             self.reset()
@@ -85,7 +86,7 @@
         link, other = self.link, self.far if near else self.near
         if other is None or link.holds(near) or any(side == near for side, _ in self.held):
             self.held.append((near, data))
-        elif link.state == "delay" or self.due[near] > link.loop.time():     # nothing overtakes what is on its way
+        elif link.state == "delay" or self.due[near] > link.loop.time():  # nothing overtakes what is on its way
             self.due[near] = max(self.due[near], link.loop.time() + link.told.get("ms", 0.0) / 1000)
             link.loop.call_at(self.due[near], self.put, near, data)
         else:
@@ -100,8 +101,8 @@
         if link.state == "break" and near == (link.told["way"] == "there"):
             room = link.told["bytes"] - self.gone[near]
             if len(data) > room:
-                other.transport.write(data[:max(0, room)])
-                link.loop.call_later(0.005, self.reset)      # what was let through arrives before the reset
+                other.transport.write(data[: max(0, room)])
+                link.loop.call_later(0.005, self.reset)  # what was let through arrives before the reset
                 return
         self.gone[near] += len(data)
         other.transport.write(data)
@@ -135,7 +136,7 @@
     def connection_lost(self, fault):
         pipe = self.pipe
         if pipe.half and not self.is_near:
-            return                       # the near end never hears of it
+            return  # the near end never hears of it
         if fault is not None:
             pipe.reset()
         else:
--- a/sloeferry/rig/scribe.py
+++ b/sloeferry/rig/scribe.py
@@ -4,6 +4,7 @@
 itself (what is asked in a play depends on plan and seed alone), and tell it what happened.  The verdict comes later,
 from all records together.
 """
+
 from random import Random
 from time import monotonic
 
@@ -13,7 +14,7 @@
 from sloeferry.standins.frames import content
 from sloeferry.standins.ledger import Ledger
 
-BEAT = 0.02                              # seconds between two looks at how late a process runs
+BEAT = 0.02  # seconds between two looks at how late a process runs
 encode = msgspec.json.encode
 
 
@@ -29,7 +30,7 @@
 
     def beat(self, loop, role, due=None):
         """Writes down how late this process runs, whenever it does, from now on."""
-        if self.file.closed:             # what the loop still had to call when this process ended
+        if self.file.closed:  # what the loop still had to call when this process ended
             return
         if due is not None and (late := loop.time() - due) > BEAT:
             self.note(loop.time(), "late", role, late * 1000)
@@ -144,6 +145,6 @@
                 try:
                     events.append(msgspec.json.decode(line))
                 except msgspec.DecodeError:
-                    break                # its writer was killed in the middle of a line
+                    break  # its writer was killed in the middle of a line
     events.sort(key=lambda event: event[0])
     return [event[1:] for event in events]
--- a/sloeferry/rig/verdict.py
+++ b/sloeferry/rig/verdict.py
@@ -3,14 +3,15 @@
 What a process of the rig saw counts at the time when it saw it; one machine, one monotonic clock.  Nothing here is
 decided by how long anything took but where a rule itself sets a limit.
 """
+
 from collections import defaultdict
 from random import Random
 
 from sloeferry.rehearsal.judge import Judge, arrivals
 from sloeferry.rig.scribe import read
 
-MOMENT = 0.4                             # seconds in which who was told may not have taken it in yet
-SHOWN = 14                               # events of one txn that are printed beside a broken rule
+MOMENT = 0.4  # seconds in which who was told may not have taken it in yet
+SHOWN = 14  # events of one txn that are printed beside a broken rule
 
 
 class Bench(Judge):
@@ -20,7 +21,7 @@
         super().__post_init__()
         self.entered, self.apart, self.hows, self.crossed = {}, defaultdict(list), {}, set()
         self.after, self.unfed, self.deferred = {}, defaultdict(list), []
-        self.unreached = defaultdict(list)       # proxy -> spans in which discovery could not be reached from there
+        self.unreached = defaultdict(list)  # proxy -> spans in which discovery could not be reached from there
         self.audit, self.auditing, self.history, self.old = None, None, defaultdict(list), []
         self.late, self.by_ident, self.about, self.lists = defaultdict(float), defaultdict(list), [], {}
 
@@ -46,7 +47,7 @@
 
     def on_refused(self, at, link):
         between, _, ends = link.partition("/")
-        if between == "callers":         # a relay took the connection for a proxy that was not there
+        if between == "callers":  # a relay took the connection for a proxy that was not there
             self.apart["p" + ends].append((at - MOMENT / 4, at + MOMENT / 4))
 
     def lost(self, ident, now, why):
@@ -55,7 +56,7 @@
         if self.kept_apart(found, now):
             return "apart"
         if ident in self.crossed and not found.posted and not self.died(found):
-            return "untaken"             # it crossed the proxy's closing of an idle connection
+            return "untaken"  # it crossed the proxy's closing of an idle connection
         return super().lost(ident, now, why)
 
     def hear(self, event):
@@ -171,8 +172,11 @@
         incarnation, _, revision = said.partition("list=")[2].partition(":")[0].partition(".")
         told = max((told for when, told in self.history[proxy] if when < at - MOMENT), default=0)
         kept = [*self.stops.get(proxy, ()), *self.unfed[proxy]]
-        if incarnation == "1" and int(revision) < told and not any(
-                since - MOMENT <= at <= until + MOMENT for since, until in kept):
+        if (
+            incarnation == "1"
+            and int(revision) < told
+            and not any(since - MOMENT <= at <= until + MOMENT for since, until in kept)
+        ):
             self.old.append(f"{ident} was posted to {node} by {proxy} on revision {revision}, told of {told} before")
 
     def audit_failures(self):
@@ -187,7 +191,7 @@
                 if not self.silent(name, at):
                     found.append(f"audit: {name} is called unknown, {row['cause']}, and nothing kept it from answering")
             elif any(since <= at <= until + MOMENT for since, until in self.unfed[name]):
-                continue                 # what was written to it may wait on its way: either may be true
+                continue  # what was written to it may wait on its way: either may be true
             elif self.after.get(name, (newest,))[0] != newest and not behind:
                 found.append(f"audit: {name} was last told revision {self.after[name][0]} of {newest} and is called current")
             elif told.get(name) == newest and behind:
@@ -197,7 +201,8 @@
     def silent(self, name, at):
         """Whether it was killed or stopped just before."""
         return self.killed.get(name, -1.0) > at - 30 or any(
-            since <= at + MOMENT and until >= at - MOMENT for since, until in self.stops.get(name, ()))
+            since <= at + MOMENT and until >= at - MOMENT for since, until in self.stops.get(name, ())
+        )
 
     def on_late(self, at, role, ms):
         # What runs late while all is being started measures nothing yet.
@@ -236,11 +241,19 @@
     broken = bool(failed) or any(said["rules"].values())
     if bench.audit:
         said["audit"] = {key: bench.audit[key] for key in ("current", "straggler", "unknown", "acts_after_bound", "reached")} | {
-            "causes": sorted(f"{row['name']}: {row['cause']}" for row in bench.audit["rows"] if row["cause"])}
-    said |= {"plan": plan.name, "seed": seed, "late_ms": late, "failed": failed, "void": void, "figures": figures,
-             "struck": {str(at): some for at, (some, _) in struck.items()},
-             "evidence": [evidence(bench, *one) for one in bench.about[:5]],
-             "verdict": "void" if void else "broken" if broken else "kept"}
+            "causes": sorted(f"{row['name']}: {row['cause']}" for row in bench.audit["rows"] if row["cause"])
+        }
+    said |= {
+        "plan": plan.name,
+        "seed": seed,
+        "late_ms": late,
+        "failed": failed,
+        "void": void,
+        "figures": figures,
+        "struck": {str(at): some for at, (some, _) in struck.items()},
+        "evidence": [evidence(bench, *one) for one in bench.about[:5]],
+        "verdict": "void" if void else "broken" if broken else "kept",
+    }
     return said
 
 
@@ -249,6 +262,9 @@
     for word in text.replace(",", " ").split():
         if word in bench.by_ident:
             events = bench.by_ident[word]
-            return {"rule": rule, "text": text, "events": [
-                [round(at - bench.begin, 4), what, *more] for at, what, *more in events[:SHOWN]]}
+            return {
+                "rule": rule,
+                "text": text,
+                "events": [[round(at - bench.begin, 4), what, *more] for at, what, *more in events[:SHOWN]],
+            }
     return {"rule": rule, "text": text, "events": []}
--- a/sloeferry/simhost/__main__.py
+++ b/sloeferry/simhost/__main__.py
@@ -3,18 +3,27 @@
 One `decide.Proxy` an instance, no shared state, no decisions.  Microseconds become milliseconds
 here; timers are rounded up, so that none is early.
 """
+
 import struct
 import sys
 
 from sloeferry import terms
 from sloeferry.core import decide, ports
 
-OUTCOMES = {0: ports.SETTLED, 13: ports.ERRED, 8: ports.TURNED_AWAY, 4: ports.LATE, 14: ports.UNREACHED,
-            10: ports.CUT, 1: ports.WITHDRAWN, 9: ports.NEVER_SENT}
+OUTCOMES = {
+    0: ports.SETTLED,
+    13: ports.ERRED,
+    8: ports.TURNED_AWAY,
+    4: ports.LATE,
+    14: ports.UNREACHED,
+    10: ports.CUT,
+    1: ports.WITHDRAWN,
+    9: ports.NEVER_SENT,
+}
 SCOPES = {0: ports.WHOLE, 1: ports.CHANGES, 2: ports.FAILED, 3: ports.CACHED}
 STANDINGS = {0: ports.GONE, 1: ports.READY, 2: ports.DRAINING}
 EVENT, ACTION = 40, 24
-MOST = 2 ** 64 - 1
+MOST = 2**64 - 1
 
 _head, _reply = struct.Struct("<QI"), struct.Struct("<II")
 _code, _u16, _u32, _u64, _span = (struct.Struct(f) for f in ("<H", "<H", "<I", "<Q", "<II"))
@@ -110,7 +119,7 @@
         start += self.tail
         if start + length > len(self.body):
             raise BadFrame(f"offset {start - self.tail} with length {length} lies outside the tail")
-        return self.body[start:start + length]
+        return self.body[start : start + length]
 
     def event(self, code, body, at):
         if code == 12:
@@ -118,8 +127,10 @@
             return
         if code == 11:
             number, start, count = _directory.unpack_from(body, at)
-            self.lists[number] = [line[:4] + (STANDINGS.get(line[4], ports.DRAINING), line[5], line[6] / 1000)
-                                  for line in _line.iter_unpack(self.cut(start, count * _line.size))]
+            self.lists[number] = [
+                line[:4] + (STANDINGS.get(line[4], ports.DRAINING), line[5], line[6] / 1000)
+                for line in _line.iter_unpack(self.cut(start, count * _line.size))
+            ]
             return
         if code not in CALLS:
             raise BadFrame(f"event code {code} is unknown")
@@ -149,8 +160,7 @@
 
     def inbound(self, proxy, body, at):
         ref, scheme, tenant, key, left, work, bits = _inbound.unpack_from(body, at)
-        proxy.take(self.now, ref, scheme, tenant, key, left / 1000, work / 1000 if bits & 1 else None,
-                   bool(bits & 2))
+        proxy.take(self.now, ref, scheme, tenant, key, left / 1000, work / 1000 if bits & 1 else None, bool(bits & 2))
 
     def opened(self, proxy, body, at):
         ref, _, _, seq = _opened.unpack_from(body, at)
@@ -158,8 +168,7 @@
 
     def ended(self, proxy, body, at):
         ref, took, answered, how, _, seq, n, *report = _ended.unpack_from(body, at)
-        proxy.ended(self.now, ref, seq, OUTCOMES.get(how, ports.UNKNOWN), bool(answered), took / 1000,
-                    report[:n])
+        proxy.ended(self.now, ref, seq, OUTCOMES.get(how, ports.UNKNOWN), bool(answered), took / 1000, report[:n])
 
     def probed(self, proxy, body, at):
         backend, how, took, n, *report = _probed.unpack_from(body, at)
@@ -175,8 +184,18 @@
         """A message of a peer: nothing here talks to peers."""
 
 
-CALLS = {1: None, 2: Adapter.sync, 3: Adapter.inbound, 4: Adapter.opened, 5: Adapter.ended, 6: Adapter.gave_up,
-         7: Adapter.due, 8: Adapter.probed, 9: Adapter.unused, 10: None}
+CALLS = {
+    1: None,
+    2: Adapter.sync,
+    3: Adapter.inbound,
+    4: Adapter.opened,
+    5: Adapter.ended,
+    6: Adapter.gave_up,
+    7: Adapter.due,
+    8: Adapter.probed,
+    9: Adapter.unused,
+    10: None,
+}
 
 
 def main(source, sink):
--- a/sloeferry/standins/call_failures.py
+++ b/sloeferry/standins/call_failures.py
@@ -3,22 +3,23 @@
 The protocol names them: a call that fails ends with 503 or a reset, connections are refused, watches fall silent, and
 answers may not come whole.
 """
+
 import enum
 
 from sloeferry.standins.frames import answer
 
-LATE = 1.0                               # seconds that a call waits in vain before discovery ends it
+LATE = 1.0  # seconds that a call waits in vain before discovery ends it
 
 
 class CallFailure(enum.Enum):
     """How each call of a proxy ends.  The value is the word that plans use."""
 
-    REFUSED = "refused"                  # 503 at once: discovery is there, and has no time
-    LATE_REFUSED = "late-refused"        # 503 after a wait, as while discovery is down
-    RESET = "reset"                      # let in, and reset
-    SILENT = "silent"                    # let in, and no answer
-    HALF = "half"                        # half a list, then the end
-    UNREACHABLE = "unreachable"          # no connection comes up
+    REFUSED = "refused"  # 503 at once: discovery is there, and has no time
+    LATE_REFUSED = "late-refused"  # 503 after a wait, as while discovery is down
+    RESET = "reset"  # let in, and reset
+    SILENT = "silent"  # let in, and no answer
+    HALF = "half"  # half a list, then the end
+    UNREACHABLE = "unreachable"  # no connection comes up
 
     @property
     def reachable(self) -> bool:
--- a/sloeferry/standins/callers.py
+++ b/sloeferry/standins/callers.py
@@ -3,14 +3,15 @@
 Clients keep connections, ask one thing at a time on each, open more when all are busy, give up, and ask again.  The
 front deals out connections among the proxies of a zone that it holds for alive.
 """
+
 import asyncio
 
 from sloeferry.standins.frames import Frames, chunked, content
 
-OPS = 1000                               # the operators' port above the clients'
-POLL = 0.05                              # seconds between two questions whether a proxy is ready
-DIAL = 1.0                               # seconds until a connection that doesn't come up is given up
-UNTAKEN = 0.03                           # seconds until another connection is tried
+OPS = 1000  # the operators' port above the clients'
+POLL = 0.05  # seconds between two questions whether a proxy is ready
+DIAL = 1.0  # seconds until a connection that doesn't come up is given up
+UNTAKEN = 0.03  # seconds until another connection is tried
 METHODS = {"repeatable": b"GET", "referenced": b"POST", "once-only": b"POST"}
 
 
@@ -86,7 +87,7 @@
             if self.answer and not self.answer.done():
                 self.answer.set_result((int(line.split(b" ")[1]), fields, body))
             else:
-                self.unasked(self)       # nobody asked, or it has been answered
+                self.unasked(self)  # nobody asked, or it has been answered
                 self.transport.abort()
 
     def connection_lost(self, fault):
@@ -156,8 +157,7 @@
             if place:
                 try:
                     async with asyncio.timeout(min(DIAL, max(0.001, until - self.loop.time()))):
-                        _, line = await self.loop.create_connection(lambda: Line(
-                            self.loop, place[0], self.unasked), *place[1])
+                        _, line = await self.loop.create_connection(lambda: Line(self.loop, place[0], self.unasked), *place[1])
                         return line
                 except (OSError, TimeoutError):
                     pass
@@ -175,7 +175,7 @@
             kept, now = line.used > 0, self.loop.time()
             self.judge.asked(ident, ask, line.proxy, now, now + patience)
             if not await self.write(line, self.request(ask, scheme, ident, patience, again), ask.drips):
-                return "untaken", 0.0    # ended before its last byte was written: nobody has taken it
+                return "untaken", 0.0  # ended before its last byte was written: nobody has taken it
             now = self.loop.time()
             self.judge.sent(ident, now, now + patience)
             said = await self.wait(line, patience / 2 if ask.leaves else patience + self.judge.slack)
@@ -212,14 +212,16 @@
             await asyncio.sleep(self.told.drip_ms / 1000)
             if line.over:
                 return False
-            line.transport.write(data[at:at + 1])
+            line.transport.write(data[at : at + 1])
         return True
 
     async def wait(self, line, seconds):
         """What came: an answer, None for the connection's end, or that the time is over."""
+
         def over():
             if not line.answer.done():
                 line.answer.set_result("over")
+
         timer = self.loop.call_later(seconds, over)
         try:
             return await line.answer
@@ -228,10 +230,14 @@
 
     def request(self, ask, scheme, ident, patience, again):
         customers = self.scenario.customer
-        head = [b"%b /api/%b HTTP/1.1" % (METHODS[scheme.kind], scheme.name.encode()), b"Host: backend.local",
-                b"X-Call-Id: " + ident, b"X-Call-Class: " + scheme.name.encode(),
-                b"X-Caller: " + (customers[ask.customer].name.encode() if customers else b"anyone"),
-                b"X-Budget-Ms: %d" % max(1, int(patience * 1000))]
+        head = [
+            b"%b /api/%b HTTP/1.1" % (METHODS[scheme.kind], scheme.name.encode()),
+            b"Host: backend.local",
+            b"X-Call-Id: " + ident,
+            b"X-Call-Class: " + scheme.name.encode(),
+            b"X-Caller: " + (customers[ask.customer].name.encode() if customers else b"anyone"),
+            b"X-Budget-Ms: %d" % max(1, int(patience * 1000)),
+        ]
         if again:
             head.append(b"X-Again: 1")
         body = content(ident, self.judge.body_size(ident))
--- a/sloeferry/standins/frames.py
+++ b/sloeferry/standins/frames.py
@@ -1,4 +1,5 @@
 """As much of HTTP/1.1 as stand-ins need: whole messages, with a stated length or in chunks, out of bytes as they come."""
+
 import re
 
 LENGTH = re.compile(rb"(?i)\r\ncontent-length: *(\d+)")
@@ -8,6 +9,7 @@
 
 class Frames:
     """Bytes in, messages out; `begun` while one is there in part."""
+
     __slots__ = ("rest", "need")
 
     def __init__(self):
@@ -31,9 +33,9 @@
                 length = LENGTH.search(self.rest, 0, end + 2)
                 whole = end + 4 + (int(length[1]) if length else 0)
                 if len(self.rest) < whole:
-                    self.need = whole    # not looked at again before it is there
+                    self.need = whole  # not looked at again before it is there
                     break
-                body = self.rest[end + 4:whole]
+                body = self.rest[end + 4 : whole]
             head, self.rest, self.need = self.rest[:end], self.rest[whole:], 0
             found.append((head.partition(b"\r\n")[0], {name.lower(): value for name, value in FIELD.findall(head)}, body))
         return found
@@ -45,13 +47,13 @@
     while (end := data.find(b"\r\n", at)) >= 0:
         size = int(data[at:end].partition(b";")[0], 16)
         if not size:
-            while (line := data.find(b"\r\n", end + 2)) > end + 2:       # trailers
+            while (line := data.find(b"\r\n", end + 2)) > end + 2:  # trailers
                 end = line
             return (b"".join(parts), end + 4) if line == end + 2 else (None, 0)
         at = end + 2 + size + 2
         if len(data) < at:
             return None, at
-        parts.append(data[end + 2:at - 2])
+        parts.append(data[end + 2 : at - 2])
     return None, 0
 
 
@@ -59,7 +61,7 @@
     """A body in chunks of those sizes, over and over, with an extension and a trailer that would do harm as a header."""
     text, at, turn = b"", 0, 0
     while at < len(body):
-        part = body[at:at + sizes[turn % len(sizes)]]
+        part = body[at : at + sizes[turn % len(sizes)]]
         text += b"%x%b\r\n%b\r\n" % (len(part), b";a=b" if turn % 2 else b"", part)
         at, turn = at + len(part), turn + 1
     return text + b"0\r\nX-Call-Class: another\r\nX-Tail: 1\r\n\r\n"
--- a/sloeferry/standins/ledger.py
+++ b/sloeferry/standins/ledger.py
@@ -30,18 +30,40 @@
 
     # What nodes tell
 
-    def got(self, node, ident, body, now): pass
-    def posted(self, node, zone, ident, since): pass
-    def acted(self, node, ident, said, now): pass        # the posting's own word of what it acts on
-    def ran(self, node, ident, now): pass
-    def worked(self, ms): pass
-    def probed(self, node, work): pass
-    def choked(self, node): pass
-    def fell(self, node, now, warmth, sent): pass        # sent: (when, work in ms, id), of the span that counts
-    def breach(self, rule, now, text): pass
+    def got(self, node, ident, body, now):
+        pass
+
+    def posted(self, node, zone, ident, since):
+        pass
+
+    def acted(self, node, ident, said, now):
+        pass  # the posting's own word of what it acts on
+
+    def ran(self, node, ident, now):
+        pass
+
+    def worked(self, ms):
+        pass
+
+    def probed(self, node, work):
+        pass
+
+    def choked(self, node):
+        pass
+
+    def fell(self, node, now, warmth, sent):
+        pass  # sent: (when, work in ms, id), of the span that counts
+
+    def breach(self, rule, now, text):
+        pass
 
     # What discovery tells
 
-    def told(self, proxy, node, phase, now, launched=0): pass
-    def listed(self, proxy, revision, now): pass
-    def published(self, node, phase, now): pass
+    def told(self, proxy, node, phase, now, launched=0):
+        pass
+
+    def listed(self, proxy, revision, now):
+        pass
+
+    def published(self, node, phase, now):
+        pass
--- a/sloeferry/standins/nodes.py
+++ b/sloeferry/standins/nodes.py
@@ -3,20 +3,22 @@
 A node works its queue off at a rate that warmth, neighbours, stalls and long queues change; work in progress is
 settled at each change.  It stands on asyncio's protocols, so that it runs on the rehearsal's loop and on a real one.
 """
+
 import asyncio
 import json
 from collections import deque
 
 from sloeferry.standins.frames import Frames, answer
 
-BEAT = 0.1                               # seconds between two looks at what changes by itself
-SLACK = 1.1                              # of the work that pushes a cold node over: for chance in a single txn
-HEAVIEST = 2.0                           # times its scheme's mean that one txn counts there: nobody knew it was heavier
-PROBE_MS = 0.04                          # work of a probe
+BEAT = 0.1  # seconds between two looks at what changes by itself
+SLACK = 1.1  # of the work that pushes a cold node over: for chance in a single txn
+HEAVIEST = 2.0  # times its scheme's mean that one txn counts there: nobody knew it was heavier
+PROBE_MS = 0.04  # work of a probe
 
 
 class Job:
     """One txn in work; `entry` is that of its key in the memory of repeats, if it has one."""
+
     __slots__ = ("ident", "left", "peer", "entry")
 
     def __init__(self, ident, work, peer):
@@ -27,7 +29,7 @@
     """What a group of nodes remembers of referenced txns: a repeat runs no second time, it waits for the first."""
 
     def __init__(self):
-        self.known = {}                  # key -> [when, done?, who waits]
+        self.known = {}  # key -> [when, done?, who waits]
 
     def met(self, key, now, window):
         """The entry of a key, and whether it is that of a repeat; a first one is noted."""
@@ -43,12 +45,12 @@
         self.loop, self.told, self.ident, self.address, self.zone = loop, told, ident, address, zone
         self.judge, self.memories, self.rules, self.rng = judge, memories, rules, rng
         self.server, self.peers, self.running, self.queue, self.timer = None, {}, [], deque(), None
-        self.up = self.draining = self.mute = False      # mute: cut off, says nothing
+        self.up = self.draining = self.mute = False  # mute: cut off, says nothing
         self.born, self.at, self.shown = 0.0, 0.0, (0.0, b"")
-        self.stalled, self.late = 0.0, []              # until when, and what came meanwhile
+        self.stalled, self.late = 0.0, []  # until when, and what came meanwhile
         self.neighbour, self.slow, self.odds_err, self.odds_cut = 0.0, 1.0, 0.0, 0.0
-        self.ways, self.lie = {}, ""     # proxy -> (odds of a loss, seconds more each way); what it shows instead
-        self.now_rate = 0.0              # since the last look
+        self.ways, self.lie = {}, ""  # proxy -> (odds of a loss, seconds more each way); what it shows instead
+        self.now_rate = 0.0  # since the last look
         self.sent, self.budget, self.beating = deque(), 0.0, None
         self.crowded = self.rested = None
         self.choked, self.choked_at, self.served = False, 0.0, 0
@@ -83,9 +85,11 @@
 
     def refuse(self, so):
         """Its listener is away, or back."""
+
         async def back():
             if self.up and self.server is None:
                 self.server = await self.loop.create_server(lambda: Peer(self), *self.address, backlog=1024)
+
         if so and self.server:
             self.server.close()
             self.server = None
@@ -178,7 +182,7 @@
     def serve(self, peer, ident):
         odds, late = self.way(ident)
         if odds and self.rng.random() < odds / 2:
-            return                       # done, and nobody hears of it
+            return  # done, and nobody hears of it
         if late:
             self.loop.call_later(late, self.say, peer, ident)
         else:
@@ -206,8 +210,10 @@
         if self.lie == "idle":
             return b'X-Load-Report: {"inflight":0,"queue":0,"util":0.0}\r\n'
         if not self.shown[1] or self.lie != "stuck" and now - self.shown[0] >= self.told.report_ms / 1000:
-            text = json.dumps({"inflight": self.crowd(), "queue": len(self.queue),
-                               "util": round(len(self.running) / self.told.cores, 2)}, separators=(",", ":"))
+            text = json.dumps(
+                {"inflight": self.crowd(), "queue": len(self.queue), "util": round(len(self.running) / self.told.cores, 2)},
+                separators=(",", ":"),
+            )
             self.shown = now, text.encode()
         return b"X-Load-Report: %b\r\n" % self.shown[1]
 
@@ -222,7 +228,7 @@
                 self.judge.acted(self.ident, ident, fields[b"x-acted-on"], self.loop.time())
             odds, late = self.way(ident)
             if odds and self.rng.random() < odds / 2:
-                return                   # lost on the way
+                return  # lost on the way
             if late:
                 self.loop.call_later(late, self.reached, peer, line, fields)
                 return
@@ -262,8 +268,7 @@
         job = Job(ident, work, peer)
         if scheme.kind == "referenced":
             # By when it came: how long a node then stands still is no fault of who sent it in time.
-            job.entry, again = self.memories[scheme.group].met(
-                fields.get(b"idempotency-key"), came, scheme.window_ms / 1000)
+            job.entry, again = self.memories[scheme.group].met(fields.get(b"idempotency-key"), came, scheme.window_ms / 1000)
             if again:
                 return self.serve(peer, ident) if job.entry[1] else job.entry[2].append((peer, ident))
         self.settle()
@@ -336,7 +341,7 @@
 
     def eof_received(self):
         self.gone = True
-        return self.busy                 # what it asked may still be answered
+        return self.busy  # what it asked may still be answered
 
     def rest(self):
         self.busy = False
--- a/sloeferry/standins/processes.py
+++ b/sloeferry/standins/processes.py
@@ -3,6 +3,7 @@
 `Throttle` reads the process's own CPU clock and stops and continues its process group, so that it gets `share`
 of a core and no more, in slices as short as the machine allows.
 """
+
 import os
 import signal
 import socket
@@ -11,9 +12,9 @@
 import threading
 from time import clock_gettime, monotonic, sleep
 
-SLICE = 0.002                            # seconds between two looks of the throttle
-BURST = 0.01                             # seconds of CPU that may be saved up
-OURS = ("BALANCER_", "PYTHON", "SLOEFERRY")      # what a daemon must not inherit from whoever starts it
+SLICE = 0.002  # seconds between two looks of the throttle
+BURST = 0.01  # seconds of CPU that may be saved up
+OURS = ("BALANCER_", "PYTHON", "SLOEFERRY")  # what a daemon must not inherit from whoever starts it
 
 
 def free_ports(host, n):
@@ -36,8 +37,16 @@
 def start(path, log=subprocess.DEVNULL, tree=None, fds=(), module="sloeferry", **environ):
     """A daemon in a process group of its own, with that configuration; `tree`: whose code it runs."""
     words, told = command(module)
-    return subprocess.Popen(words, cwd=tree, stdin=subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True,
-                            pass_fds=fds, env={**told, "BALANCER_CONFIG": str(path), **environ})
+    return subprocess.Popen(
+        words,
+        cwd=tree,
+        stdin=subprocess.DEVNULL,
+        stdout=log,
+        stderr=log,
+        start_new_session=True,
+        pass_fds=fds,
+        env={**told, "BALANCER_CONFIG": str(path), **environ},
+    )
 
 
 def tell(process, number):
@@ -45,7 +54,7 @@
     try:
         os.killpg(process.pid, number)
     except ProcessLookupError:
-        pass                             # it has just ended
+        pass  # it has just ended
 
 
 def end(process, patience=3.0):
@@ -105,7 +114,7 @@
                     os.killpg(self.pid, signal.SIGSTOP if stop else signal.SIGCONT)
                     stopped = stop
         except (ProcessLookupError, OSError):
-            return                       # it has ended
+            return  # it has ended
         finally:
             if stopped:
                 try:
--- a/sloeferry/standins/roster.py
+++ b/sloeferry/standins/roster.py
@@ -3,24 +3,25 @@
 Each proxy is told an address of its own, so that it is known whom a list was written to, also where all proxies
 call from one address.
 """
+
 import asyncio
 import json
 
 from sloeferry.standins.call_failures import CallFailure, fail
 from sloeferry.standins.frames import Frames, answer
 
-ALIVE = 2.0                              # seconds between empty lines of a watch
+ALIVE = 2.0  # seconds between empty lines of a watch
 
 
 class Roster:
     def __init__(self, loop, told, addresses, judge, rng, unix):
         self.loop, self.told, self.addresses, self.judge, self.rng, self.unix = loop, told, addresses, judge, rng, unix
-        self.members, self.changes, self.revision = {}, [], 0      # changes: (revision, ident)
-        self.servers, self.watches, self.free, self.more = {}, {}, 0.0, 0.0      # servers: proxy -> what it calls
-        self.failing = {}                # proxy -> how each of its calls fails (CallFailure)
-        self.lists, self.held = {}, {}   # proxy -> the list as it was last told, and its revision
-        self.log, self.views = [], {}    # all that was ever published; proxy -> what it is shown instead of the newest
-        self.ways = {}                   # proxy, node -> host:port of the way between them, where it is not the node's own
+        self.members, self.changes, self.revision = {}, [], 0  # changes: (revision, ident)
+        self.servers, self.watches, self.free, self.more = {}, {}, 0.0, 0.0  # servers: proxy -> what it calls
+        self.failing = {}  # proxy -> how each of its calls fails (CallFailure)
+        self.lists, self.held = {}, {}  # proxy -> the list as it was last told, and its revision
+        self.log, self.views = [], {}  # all that was ever published; proxy -> what it is shown instead of the newest
+        self.ways = {}  # proxy, node -> host:port of the way between them, where it is not the node's own
 
     async def start(self):
         for proxy in self.addresses:
@@ -50,10 +51,16 @@
 
     def publish(self, node, phase, launched=None):
         self.revision += 1
-        entry = {"id": node.ident, "host_port": "{}:{}".format(*node.address), "locality": node.zone,
-                 "flavor": node.told.kind, "cell": 0, "phase": phase, "size": 1.0,
-                 "up_since_ms": self.members.get(node.ident, {}).get("up_since_ms", 0) if launched is None
-                 else round(launched * 1000)}
+        entry = {
+            "id": node.ident,
+            "host_port": "{}:{}".format(*node.address),
+            "locality": node.zone,
+            "flavor": node.told.kind,
+            "cell": 0,
+            "phase": phase,
+            "size": 1.0,
+            "up_since_ms": self.members.get(node.ident, {}).get("up_since_ms", 0) if launched is None else round(launched * 1000),
+        }
         self.members[node.ident] = entry
         self.changes.append((self.revision, node.ident))
         self.log.append((self.revision, self.loop.time(), entry))
@@ -125,9 +132,12 @@
         """What is written to that proxy; the wire's own record of who has been told what."""
         now, known = self.loop.time(), self.lists.setdefault(proxy, {})
         if self.ways:
-            document = document | {"members": [
-                entry | {"host_port": self.ways.get((proxy, entry["id"]), entry["host_port"])}
-                for entry in document["members"]]}
+            document = document | {
+                "members": [
+                    entry | {"host_port": self.ways.get((proxy, entry["id"]), entry["host_port"])}
+                    for entry in document["members"]
+                ]
+            }
         self.held[proxy] = document["revision"]
         self.judge.listed(proxy, document["revision"], now)
         if document["complete"]:
@@ -175,8 +185,9 @@
             # One service for all: calls are worked through in turn.
             roster, now = self.roster, self.roster.loop.time()
             roster.free = max(roster.free, now) + roster.told.call_ms / 1000
-            roster.loop.call_later(roster.free - now, self.serve, dict(
-                part.partition(b"=")[::2] for part in query.split(b"&") if part))
+            roster.loop.call_later(
+                roster.free - now, self.serve, dict(part.partition(b"=")[::2] for part in query.split(b"&") if part)
+            )
 
     def serve(self, query):
         if self.transport.is_closing():
--- a/sloeferry/tables.py
+++ b/sloeferry/tables.py
@@ -1,4 +1,5 @@
 """Files of operators' tables (TOML), read in one way.  What the file may hold is its reader's to check."""
+
 import tomllib
 
 from sloeferry.terms import Fault
--- a/sloeferry/terms.py
+++ b/sloeferry/terms.py
@@ -4,30 +4,75 @@
 Both end as the same plain map of dotted names to values, its times in float milliseconds, complete:
 whoever reads it finds every name below.
 """
+
 import json
 import math
 from typing import Any, Mapping, NamedTuple
 
-TIMES = {"expiry", "sla_time", "dedup_window", "conn_idle", "dial_timeout", "max_retry_after", "cold",
-         "drain_grace", "fall", "grace_to_answer", "must_ask_in", "step"}     # given in microseconds
+TIMES = {
+    "expiry",
+    "sla_time",
+    "dedup_window",
+    "conn_idle",
+    "dial_timeout",
+    "max_retry_after",
+    "cold",
+    "drain_grace",
+    "fall",
+    "grace_to_answer",
+    "must_ask_in",
+    "step",
+}  # given in microseconds
 DEFAULTS = {
-    "discovery": "automatic", "gain_per": "request", "instances": 1, "kinds": "", "ordinal": 0, "step": 1.0,
-    "tenants.count": 0, "zone": 0, "zones": "",
-    "blend.log_loss_part": 0.0, "blend.nines_wanted": 3.0,
-    "family_info.warm_keys": False, "limits.cancel": False, "limits.conn_idle": 10000.0, "limits.dial_timeout": 250.0,
-    "limits.most_postings": 1, "limits.probing": False, "limits.retry_after": False,
-    "limits.second_copies": False, "load_info.fields": "", "load_info.via": "none",
-    "obligations.cold": 0.0, "obligations.cold_from": 1.0, "obligations.fall": 1000.0,
-    "obligations.fall_multiple": 1.0, "obligations.drain_grace": 250.0,
+    "discovery": "automatic",
+    "gain_per": "request",
+    "instances": 1,
+    "kinds": "",
+    "ordinal": 0,
+    "step": 1.0,
+    "tenants.count": 0,
+    "zone": 0,
+    "zones": "",
+    "blend.log_loss_part": 0.0,
+    "blend.nines_wanted": 3.0,
+    "family_info.warm_keys": False,
+    "limits.cancel": False,
+    "limits.conn_idle": 10000.0,
+    "limits.dial_timeout": 250.0,
+    "limits.most_postings": 1,
+    "limits.probing": False,
+    "limits.retry_after": False,
+    "limits.second_copies": False,
+    "load_info.fields": "",
+    "load_info.via": "none",
+    "obligations.cold": 0.0,
+    "obligations.cold_from": 1.0,
+    "obligations.fall": 1000.0,
+    "obligations.fall_multiple": 1.0,
+    "obligations.drain_grace": 250.0,
     "obligations.must_ask_in": 10000.0,
-    "obligations.only_draining_binds": False, "tariffs.cross_zone": 0.0, "tariffs.probe": 0.0}
+    "obligations.only_draining_binds": False,
+    "tariffs.cross_zone": 0.0,
+    "tariffs.probe": 0.0,
+}
 SCHEME = {"dedup_window": 0.0, "expiry": 1000.0, "gain": 1.0, "group": "all", "idempotency": ""}
-KINDS = {"retryable": "repeatable", "dedup": "referenced"}      # any other word is once-only
+KINDS = {"retryable": "repeatable", "dedup": "referenced"}  # any other word is once-only
 LEVELS = ("TRACE", "DEBUG", "INFO", "SUCCESS", "WARNING", "ERROR", "CRITICAL")
-ABOVE_NOUGHT = {"expiry", "sla_time", "conn_idle", "dial_timeout", "must_ask_in", "fall", "step", "instances",
-                "most_postings", "cold_from", "nines_wanted"}
-WHOLE = {"most_postings", "count"}       # numbers that are no fractions
-OF_A_KIND = {"group", "dedup_window"}    # of a scheme, where its kind has them
+ABOVE_NOUGHT = {
+    "expiry",
+    "sla_time",
+    "conn_idle",
+    "dial_timeout",
+    "must_ask_in",
+    "fall",
+    "step",
+    "instances",
+    "most_postings",
+    "cold_from",
+    "nines_wanted",
+}
+WHOLE = {"most_postings", "count"}  # numbers that are no fractions
+OF_A_KIND = {"group", "dedup_window"}  # of a scheme, where its kind has them
 
 
 class Fault(Exception):
@@ -36,6 +81,7 @@
 
 class Berth(NamedTuple):
     """Where this instance stands, and what it is told at its start."""
+
     name: str
     listen: tuple[str, int]
     discovery: tuple[str, int]
@@ -45,13 +91,16 @@
     known: Mapping[str, Any]
     terms: Mapping[str, Any]
     ops: tuple[str, int] | None = None
-    inherited: int | None = None         # the clients' listening socket, where the platform holds it
-    keys: frozenset = frozenset()        # every key that was there, to tell a later file that lacks one
+    inherited: int | None = None  # the clients' listening socket, where the platform holds it
+    keys: frozenset = frozenset()  # every key that was there, to tell a later file that lacks one
 
     def named(self, what):
         """The index of each name in a list of objects of the terms, without those that were dropped."""
-        return {self.terms[f"{what}.{at}.name"]: at for at in range(int(self.terms[f"{what}.count"]))
-                if not self.terms.get(f"{what}.{at}.dropped")}
+        return {
+            self.terms[f"{what}.{at}.name"]: at
+            for at in range(int(self.terms[f"{what}.count"]))
+            if not self.terms.get(f"{what}.{at}.dropped")
+        }
 
     def places(self, what):
         """The same for a list of plain names."""
@@ -87,7 +136,7 @@
         for name, below in node.items() if isinstance(node, dict) else enumerate(node):
             flat.update(of_tree(below, f"{path}.{name}" if path else name))
         return flat
-    if path.endswith(".name") or isinstance(node, str):      # JSON says itself what is a number
+    if path.endswith(".name") or isinstance(node, str):  # JSON says itself what is a number
         return {path: node}
     return {path: value(path, node)}
 
@@ -110,6 +159,7 @@
                     kinds.setdefault(kind, []).append({name for name, below in item.items() if below is not None})
             for kind, sets in kinds.items():
                 keys.update(f"{path}{kind}.{name}" for name in set.intersection(*sets))
+
     walk({name: below for name, below in told.items() if name != "known"}, "")
     return frozenset(keys)
 
@@ -136,7 +186,7 @@
         for at, name in enumerate([*names, *(name for name in ours if name not in names)]):
             source, place = (terms, ours[name]) if name in ours else (former, at)
             start = f"{what}.{place}."
-            line = {key[len(start):]: said for key, said in source.items() if key.startswith(start)}
+            line = {key[len(start) :]: said for key, said in source.items() if key.startswith(start)}
             lines.append(line | {"dropped": name not in ours})
         terms = {key: said for key, said in terms.items() if not key.startswith(f"{what}.")}
         terms[f"{what}.count"] = len(lines)
@@ -244,5 +294,16 @@
     inherited = environ.get("BALANCER_LISTEN_FD") or None
     if inherited and not (inherited.isascii() and inherited.isdecimal()):
         raise Fault(f"BALANCER_LISTEN_FD: {inherited!r} is no number of a descriptor")
-    return Berth(str(told["name"]), listen, discovery, seed, sockets, int(memory * (1 << 20)), told["known"],
-                 aligned(terms, former.terms) if again else terms, ops, inherited and int(inherited), keys)
+    return Berth(
+        str(told["name"]),
+        listen,
+        discovery,
+        seed,
+        sockets,
+        int(memory * (1 << 20)),
+        told["known"],
+        aligned(terms, former.terms) if again else terms,
+        ops,
+        inherited and int(inherited),
+        keys,
+    )
--- a/sloeferry/versions/order.py
+++ b/sloeferry/versions/order.py
@@ -6,6 +6,7 @@
 counts; this protocol names nobody).  Settings are counted by what was accepted: a roll-back is a new generation with an
 older digest.
 """
+
 import hashlib
 import json
 from typing import NamedTuple
@@ -14,14 +15,14 @@
 
 
 class Settings(NamedTuple):
-    generation: int                      # of what this process accepted, from 1
+    generation: int  # of what this process accepted, from 1
     digest: str
 
 
 class List(NamedTuple):
-    incarnation: int                     # how often the count went back, from 1
+    incarnation: int  # how often the count went back, from 1
     revision: int
-    digest: str                          # of what it says; addresses aside, which may differ from proxy to proxy
+    digest: str  # of what it says; addresses aside, which may differ from proxy to proxy
 
 
 def compare(one, other):
@@ -30,7 +31,7 @@
         return SAME
     if isinstance(one, List):
         if one.incarnation != other.incarnation or one.revision == other.revision:
-            return UNLIKE                # one revision that says two things comes of two counts
+            return UNLIKE  # one revision that says two things comes of two counts
         return NEWER if one.revision > other.revision else OLDER
     return NEWER if one.generation > other.generation else OLDER
 
--- a/sloeferry/versions/witness.py
+++ b/sloeferry/versions/witness.py
@@ -1,4 +1,5 @@
 """Joins the ledger to a proxy: it hears of settings and lists, is told of txns and postings, and answers operators."""
+
 import pathlib
 from urllib.parse import parse_qs
 
@@ -6,8 +7,8 @@
 from sloeferry.versions.ledger import HELD, Ledger
 from sloeferry.versions.order import digest, of_files
 
-EVER = 1e15                              # ms
-OWN = ("ordinal", "zone")                # settings that differ from proxy to proxy: no two would have one version
+EVER = 1e15  # ms
+OWN = ("ordinal", "zone")  # settings that differ from proxy to proxy: no two would have one version
 
 
 def program():
@@ -27,8 +28,11 @@
             lines.setdefault((what, at), {})[name] = said
         elif key not in OWN:
             plain[key] = said
-    return plain | {f"{what}/{line['name']}": {name: said for name, said in line.items() if name != "dropped"}
-                    for (what, _), line in lines.items() if "name" in line and not line.get("dropped")}
+    return plain | {
+        f"{what}/{line['name']}": {name: said for name, said in line.items() if name != "dropped"}
+        for (what, _), line in lines.items()
+        if "name" in line and not line.get("dropped")
+    }
 
 
 class Witness:
@@ -46,7 +50,8 @@
                 errand.acted = errand.acted or {}
                 errand.acted[errand.sent] = b"X-Acted-On: %b\r\n" % self.ledger.acts_on(ref).encode()
             post(ref, *order)
-        facade.post = posted             # this instance's alone: where nobody asks for it, no txn passes here
+
+        facade.post = posted  # this instance's alone: where nobody asks for it, no txn passes here
         desk.calls[b"/admin/versions"] = b"GET", self.versions
         desk.calls[b"/admin/acted"] = b"GET", self.acted
 
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -3,6 +3,7 @@
 Without names every test is run except those listed in KNOWN-RED.txt at the root, which are printed instead.  With
 names (as unittest takes them) exactly those are run, listed or not.  Exit status: 0 if all passed, 1 otherwise.
 """
+
 import pathlib
 import sys
 import time
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -1,4 +1,5 @@
 """Who is blamed: a kind of txn, a backend, or the way there.  Each test tempts to blame the wrong one."""
+
 import unittest
 
 from sloeferry.core import ports
@@ -22,7 +23,6 @@
 
 
 class Blame(unittest.TestCase):
-
     def test_one_customers_txns_wait_everywhere(self):
         """Customer 1's are overdue at every backend: they are declined at once with word when to come back but for
         one at a time, no backend is slow for it, and when they are quick again all go as before."""
@@ -31,7 +31,7 @@
         for ref in range(200, 220):
             play(host, ref, ref % 2 * 2, 40.0)
         for ref in range(14):
-            host.take(ref, tenant=1)             # none of these is answered
+            host.take(ref, tenant=1)  # none of these is answered
             host.until(host.now + 40.0)
             host.take(100 + ref, tenant=ref % 2 * 2)
             host.end(100 + ref, 0, ports.SETTLED, 0, took=40.0)
@@ -73,8 +73,9 @@
         and one customer, and what is expected of them has sunk far below that: not one txn is refused, nobody drags."""
         out = Printer()
         for took in (0.1, 0.4, 1.0, 10.0):
-            host = Printer(schemes__0__sla_time=320.0, schemes__0__expiry=800.0, schemes__count=1, tenants__count=1,
-                           limits__probing=True)
+            host = Printer(
+                schemes__0__sla_time=320.0, schemes__0__expiry=800.0, schemes__count=1, tenants__count=1, limits__probing=True
+            )
             host.list(*((f"b{at}",) for at in range(12)))
             for ref in range(500):
                 for b in host.proxy.board.open:
@@ -88,8 +89,10 @@
                     if txn.out():
                         host.until(host.now + took)
                         host.end(ref, len(txn.postings) - 1, ports.SETTLED, 1, took=took)
-            out.lines.append(f"{took} ms: {sum('decline' in line for line in host.lines)} of 500 refused, dragging "
-                             f"{[kind.dragging for kind in sum(host.proxy.kinds, [])]}")
+            out.lines.append(
+                f"{took} ms: {sum('decline' in line for line in host.lines)} of 500 refused, dragging "
+                f"{[kind.dragging for kind in sum(host.proxy.kinds, [])]}"
+            )
         compare(self, out, "blame_quick")
 
     def test_all_drag_at_once(self):
@@ -118,8 +121,9 @@
             host.until(500.0)
             posting.backend.probes_out = [100.0] * probed
             host.end(1, 0, ports.LATE, took=490.0)
-            out.lines.append(f"asked in vain {probed}: the scheme rests there alone "
-                             f"{posting.backend.mutes(host.proxy.schemes[0], host.now)}")
+            out.lines.append(
+                f"asked in vain {probed}: the scheme rests there alone {posting.backend.mutes(host.proxy.schemes[0], host.now)}"
+            )
         compare(self, out, "blame_silent")
 
     def test_a_rare_scheme_lags_behind(self):
@@ -164,7 +168,7 @@
                     host.end(ref, seq, ports.ERRED if at_a else ports.SETTLED, 0, answered=not at_a)
         sent = [line.split()[-1] for line in host.lines if "post" in line and "to" in line]
         host.lines = host.lines[:2]
-        host.say(f"then sent to a, by tens: {[sent[n:n + 10].count('a') for n in range(0, 40, 10)]}")
+        host.say(f"then sent to a, by tens: {[sent[n : n + 10].count('a') for n in range(0, 40, 10)]}")
         compare(self, host, "blame_errors")
 
     def test_hint_of_cost(self):
@@ -209,9 +213,11 @@
                 else:
                     host.end(ref, 0, ports.SETTLED, took=150.0)
             ref += 1
-        host.lines = [f"{start // 1000:2d} to {start // 1000 + 4} s: {sum(start <= at < start + 4000 for at, _ in sent)} "
-                      f"sent, {sum(start <= at < start + 4000 and to == 'w' for at, to in sent)} to the other zone"
-                      for start in range(0, 28000, 4000)]
+        host.lines = [
+            f"{start // 1000:2d} to {start // 1000 + 4} s: {sum(start <= at < start + 4000 for at, _ in sent)} "
+            f"sent, {sum(start <= at < start + 4000 and to == 'w' for at, to in sent)} to the other zone"
+            for start in range(0, 28000, 4000)
+        ]
         host.say("backends that rest: " + str([b.ident for b in host.proxy.board.open if b.rest_until > host.now]))
         compare(self, host, "blame_way")
 
@@ -219,7 +225,7 @@
         """Backends a and b leave scheme 0 unanswered and serve scheme 1: they rest for scheme 0 alone, what is
         overdue there is soon posted elsewhere, and neither the scheme nor the backends are blamed for the rest."""
         host = Printer(schemes__0__expiry=1000.0)
-        host.proxy.schemes[1].tells_of = lambda other: True      # enough of it has ended since
+        host.proxy.schemes[1].tells_of = lambda other: True  # enough of it has ended since
         host.list(("a",), ("b",), ("c",), ("d",))
         open_, sent = [], {0: [], 1: []}
         for at in range(0, 12000, 20):
@@ -243,10 +249,13 @@
                         open_.append((at + 1000, *one))
                     else:
                         host.end(*one, ports.SETTLED, 1 + (to in "cd"), took=100.0)
-        host.lines = [f"scheme {scheme}, {start // 1000} to {start // 1000 + 3} s: of "
-                      f"{sum(start <= at < start + 3000 for at, _ in posts)} postings "
-                      f"{sum(start <= at < start + 3000 and to in 'ab' for at, to in posts)} to a and b"
-                      for scheme, posts in sent.items() for start in range(0, 12000, 3000)]
+        host.lines = [
+            f"scheme {scheme}, {start // 1000} to {start // 1000 + 3} s: of "
+            f"{sum(start <= at < start + 3000 for at, _ in posts)} postings "
+            f"{sum(start <= at < start + 3000 and to in 'ab' for at, to in posts)} to a and b"
+            for scheme, posts in sent.items()
+            for start in range(0, 12000, 3000)
+        ]
         host.say(f"dragging: {[s.prompt.dragging for s in host.proxy.schemes]}")
         compare(self, host, "blame_scheme_at_some")
 
@@ -273,7 +282,7 @@
         first = host.lines[-1].split()[-1]
         host.take(101)
         second = host.lines[-1].split()[-1]
-        host.lines = [f"of each ten postings to a: {[to[n:n + 10].count('a') for n in range(0, len(to) - 9, 10)]}"]
+        host.lines = [f"of each ten postings to a: {[to[n : n + 10].count('a') for n in range(0, len(to) - 9, 10)]}"]
         host.say(f"then to {first}, and while that is out to {'a' if second == 'a' else 'another or none'}")
         if second == "a":
             host.end(101, 0, ports.UNREACHED, answered=False)
@@ -289,7 +298,7 @@
         for ref in range(60):
             host.proxy.take(host.now, ref, 0, 0, 0, 1000.0, 100.0, False)
             to = host.lines[-1].split()[-1]
-            if to == "q3":           # never heard of: its kind alone speaks for it
+            if to == "q3":  # never heard of: its kind alone speaks for it
                 host.end(ref, 0, ports.UNKNOWN, answered=True)
             else:
                 host.end(ref, 0, ports.SETTLED, 0, took=50.0 if to[0] == "q" else 90.0)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,5 +1,6 @@
 """Two events that cross: each order is forced by what a peer has seen or by a hook at the await in question, none by
 waiting for a while.  `docs/crossings.md` names the pair of each test."""
+
 import asyncio
 import contextlib
 import json
@@ -20,7 +21,7 @@
 from sloeferry.net.buffers import Buffers, Seats
 from tests.trace import Harbour, answer, play
 
-NEVER = 3600.0                           # seconds: of a look that is not to come in a test
+NEVER = 3600.0  # seconds: of a look that is not to come in a test
 
 
 def left(sock):
@@ -55,15 +56,19 @@
                 made = part(*what, **more)
                 setattr(self, name, made)
                 return made
+
             return make
+
         with contextlib.ExitStack() as stack:
             for name in ("Clients", "Backends", "Discovery", "Facade"):
                 stack.enter_context(mock.patch(f"sloeferry.__main__.{name}", kept(name.lower(), getattr(start, name))))
             return await super().__aenter__()
 
     def head(self, ident="c0", scheme="safe", more="", size=0):
-        return (f"POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: {ident}\r\nX-Call-Class: {scheme}\r\nX-Caller: acme\r\n"
-                f"X-Budget-Ms: {self.expiry}\r\nContent-Length: {size}\r\n{more}\r\n").encode()
+        return (
+            f"POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: {ident}\r\nX-Call-Class: {scheme}\r\nX-Caller: acme\r\n"
+            f"X-Budget-Ms: {self.expiry}\r\nContent-Length: {size}\r\n{more}\r\n"
+        ).encode()
 
     async def sent(self, data):
         """A client that has sent this: its socket, and its guest once it is let in."""
@@ -74,6 +79,7 @@
 
         def guest():
             return next((one for one in self.clients.guests if one.sock.getpeername() == name), None)
+
         return sock, guest
 
     async def gets(self, sock, most):
@@ -98,14 +104,17 @@
         def turned():
             gate.held.set()
             return None if gate.opened.is_set() else asyncio.ensure_future(gate.opened.wait())
+
         with mock.patch.object(self.facade, "turned", turned):
             yield gate
 
     def figures(self):
         """What may be left behind of a txn."""
         own = {b.ident: b.own for b in self.facade.proxy.board.all.values()}
-        return (f"errands {len(self.facade.errands)}, txns {len(self.facade.proxy.ledger.txns)}, open ids "
-                f"{len(self.clients.open_ids)}, out {own}")
+        return (
+            f"errands {len(self.facade.errands)}, txns {len(self.facade.proxy.ledger.txns)}, open ids "
+            f"{len(self.clients.open_ids)}, out {own}"
+        )
 
 
 class Unseen(Opened):
@@ -132,19 +141,27 @@
             await h.call("safe", X_Call_Id="after")
             await until(lambda: not h.facade.errands)
             h.say(h.figures())
+
         with mock.patch("sloeferry.net.clients.LOOK", NEVER):
             play(self, told, name, *(harbours or [Opened({"b": answer()})]), **more)
 
     def test_before_first_byte(self):
         """Held right before its first byte, as after a standstill: a client that closed, that closed behind a further
         byte or half a request, that reset, or that only ended its sending."""
+
         def reset(sock):
             http1.reset(sock)
             sock.close()
 
         async def story(h):
-            for more, end in ((b"", socket.socket.close), (b"x", socket.socket.close), (h.head("c9")[:30], socket.socket.close),
-                              (h.head("c9"), reset), (b"", lambda sock: sock.shutdown(socket.SHUT_WR)), (None, None)):
+            for more, end in (
+                (b"", socket.socket.close),
+                (b"x", socket.socket.close),
+                (h.head("c9")[:30], socket.socket.close),
+                (h.head("c9"), reset),
+                (b"", lambda sock: sock.shutdown(socket.SHUT_WR)),
+                (None, None),
+            ):
                 with h.before_first_byte() as gate:
                     sock, guest = await h.sent(h.head() + (more or b""))
                     await gate.held.wait()
@@ -156,16 +173,19 @@
                     await until(lambda: not h.facade.errands)
                 sock.close()
                 await until(lambda: there not in h.clients.guests)
+
         self.play(story, "crossing_first_byte")
 
     def test_while_dialled(self):
         """Its backend's connection is still coming up."""
+
         async def story(h):
             gate, dial = Gate(), http1.dial
 
             async def slow(*what):
                 await gate.passed()
                 return await dial(*what)
+
             for link in list(h.backends.idle["b"]):
                 link.close()
             with mock.patch("sloeferry.net.http1.dial", slow):
@@ -174,10 +194,12 @@
                 await h.leaves(sock, guest())
                 gate.opened.set()
                 await until(lambda: not h.facade.errands)
+
         self.play(story, "crossing_dial")
 
     def test_door_shut(self):
         """Unread, while the door is shut; with what it sent comes the end."""
+
         async def story(h):
             h.facade.door.limit = 0.0
             sock, guest = await h.sent(h.head() + b"x")
@@ -186,10 +208,12 @@
             await h.leaves(sock, there)
             h.facade.door.limit = float("inf")
             await until(lambda: there not in h.clients.guests)
+
         self.play(story, "crossing_door")
 
     def test_full_table_and_handover(self):
         """Behind the listener: no seat is free; another process takes clients in, and ends."""
+
         async def story(h):
             for why in ("no seat", "another process's turn"):
                 most, h.clients.seats.most = h.clients.seats.most, 0 if why == "no seat" else h.clients.seats.most
@@ -202,9 +226,10 @@
                 h.clients.seats.most = most
                 if why != "no seat":
                     h.clients.open()
-                other = await h.open()           # let in behind the one that has left
+                other = await h.open()  # let in behind the one that has left
                 await until(lambda: h.clients.guests and len(h.clients.guests) <= guests + 1)
                 await h.call("safe", X_Call_Id="c1", connection=other)
+
         self.play(story, "crossing_listener")
 
     def test_read_ahead(self):
@@ -218,10 +243,12 @@
             await h.leaves(sock, there)
             held.set()
             await until(lambda: there not in h.clients.guests)
+
         self.play(story, "crossing_ahead", Opened({"b": lambda n: held if n == 2 else answer()}))
 
     def test_body_half_come(self):
         """A body that flows, not begun yet, its client gone half way: not one byte goes out."""
+
         async def story(h):
             with h.before_first_byte() as gate:
                 sock, guest = await h.sent(h.head(size=200000) + b"x" * 100000)
@@ -232,6 +259,7 @@
                     gate.opened.set()
                     await until(lambda: not h.facade.errands)
                 h.say(f"a connection untouched: {out}")
+
         self.play(story, "crossing_body")
 
     def test_further_attempt(self):
@@ -246,11 +274,12 @@
             await until(lambda: not h.facade.errands)
 
         class Cut(Opened):
-            def say(self, text):         # which of the two is asked first is left to how long the first answer took
+            def say(self, text):  # which of the two is asked first is left to how long the first answer took
                 super().say(re.sub(r"backend \d, connection \d", "a backend", text))
 
         def script(n):
             return held if n == 2 else answer()
+
         h = Cut({"b": script, "c": script})
         with mock.patch("tests.trace.answer", lambda *what: answer("no", 500) if what == ("late",) else answer(*what)):
             self.play(cut, "crossing_further", h)
@@ -267,6 +296,7 @@
             await h.leaves(sock, there)
             await h.call("safe", X_Call_Id="c0")
             held.set()
+
         self.play(story, "crossing_same_id", Opened({"b": lambda n: held if n == 2 else answer()}))
 
 
@@ -276,6 +306,7 @@
     def test_ended_while_its_task_posts(self):
         """A body's client gives nothing more and is ended by the sweep, while its own task carries the posting; one is
         ended with an order that nobody has begun: nothing of either is left behind."""
+
         async def story(h):
             with mock.patch("sloeferry.net.clients.READING", 0.1):
                 sock, guest = await h.sent(h.head(size=200000) + b"x" * 100000)
@@ -288,16 +319,18 @@
             gate = Gate()
             with mock.patch.object(clients.Guest, "carry", lambda *_: gate.passed()):
                 sock, guest = await h.sent(h.head())
-                await gate.held.wait()   # taken, and its posting ordered
+                await gate.held.wait()  # taken, and its posting ordered
                 there = guest()
                 there.end()
                 await asyncio.wait([there.task])
             h.say(f"with an order: {h.figures()}")
             sock.close()
+
         play(self, story, "crossing_ended", Opened({"b": answer()}))
 
     def test_hurried_while_it_writes(self):
         """Half a request's time is over just as it is told to go on: the word is not broken off, and its rest counts."""
+
         async def story(h):
             gate, send = Gate(), clients.Guest.send
 
@@ -305,6 +338,7 @@
                 if b"100" in data:
                     await gate.passed()
                 await send(guest, data)
+
             with mock.patch.object(clients.Guest, "send", slow):
                 sock, guest = await h.sent(h.head(more="Expect: 100-continue\r\n", size=4))
                 await gate.held.wait()
@@ -315,17 +349,20 @@
                     await asyncio.get_running_loop().sock_sendall(sock, b"body")
                 await h.gets(sock, 15)
                 sock.close()
+
         play(self, story, "crossing_hurried", Opened({"b": answer()}))
 
     def test_answer_over_unread_bytes(self):
         """A client that wants its connection closed sent more behind its request, and reads slowly: closed over what
         is unread the connection would be reset, and the rest of the answer lost."""
+
         async def story(h):
             gate, send, loop, got = Gate(), clients.Guest.send, asyncio.get_running_loop(), b""
 
             async def slow(guest, data):
                 await gate.passed()
                 await send(guest, data)
+
             with mock.patch.object(clients.Guest, "send", slow):
                 sock, guest = await h.sent(h.head(more="Connection: close\r\n"))
                 await gate.held.wait()
@@ -339,6 +376,7 @@
                     await asyncio.sleep(0)
             sock.close()
             h.say(f"client gets all: {got.endswith(b'x' * 900000)}")
+
         play(self, story, "crossing_unread", Opened({"b": answer("x" * 900000)}))
 
     def test_sigterm_with_a_full_table(self):
@@ -355,7 +393,7 @@
                 os.kill(os.getpid(), signal.SIGTERM)
                 accept, tries = h.clients.accept, []
                 with mock.patch.object(h.clients, "accept", lambda *most: (tries.append(most), accept(*most))[1]):
-                    await until(lambda: (clients.BACKLOG,) in tries)     # the last time that it lets anybody in
+                    await until(lambda: (clients.BACKLOG,) in tries)  # the last time that it lets anybody in
                     held.set()
                     await busy
                     with contextlib.suppress(OSError):
@@ -363,17 +401,20 @@
                     await h.proxy
             sock.close()
             h.say("the program has ended")
+
         play(self, story, "crossing_sigterm_full", Unseen({"b": lambda n: held}, sockets=64))
 
     def test_operators_answer_is_not_held_back(self):
         """An operators' answer behind a 100 Continue, its caller's bytes unread: the machine holds no small write back,
         or it would go with the close."""
+
         async def story(h):
             serve, found = desk.Desk.serve, []
 
             def served(there, sock):
                 found.append(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY) > 0)
                 return serve(there, sock)
+
             with mock.patch.object(desk.Desk, "serve", served):
                 reader, writer = await asyncio.open_connection("127.0.0.1", h.ops)
                 writer.write(b"POST /admin/resume HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n")
@@ -381,11 +422,13 @@
                 writer.write(b"xGET")
                 h.say(f"caller gets: {(await reader.read()).splitlines()[1]}, sent at once: {found}")
                 writer.close()
+
         play(self, story, "crossing_operators", Opened({"b": answer()}, ops=True))
 
     def test_turned_out_half_way(self):
         """Half a request, and its seat is needed, or the rest of its body stays out: told so, since its last byte may be
         on its way.  What has its answer under way is not told another."""
+
         async def story(h):
             await until(lambda: not h.clients.guests)
             h.clients.seats.most = 1
@@ -400,6 +443,7 @@
                 sock, guest = await h.sent(h.head("c3", size=200000) + b"x" * 100000)
                 await h.gets(sock, 28)
             sock.close()
+
         play(self, story, "crossing_turned_out", Opened({"b": answer()}))
 
     def test_read_ahead_and_sigterm(self):
@@ -418,11 +462,13 @@
                 came += more
             sock.close()
             h.say(f"client gets: {re.findall(rb'HTTP.*|Connection.*', came)}")
+
         play(self, story, "crossing_ahead_sigterm", Opened({"b": lambda n: held if n == 1 else answer()}))
 
     def test_last_byte_long_after_sigterm(self):
         """Its last byte comes when SIGKILL may come before its time is over: it has its answer by then, also where its
         body flows."""
+
         async def story(h):
             halves = []
             for size in (4, 200000):
@@ -431,19 +477,23 @@
                 halves.append(sock)
             await until(lambda: h.facade.errands)
             budgets, take, whole = [], h.facade.take, h.facade.whole
-            with mock.patch("sloeferry.net.clients.KILLED", -h.expiry / 2000), \
-                    mock.patch.object(h.facade, "take", lambda *what: (budgets.append(what[2]), take(*what))[1]), \
-                    mock.patch.object(h.facade, "whole", lambda *what: (budgets.append(what[1]), whole(*what))):
+            with (
+                mock.patch("sloeferry.net.clients.KILLED", -h.expiry / 2000),
+                mock.patch.object(h.facade, "take", lambda *what: (budgets.append(what[2]), take(*what))[1]),
+                mock.patch.object(h.facade, "whole", lambda *what: (budgets.append(what[1]), whole(*what))),
+            ):
                 await h.told_to_end()
                 for sock in halves:
                     sock.send(b"x")
                     await h.gets(sock, 15)
                     sock.close()
             h.say(f"in half of their time: {[budget <= h.expiry / 2 for budget in budgets]}")
+
         play(self, story, "crossing_killed", Unseen({"b": answer()}))
 
     def test_gone_as_it_is_let_in(self):
         """Its socket is spoilt as it is taken from the listener: its seat is free again, and the next one is let in."""
+
         async def story(h):
             await until(lambda: not h.clients.guests)
             option, spoilt = socket.socket.setsockopt, []
@@ -453,6 +503,7 @@
                     spoilt.append(sock)
                     raise OSError(22, "Invalid argument")
                 option(sock, *what)
+
             with mock.patch.object(socket.socket, "setsockopt", setsockopt):
                 sock = socket.create_connection(("127.0.0.1", h.port))
                 await until(lambda: spoilt)
@@ -461,10 +512,12 @@
             h.connections[-1][1].close()
             await until(lambda: not h.clients.guests)
             h.say(f"seats taken: {h.clients.seats.taken}")
+
         play(self, story, "crossing_let_in", Opened({"b": answer()}))
 
     def test_hurried_as_its_last_byte_comes(self):
         """Half a request's time is over, and its last byte is there: a final answer, and nothing was sent on."""
+
         async def story(h):
             sock, guest = await h.sent(h.head(size=4) + b"bod")
             await until(lambda: guest() and guest().wire.message.size == 3 and guest().reading)
@@ -474,11 +527,13 @@
             there.hurry()
             await h.gets(sock, 28)
             sock.close()
+
         play(self, story, "crossing_last_byte", Opened({"b": answer()}))
 
     def test_signals_together_and_a_shut_door(self):
         """SIGTERM twice and SIGHUP in one moment, the door shut and a request parked there unread: it is answered, and
         the program ends."""
+
         async def story(h):
             with tempfile.NamedTemporaryFile("w") as file, mock.patch.dict(os.environ, BALANCER_CONFIG=file.name):
                 json.dump(h.told, file)
@@ -492,11 +547,13 @@
                 await h.proxy
                 sock.close()
             h.say("the program has ended")
+
         play(self, story, "crossing_signals", Opened({"b": answer()}))
 
     def test_two_cancels_and_an_answer(self):
         """Given up twice in one turn of the loop, with the answer there but not read: it may have run, its connection is
         not kept, and the next posting gets its own answer."""
+
         async def story(h):
             told = types.SimpleNamespace(turned=lambda: None)
             loop = asyncio.get_running_loop()
@@ -507,22 +564,25 @@
             async def dialled(*what):
                 socks.append(await dial(*what))
                 return socks[-1]
+
             with mock.patch("sloeferry.net.http1.dial", dialled):
                 task = bank.spawn(bank.exchange("b", 1e12, lambda: True, lambda: b"GET /x HTTP/1.1\r\n\r\n"))
                 await until(lambda: h.asked == 1)
                 h.writers[-1].write(answer("first"))
                 while not select.select(socks, [], [], 0)[0]:
-                    pass                 # not one turn of the loop in between
+                    pass  # not one turn of the loop in between
                 task.cancel()
                 task.cancel()
                 ended = await task
                 h.say(f"reached {ended.reached}, why {ended.why}, answer {ended.answer}, kept {len(bank.idle.get('b', ()))}")
                 ended = await bank.exchange("b", 1e12, lambda: True, lambda: b"GET /y HTTP/1.1\r\n\r\n")
                 h.say(f"the next one's: {ended.answer.body()}, seats {bank.seats.taken}")
+
         play(self, story, "crossing_cancels", Opened({"b": lambda n: None if n == 1 else answer("second")}))
 
     def test_moved_while_dialled(self):
         """A backend is listed elsewhere while its connection comes up: that address may be another's by now."""
+
         async def story(h):
             gate, dial = Gate(), http1.dial
 
@@ -531,18 +591,21 @@
                 if not gate.held.is_set():
                     await gate.passed()
                 return sock
+
             with mock.patch("sloeferry.net.http1.dial", slow):
                 asked = asyncio.ensure_future(h.call("once"))
                 await gate.held.wait()
                 h.backends.told("b", ("127.0.0.1", h.ports["c"]))
                 gate.opened.set()
                 await asked
+
         play(self, story, "crossing_moved", Opened({"b": answer("from b"), "c": answer("from c")}, known=None))
 
 
 class Posting(Crossing):
     def test_window_ends_while_dialled(self):
         """A referenced txn's second posting is dialled as the window in which a repeat is known ends: not begun."""
+
         async def story(h):
             gate, dial = Gate(), http1.dial
 
@@ -550,6 +613,7 @@
                 if h.asked:
                     await gate.passed()
                 return await dial(*what)
+
             with mock.patch("sloeferry.net.http1.dial", slow):
                 asked = asyncio.ensure_future(h.call("keyed"))
                 await gate.held.wait()
@@ -558,11 +622,13 @@
                 gate.opened.set()
                 await asked
             h.say(h.figures().partition(", out")[0])
+
         play(self, story, "crossing_window", Opened({"b": b"", "c": b""}))
 
     def test_given_up_while_it_pulls(self):
         """Its posting is withdrawn as the next piece of its body is waited for: the wait is forgotten with it, or the
         sweep would end the answer under way 3 s later."""
+
         async def story(h):
             sock, guest = await h.sent(h.head(size=200000) + b"x" * 100000)
             await until(lambda: guest() and guest().pulling)
@@ -571,10 +637,12 @@
             await until(lambda: not h.facade.errands)
             h.say(f"its body is waited for still: {bool(there.pulling)}")
             sock.close()
+
         play(self, story, "crossing_pull", Opened({"b": answer()}))
 
     def test_new_at_the_same_address(self):
         """A backend is told to leave, vanishes, and another is listed at its address: it is none of the former's."""
+
         async def story(h):
             await h.call("safe")
             h.list(("b", "leaving"))
@@ -585,11 +653,13 @@
             await until(lambda: "new" in h.discovery.known)
             await h.call("safe")
             h.say(f"kept connections of {list(h.backends.idle)}; known {list(h.facade.proxy.board.all)}")
+
         play(self, story, "crossing_new", Opened({"b": answer()}, expiry=300))
 
     def test_given_up_behind_a_cut(self):
         """A backend reads nothing, as behind a cut; its txn is given up and answered; then the cut is over.  What the
         machine still held of the request does not reach the backend any more."""
+
         async def story(h):
             loop = asyncio.get_running_loop()
             with socket.socket() as cut:
@@ -609,19 +679,21 @@
                         came += len(more)
                 sock.close()
                 h.say(f"then the backend gets all of it: {came > 60000}")
+
         play(self, story, "crossing_cut", Opened({"b": answer()}, expiry=400))
 
     def test_second_answer(self):
         """A connection just used rests before the next txn goes out on it: a second answer of its backend, on its way
         still, would pass for that one's.  Also the first of a process, which nothing has warned.  Given up meanwhile,
         the connection is kept."""
+
         async def story(h):
             await h.call("safe", X_Call_Id="c1")
             [link], first, sleep, gate = h.backends.idle["b"], h.writers[-1], asyncio.sleep, None
             with mock.patch("asyncio.sleep", lambda seconds: gate.passed() if seconds > 1 else sleep(seconds)):
                 gate = Gate()
                 asked = asyncio.ensure_future(h.call("safe", X_Call_Id="c2"))
-                await until(lambda: gate.held.is_set() or h.asked == 2)      # it rests, or it went out
+                await until(lambda: gate.held.is_set() or h.asked == 2)  # it rests, or it went out
                 first.write(answer("again"))
                 await until(lambda: link.sock.fileno() < 0 or not http1.quiet(link.sock))
                 gate.opened.set()
@@ -629,7 +701,7 @@
                 gate = Gate()
                 sock, guest = await h.sent(h.head("c3"))
                 await until(lambda: gate.held.is_set() or h.asked == 3)
-                guest().task.cancel()    # it carries its posting itself
+                guest().task.cancel()  # it carries its posting itself
                 gate.opened.set()
                 await until(lambda: not h.facade.errands)
             h.say(f"kept: {len(h.backends.idle['b'])}")
@@ -637,6 +709,7 @@
 
         class Unsettled(Opened):
             SETTLED = NEVER
+
         play(self, story, "crossing_second", Unsettled({"b": lambda n: answer(f"answer {n}")}))
 
 
@@ -644,8 +717,12 @@
     def test_settings_at_their_ends(self):
         """A drain without grace, a step longer than the time between txns that is supposed at first, gains of nought:
         each starts, and serves."""
-        for name, settings, gain in (("grace", {"obligations": {"must_ask_in": 4000000, "drain_grace": 0}}, 1.0),
-                                     ("step", {"step": 20000}, 1.0), ("gain", {}, 0.0)):
+        for name, settings, gain in (
+            ("grace", {"obligations": {"must_ask_in": 4000000, "drain_grace": 0}}, 1.0),
+            ("step", {"step": 20000}, 1.0),
+            ("gain", {}, 0.0),
+        ):
+
             class Odd(Opened):
                 def say(self, text):
                     self.lines.append(f"{name}: {text}")
@@ -655,6 +732,7 @@
 
     def test_names(self):
         """Names that Latin-1 lacks are each their own: by one sign for all such letters two schemes were one."""
+
         async def story(h):
             for scheme in ("จอด", "ผูก", "?" * 3, "gehört"):
                 told = h.head("c" + scheme.encode().hex(), scheme="SCHEME").replace(b"SCHEME", scheme.encode())
@@ -664,11 +742,13 @@
 
         class Abroad(Opened):
             SCHEMES = [("จอด", "retryable"), ("ผูก", "fragile"), ("gehört", "retryable")]
+
         play(self, story, "crossing_names", Abroad({"b": answer()}))
 
     def test_between_head_and_last_byte(self):
         """SIGHUP between a request's head and its last byte makes its scheme a referenced one, or drops it: it came
         without a key, and is turned away unsent."""
+
         async def story(h):
             with tempfile.NamedTemporaryFile("w") as file, mock.patch.dict(os.environ, BALANCER_CONFIG=file.name):
                 first = await h.sent(h.head(size=4) + b"bo")
@@ -685,6 +765,7 @@
                     await asyncio.get_running_loop().sock_sendall(sock, b"dy")
                     await h.gets(sock, 28)
                     sock.close()
+
         play(self, story, "crossing_renewed", Opened({"b": answer()}))
 
 
--- a/tests/test_duty.py
+++ b/tests/test_duty.py
@@ -1,6 +1,7 @@
 """What operators do with a proxy that serves: the drain, other settings, a process that takes over.
 
 Nothing here is decided by how long anything takes."""
+
 import asyncio
 import json
 import os
@@ -28,19 +29,33 @@
     def test_each_state(self):
         """Whatever comes in whatever order, what is said of it: one line a step."""
         out = Lines()
-        steps = {"list": Duty.list_came, "quiesce": lambda d: d.quiesce(0.0), "resume": Duty.resume,
-                 "sigterm": Duty.leave, "another serves": lambda d: d.__dict__.update(companions=1),
-                 "it ends": lambda d: d.__dict__.update(companions=0)}
-        for way in ("list", "quiesce resume", "list quiesce quiesce resume resume", "list quiesce sigterm resume",
-                    "list quiesce, another serves, it ends, resume", "list, another serves, sigterm",
-                    "another serves, list, sigterm, it ends", "sigterm list"):
+        steps = {
+            "list": Duty.list_came,
+            "quiesce": lambda d: d.quiesce(0.0),
+            "resume": Duty.resume,
+            "sigterm": Duty.leave,
+            "another serves": lambda d: d.__dict__.update(companions=1),
+            "it ends": lambda d: d.__dict__.update(companions=0),
+        }
+        for way in (
+            "list",
+            "quiesce resume",
+            "list quiesce quiesce resume resume",
+            "list quiesce sigterm resume",
+            "list quiesce, another serves, it ends, resume",
+            "list, another serves, sigterm",
+            "another serves, list, sigterm, it ends",
+            "sigterm list",
+        ):
             duty = Duty()
             out.lines.append(f"-- {way}")
             for step in way.split(", ") if "," in way else way.split():
                 for one in [step] if step in steps else step.split():
                     said = steps[one](duty)
-                    out.lines.append(f"{one}: {'' if said is None else 'yes ' if said else 'no '}{duty.state(3)}, {duty.state(0)};"
-                                     f" front {duty.ready()}, operators {duty.serves()}, takes in {duty.accepts()}")
+                    out.lines.append(
+                        f"{one}: {'' if said is None else 'yes ' if said else 'no '}{duty.state(3)}, {duty.state(0)};"
+                        f" front {duty.ready()}, operators {duty.serves()}, takes in {duty.accepts()}"
+                    )
         compare(self, out, "duty_states")
 
     @settings(max_examples=200, deadline=None)
@@ -48,9 +63,14 @@
     def test_never_at_odds(self, steps):
         duty = Duty()
         for step in steps:
-            {"list": duty.list_came, "quiesce": lambda: duty.quiesce(5.0), "resume": duty.resume, "leave": duty.leave,
-             "mate": lambda: duty.__dict__.update(companions=1),
-             "alone": lambda: duty.__dict__.update(companions=0)}[step]()
+            {
+                "list": duty.list_came,
+                "quiesce": lambda: duty.quiesce(5.0),
+                "resume": duty.resume,
+                "leave": duty.leave,
+                "mate": lambda: duty.__dict__.update(companions=1),
+                "alone": lambda: duty.__dict__.update(companions=0),
+            }[step]()
             self.assertEqual(duty.serves(), duty.state(1) == "serving")
             self.assertFalse(duty.serves() and duty.sends_away())
             self.assertTrue(duty.accepts() or duty.companions, "somebody takes clients in")
@@ -59,12 +79,30 @@
 
 class Settings(unittest.TestCase):
     """A file that replaces the one before."""
-    FORMER = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "ops": "127.0.0.1:3", "seed": "1",
-              "limits": {"sockets": 256}, "settings": {
-                  "schemes": [{"name": "a", "idempotency": "retryable", "expiry": 800000, "sla_time": 300000},
-                              {"name": "b", "idempotency": "dedup", "expiry": 700000, "sla_time": 300000,
-                               "group": "all", "dedup_window": 5000000}],
-                  "tenants": [{"name": "t", "share": 1.0}], "limits": {"most_postings": 3}}}
+
+    FORMER = {
+        "name": "n",
+        "listen": "127.0.0.1:1",
+        "discovery": "127.0.0.1:2",
+        "ops": "127.0.0.1:3",
+        "seed": "1",
+        "limits": {"sockets": 256},
+        "settings": {
+            "schemes": [
+                {"name": "a", "idempotency": "retryable", "expiry": 800000, "sla_time": 300000},
+                {
+                    "name": "b",
+                    "idempotency": "dedup",
+                    "expiry": 700000,
+                    "sla_time": 300000,
+                    "group": "all",
+                    "dedup_window": 5000000,
+                },
+            ],
+            "tenants": [{"name": "t", "share": 1.0}],
+            "limits": {"most_postings": 3},
+        },
+    }
 
     def read(self, told, former=None):
         with tempfile.NamedTemporaryFile("w") as file:
@@ -81,12 +119,25 @@
         for cut in (0, 1, len(text) // 2, len(text) - 1):
             out.lines.append(f"{cut} bytes of it: {re.sub(r':.*', '', self.read(text[:cut], former).partition(' is ')[2])}")
         gone = object()
-        for path, said in [(path, gone) for path in (
-                "listen", "ops", "settings", "settings.schemes", "settings.schemes.1.expiry", "settings.schemes.0.name",
-                "settings.limits", "settings.limits.most_postings", "settings.schemes.1.dedup_window")] + [
-                ("settings.schemes.0.expiry", said) for said in (0, -1, "soon", "800000", True, None, [], 1e400)] + [
-                ("settings.limits.most_postings", said) for said in (0, -2, 1.5, "3", None)] + [
-                ("settings.schemes.1.name", "a"), ("settings.tenants", [])]:
+        for path, said in (
+            [
+                (path, gone)
+                for path in (
+                    "listen",
+                    "ops",
+                    "settings",
+                    "settings.schemes",
+                    "settings.schemes.1.expiry",
+                    "settings.schemes.0.name",
+                    "settings.limits",
+                    "settings.limits.most_postings",
+                    "settings.schemes.1.dedup_window",
+                )
+            ]
+            + [("settings.schemes.0.expiry", said) for said in (0, -1, "soon", "800000", True, None, [], 1e400)]
+            + [("settings.limits.most_postings", said) for said in (0, -2, 1.5, "3", None)]
+            + [("settings.schemes.1.name", "a"), ("settings.tenants", [])]
+        ):
             told = json.loads(text)
             node, *way = told, *path.split(".")
             for step in way[:-1]:
@@ -96,7 +147,9 @@
             else:
                 node[way[-1]] = said
             found = self.read(told, former)
-            out.lines.append(f"{path} {'left out' if said is gone else repr(said)}: {found if isinstance(found, str) else 'taken'}")
+            out.lines.append(
+                f"{path} {'left out' if said is gone else repr(said)}: {found if isinstance(found, str) else 'taken'}"
+            )
         compare(self, out, "settings_turned_down")
 
     def test_places(self):
@@ -110,9 +163,14 @@
         third = self.read(told, second)
         out = Lines()
         for berth in (former, second, third):
-            out.lines.append(f"{berth.named('schemes')} {berth.named('tenants')} " + " ".join(
-                f"{at}:{berth.terms[f'schemes.{at}.name']}/{berth.terms[f'schemes.{at}.expiry']:.0f}/"
-                f"{berth.terms[f'schemes.{at}.idempotency']}" for at in range(int(berth.terms["schemes.count"]))))
+            out.lines.append(
+                f"{berth.named('schemes')} {berth.named('tenants')} "
+                + " ".join(
+                    f"{at}:{berth.terms[f'schemes.{at}.name']}/{berth.terms[f'schemes.{at}.expiry']:.0f}/"
+                    f"{berth.terms[f'schemes.{at}.idempotency']}"
+                    for at in range(int(berth.terms["schemes.count"]))
+                )
+            )
         compare(self, out, "settings_places")
 
     def test_open_txns_keep_their_rules(self):
@@ -151,9 +209,18 @@
 
     def test_calls(self):
         """One answer to each call; who says nothing, or half a call, keeps nobody out."""
+
         async def story(h):
-            for call in ("GET /admin/health", "POST /admin/health", "GET /admin/nothing", "GET /admin/guard", "POST /admin/resume",
-                         "GET http://x/admin/health", "GET /admin/health?x=1", "BREW /admin/health"):
+            for call in (
+                "GET /admin/health",
+                "POST /admin/health",
+                "GET /admin/nothing",
+                "GET /admin/guard",
+                "POST /admin/resume",
+                "GET http://x/admin/health",
+                "GET /admin/health?x=1",
+                "BREW /admin/health",
+            ):
                 await self.ops(h, call + " HTTP/1.1\r\nHost: x\r\n\r\n")
             await self.ops(h, "POST /admin/resume HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}")
             await self.ops(h, "nonsense\r\n\r\n")
@@ -164,10 +231,12 @@
             h.say(f"beside {len(silent)} that say nothing or half a call")
             for _, writer in silent:
                 writer.close()
+
         play(self, story, "desk_calls", Harbour({"b": answer()}, ops=True))
 
     def test_drain(self):
         """Told to quiesce, it says no, serves who comes and lets go of all; resumed, it keeps them again."""
+
         async def story(h):
             idle, used = await h.open(), await h.open()
             for connection in (idle, used):
@@ -185,6 +254,7 @@
             again = await h.open()
             for _ in range(2):
                 await h.call("safe", connection=again)
+
         play(self, story, "desk_drain", Harbour({"b": answer()}, ops=True))
 
     def test_settings_while_serving(self):
@@ -193,6 +263,7 @@
 
         async def story(h):
             with tempfile.NamedTemporaryFile("w") as file, mock.patch.dict(os.environ, BALANCER_CONFIG=file.name):
+
                 async def replaced(told):
                     file.truncate(0)
                     file.seek(0)
@@ -200,6 +271,7 @@
                     file.flush()
                     os.kill(os.getpid(), signal.SIGHUP)
                     await asyncio.sleep(0.05)
+
                 slow = asyncio.get_running_loop().create_task(h.call("once"))
                 while not h.asked:
                     await asyncio.sleep(0.01)
@@ -215,6 +287,7 @@
                 await h.call("once", X_Call_Id="c3")
                 held.set()
                 await slow
+
         play(self, story, "settings_while_serving", Harbour({"b": lambda n: held if n == 1 else answer()}))
 
 
@@ -226,7 +299,7 @@
             first, second, other = Folder(path, "n", "s"), Folder(path, "n", "s"), Folder(path, "m", "s")
             second.show(True)
             out.lines.append(f"others: {first.mates()}, {second.mates()}, {other.mates()}")
-            os.close(second.lock)        # it was killed: nothing is tidied up
+            os.close(second.lock)  # it was killed: nothing is tidied up
             out.lines.append(f"after one was killed: {first.mates()}")
             out.lines.append(f"nothing yet: {first.read(0.0)}")
             first.write(100.0, {"revision": 1}, {"x": [1.5]})
@@ -238,8 +311,12 @@
             file = f"{third.path}/snapshot"
             with open(file, "rb") as opened:
                 whole = opened.read()
-            for name, text in (("cut", whole[:-1]), ("changed", whole.replace(b"1.5", b"2.5")), ("empty", b""),
-                               ("of another", whole.replace(b'"n"', b'"k"'))):
+            for name, text in (
+                ("cut", whole[:-1]),
+                ("changed", whole.replace(b"1.5", b"2.5")),
+                ("empty", b""),
+                ("of another", whole.replace(b'"n"', b'"k"')),
+            ):
                 with open(file, "wb") as opened:
                     opened.write(text)
                 out.lines.append(f"{name}: {third.read(200.0)}")
@@ -250,6 +327,7 @@
 
     def test_memory(self):
         """What was learned goes over; what is not as it should be changes nothing."""
+
         def learned():
             host = Printer()
             host.list(("a",), ("b",), ("c",))
@@ -262,6 +340,7 @@
 
         def figures(proxy):
             return [round(s.typical(), 3) for s in proxy.schemes] + [round(b.pace, 3) for b in proxy.board.open]
+
         former, fresh, out = learned(), Printer(), Lines()
         fresh.list(("a",), ("b",), ("c",))
         for host in (former.host, fresh):
@@ -269,9 +348,13 @@
                 host.proxy.terms[f"schemes.{at}.name"] = f"s{at}"
         said = json.loads(json.dumps(memory.told(former), allow_nan=False))
         before = figures(fresh.proxy)
-        for bad in (dict(said, curve=[]), dict(said, gap="x"), {k: v for k, v in said.items() if k != "spread"},
-                    dict(said, backends={"a": dict(said["backends"]["a"], sent=[["x", 1]])}),
-                    dict(said, spread=[-1.0] * 22)):
+        for bad in (
+            dict(said, curve=[]),
+            dict(said, gap="x"),
+            {k: v for k, v in said.items() if k != "spread"},
+            dict(said, backends={"a": dict(said["backends"]["a"], sent=[["x", 1]])}),
+            dict(said, spread=[-1.0] * 22),
+        ):
             with self.assertRaises((ValueError, KeyError, TypeError)):
                 memory.taken(fresh.proxy, bad)
             self.assertEqual(figures(fresh.proxy), before)
@@ -284,8 +367,13 @@
         """Rule 4 while two processes are one proxy: each keeps to half of what the cold backend gets."""
         out = Lines()
         for processes in (1, 2):
-            host = Printer(obligations__cold=10000.0, obligations__cold_from=0.5, obligations__fall=1500.0,
-                           obligations__fall_multiple=3.0, limits__probing=True)
+            host = Printer(
+                obligations__cold=10000.0,
+                obligations__cold_from=0.5,
+                obligations__fall=1500.0,
+                obligations__fall_multiple=3.0,
+                limits__probing=True,
+            )
             host.proxy.processes = processes
             host.list(("a", 0, ports.READY, 1.0))
             cold, sent = host.proxy.board.all["a"], 0
@@ -298,6 +386,7 @@
     def test_two_processes(self):
         """The second takes over on the inherited socket while the first serves: each request is answered, the first
         one ends by itself, and a third that never gets ready changes nothing."""
+
         async def day():
             h = Harbour({"b": answer()})
             async with h:
@@ -310,9 +399,13 @@
                         with open(f"{tmp}/config{at}", "w") as file:
                             json.dump(told, file)
                         process = await asyncio.create_subprocess_exec(
-                            sys.executable, "-m", "sloeferry", pass_fds=[sock.fileno()], stderr=asyncio.subprocess.DEVNULL,
-                            env={"BALANCER_CONFIG": f"{tmp}/config{at}", "TMPDIR": tmp,
-                                 "BALANCER_LISTEN_FD": str(sock.fileno())})
+                            sys.executable,
+                            "-m",
+                            "sloeferry",
+                            pass_fds=[sock.fileno()],
+                            stderr=asyncio.subprocess.DEVNULL,
+                            env={"BALANCER_CONFIG": f"{tmp}/config{at}", "TMPDIR": tmp, "BALANCER_LISTEN_FD": str(sock.fileno())},
+                        )
                         while "200 OK" not in await health(at):
                             await asyncio.sleep(0.02)
                         return process
@@ -326,6 +419,7 @@
                         got = (await reader.read()).decode()
                         writer.close()
                         return got
+
                     first = await started(0)
                     await h.call("safe")
                     kept = await h.open()
@@ -333,7 +427,7 @@
                     second = await started(1)
                     h.say("the second is ready")
                     first.terminate()
-                    while "200 OK" in await health(0):       # a signal and a request cross on their ways
+                    while "200 OK" in await health(0):  # a signal and a request cross on their ways
                         await asyncio.sleep(0.01)
                     await h.call("safe", connection=kept)
                     h.say(f"the kept connection ends: {await kept[0].read() == b''}")
@@ -354,6 +448,7 @@
                     second.terminate()
                     h.say(f"the second ends: {await second.wait()}")
             return h
+
         logger.remove()
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             h = runner.run(asyncio.wait_for(day(), 60))
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,4 +1,5 @@
 """Failures met so far, each as a short trace: what the design alone would do is the tempting action."""
+
 import unittest
 
 from hypothesis import given, settings, strategies
@@ -8,7 +9,6 @@
 
 
 class Failures(unittest.TestCase):
-
     def test_quick_errors_draw_no_flood(self):
         """Backend a errs at once and so looks emptiest; it soon rests, and is asked before it is used again."""
         host = Printer()
@@ -45,8 +45,10 @@
         board, proxy = host.proxy.board, host.proxy
         host.until(2000.0)
         host.lines[:-1] = []
-        host.say(f"{len(board.all)} {len(board.open)} {len(board.known)} backends, {len(proxy.ledger.txns)} txn, "
-                 f"{len(proxy.timers)} timers")
+        host.say(
+            f"{len(board.all)} {len(board.open)} {len(board.known)} backends, {len(proxy.ledger.txns)} txn, "
+            f"{len(proxy.timers)} timers"
+        )
         compare(self, host, "forgotten")
 
     def test_overtaken_posting(self):
@@ -119,7 +121,7 @@
         host.proxy.board.usable(host.now)
         host.say(f"mean {host.proxy.board.mean[True]:.1f}")
         host.proxy.board.mean = [9.0, 9.0]
-        host.proxy.board.looked = host.now + 500.0      # all look full, and nothing newer comes
+        host.proxy.board.looked = host.now + 500.0  # all look full, and nothing newer comes
         for ref in range(4, 8):
             host.take(ref)
         host.until(host.now + 400.0)
@@ -128,8 +130,15 @@
     def test_cold_ones_hold_their_part(self):
         """Half of the fleet has just started and nobody has heard of it: of the load that all share a cold backend
         holds less, so it is tried; and what it takes, being cold, is no news of the queues elsewhere."""
-        host = Printer(instances=40, tariffs__probe=1.0, limits__probing=True, obligations__cold=8000.0,
-                       obligations__cold_from=0.25, obligations__fall=1000.0, obligations__fall_multiple=3.0)
+        host = Printer(
+            instances=40,
+            tariffs__probe=1.0,
+            limits__probing=True,
+            obligations__cold=8000.0,
+            obligations__cold_from=0.25,
+            obligations__fall=1000.0,
+            obligations__fall_multiple=3.0,
+        )
         host.until(50000.0)
         host.list(*((f"w{n}",) for n in range(6)), *((f"c{n}", 0, ports.READY, 48000.0) for n in range(6)))
         for n in range(6):
@@ -137,7 +146,7 @@
         board = host.proxy.board
         board.usable(host.now)
         host.say(" ".join(f"{b.ident}={board.figure(b, host.now):.1f}" for b in board.open[4:8]))
-        host.report("c5", 3)             # more than its part: no word on what the others hold
+        host.report("c5", 3)  # more than its part: no word on what the others hold
         board.looked = -1.0
         board.usable(host.now)
         host.say(f"mean {board.mean[True]:.1f}")
@@ -154,15 +163,16 @@
         calls, further ones."""
         first, more = [], []
         for ordinal in range(40):
-            host = Printer(instances=40, ordinal=ordinal, seed=seed + ordinal, discovery="subscribe",
-                           obligations__must_ask_in=10000.0)
+            host = Printer(
+                instances=40, ordinal=ordinal, seed=seed + ordinal, discovery="subscribe", obligations__must_ask_in=10000.0
+            )
             host.list(("a",), scope=ports.CACHED)
             asked, back = 0, None
             while host.now < 6000.0:
                 host.until(host.now + 5.0)
                 for line in host.lines[asked:]:
                     (more if asked else first).append(float(line.split()[0]))
-                    back = host.now + 2000.0         # a call waits its turn and is turned away
+                    back = host.now + 2000.0  # a call waits its turn and is turned away
                     asked += 1
                 if host.now == back:
                     host.list(scope=ports.FAILED)
@@ -172,8 +182,11 @@
         """The bank's calls for the list spread over a quarter of the patience, and further ones by chance."""
         host = Lines()
         for name, times in zip(("first", "further"), self.calls(7)):
-            host.lines.append(name + " calls by half second: " + " ".join(
-                str(sum(half * 500 <= at < half * 500 + 500 for at in times)) for half in range(12)))
+            host.lines.append(
+                name
+                + " calls by half second: "
+                + " ".join(str(sum(half * 500 <= at < half * 500 + 500 for at in times)) for half in range(12))
+            )
         compare(self, host, "restart_at_once")
 
     @settings(max_examples=5, deadline=None, derandomize=True)
@@ -181,7 +194,7 @@
     def test_calls_never_bunch(self, seed):
         for times in self.calls(seed):
             most = max(sum(at <= other < at + 250 for other in times) for at in times)
-            self.assertLessEqual(most, 20, times)    # half of the bank in a quarter second
+            self.assertLessEqual(most, 20, times)  # half of the bank in a quarter second
 
     def test_no_time_to_spare(self):
         """Timers that all run late by half the SLA time: the proxy is behind and declines most at once, with
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,4 +1,5 @@
 """The fleet's audit: real proxies, each with another fault, and what the audit says of each; and what is no answer."""
+
 import asyncio
 import json
 import pathlib
@@ -29,15 +30,27 @@
 
 class Harm(unittest.TestCase):
     """Eleven processes of the program, one discovery, a fault each."""
+
     NAMES = [f"p{at}" for at in range(10)]
 
     def write(self, at, sla=300, **more):
-        settings = platform.settings([dict(SCHEMES[0], sla_time=sla * 1000)], [], instances=len(self.NAMES), ordinal=at,
-                                     zones=["a", "b"], kinds=["m"])
+        settings = platform.settings(
+            [dict(SCHEMES[0], sla_time=sla * 1000)], [], instances=len(self.NAMES), ordinal=at, zones=["a", "b"], kinds=["m"]
+        )
         path = pathlib.Path(self.folder, f"p{at}.json")
-        path.write_text(json.dumps(platform.berth(
-            f"p{at}", ("127.0.0.1", self.ports[at]), more.pop("discovery", self.lists[f"p{at}"]), settings, seed=at,
-            ops=("127.0.0.1", self.ops[at]), **more)))
+        path.write_text(
+            json.dumps(
+                platform.berth(
+                    f"p{at}",
+                    ("127.0.0.1", self.ports[at]),
+                    more.pop("discovery", self.lists[f"p{at}"]),
+                    settings,
+                    seed=at,
+                    ops=("127.0.0.1", self.ops[at]),
+                    **more,
+                )
+            )
+        )
         return path
 
     def start(self, at, **more):
@@ -55,18 +68,23 @@
         said = await ask.call(("127.0.0.1", self.ops[at]), "/admin/versions")
         if isinstance(said, ask.Unknown):
             return False
-        held = {"revision": (said["list"] or {}).get("revision"), "generation": said["settings"]["generation"],
-                "refused": len(said["refused"])}
+        held = {
+            "revision": (said["list"] or {}).get("revision"),
+            "generation": said["settings"]["generation"],
+            "refused": len(said["refused"]),
+        }
         return all(held[key] == value for key, value in what.items())
 
     async def course(self):
         loop, count = asyncio.get_running_loop(), len(self.NAMES)
         ports = processes.free_ports("127.0.0.1", 3 * count + 2)
-        self.ports, self.ops = ports[:count], ports[count:2 * count]
+        self.ports, self.ops = ports[:count], ports[count : 2 * count]
         self.lists = {name: ("127.0.0.1", ports[2 * count + at]) for at, name in enumerate(self.NAMES)}
         roster = Roster(loop, types.SimpleNamespace(call_ms=0.0, spread_ms=0.0), dict(self.lists), Ledger(), Random(1), time.time)
-        nodes = [types.SimpleNamespace(ident=f"s{at}", address=("127.0.0.1", 1), zone="a", told=types.SimpleNamespace(kind="m"))
-                 for at in range(3)]
+        nodes = [
+            types.SimpleNamespace(ident=f"s{at}", address=("127.0.0.1", 1), zone="a", told=types.SimpleNamespace(kind="m"))
+            for at in range(3)
+        ]
         for node in nodes:
             roster.publish(node, "active", 0.0)
         await roster.start()
@@ -92,7 +110,7 @@
             if at == 6:
                 path.write_text(path.read_text()[:200])
             processes.tell(self.processes[at], signal.SIGHUP)
-        self.write(5, sla=400)           # its SIGHUP is lost
+        self.write(5, sla=400)  # its SIGHUP is lost
         self.start(8, sla=400, known=known, discovery=("127.0.0.1", 1))
         for at in (0, 1, 9):
             await self.until(lambda: self.holds(at, revision=4, generation=2))
@@ -101,9 +119,10 @@
         await self.until(lambda: self.holds(5, revision=4, generation=1))
         await self.until(lambda: self.holds(8, revision=3))
 
-        async def silent():              # as long as the audit takes to call it cut off
+        async def silent():  # as long as the audit takes to call it cut off
             said = await ask.call(("127.0.0.1", self.ops[4]), "/admin/versions")
             return not isinstance(said, ask.Unknown) and said["confirmed_ms"] > 5200
+
         await self.until(silent)
         lines = [f'discovery = "127.0.0.1:{self.lists["p0"][1]}"']
         for at, name in enumerate([*self.NAMES[:9], "somebody", "babbler"]):
@@ -118,7 +137,7 @@
         self.write(6, sla=400)
         for at in (0, 1, 7, 9):
             await self.until(lambda: self.holds(at, revision=5))
-        roster.views.pop("p5")           # its watch has missed a change, and only a new one brings it
+        roster.views.pop("p5")  # its watch has missed a change, and only a new one brings it
         after = await self.verb("bring-up", path, "--pace", "0.05", "--patience", "2")
         garbage.close()
         roster.out()
@@ -127,14 +146,25 @@
 
     async def verb(self, name, path, *words):
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "sloeferry.cli", "fleet", name, "--fleet", str(path), "--json", *words, cwd=ROOT,
-            stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
+            sys.executable,
+            "-m",
+            "sloeferry.cli",
+            "fleet",
+            name,
+            "--fleet",
+            str(path),
+            "--json",
+            *words,
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+        )
         text = (await process.communicate())[0]
         return process.returncode, json.loads(text)
 
     async def babble(self, reader, writer):
         await reader.read(100)
-        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n{\"name\": \"babb")
+        writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n{"name": "babb')
         writer.close()
 
     def test_causes(self):
@@ -150,8 +180,10 @@
                     processes.tell(process, signal.SIGKILL)
                     process.wait()
         for code, said in both:
-            lines.lines.append(f"exit {code}, newest list {said['newest']['list']}, by discovery {said['newest']['by_discovery']}: "
-                               f"{said['current']} current, {said['straggler']} behind, {said['unknown']} unknown")
+            lines.lines.append(
+                f"exit {code}, newest list {said['newest']['list']}, by discovery {said['newest']['by_discovery']}: "
+                f"{said['current']} current, {said['straggler']} behind, {said['unknown']} unknown"
+            )
             lines.lines += sorted(f"told {one['name']}: {one['step']}: {one['answer']}" for one in said.get("calls", ()))
             lines.lines += [f"{row['name']}: {row['state']} {row.get('behind', '')} {row['cause']}" for row in said["rows"]]
         compare(self, lines, "fleet_causes")
@@ -161,10 +193,17 @@
     def test_no_answers(self):
         """What is no answer is unknown, with a word why."""
         lines = Lines()
-        for said in (b"", b"nonsense", b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{", b"HTTP/1.1 200 OK\r\n\r\n{}",
-                     b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]",
-                     b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnull", b"SSH-2.0-x\r\n\r\n",
-                     b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"):
+        for said in (
+            b"",
+            b"nonsense",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{",
+            b"HTTP/1.1 200 OK\r\n\r\n{}",
+            b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnull",
+            b"SSH-2.0-x\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+        ):
             lines.lines.append(f"{said!r}  ->  {ask.understood(said)}")
         compare(self, lines, "fleet_answers")
 
@@ -173,8 +212,15 @@
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder, "fleet.toml")
             one = '[[proxy]]\nname = "a"\nat = "127.0.0.1:1"\n'
-            for text in ("", "[proxy", 'discovery = "nowhere"\n' + one, one + one.replace('"a"', '"b"'), one.replace("at =", "port ="),
-                         "proxies = 3\n" + one, one.replace("127.0.0.1:1", "127.0.0.1:0")):
+            for text in (
+                "",
+                "[proxy",
+                'discovery = "nowhere"\n' + one,
+                one + one.replace('"a"', '"b"'),
+                one.replace("at =", "port ="),
+                "proxies = 3\n" + one,
+                one.replace("127.0.0.1:1", "127.0.0.1:0"),
+            ):
                 path.write_text(text)
                 with self.assertRaises(Unusable) as caught:
                     r.read(path)
@@ -185,19 +231,42 @@
                 self.assertIsInstance(fault, Unusable, words)
                 lines.lines.append(f"{' '.join(words)}  ->  {fault}")
             self.assertIsInstance(CliRunner().invoke(fleet, ["audit", "--fleet", folder + "/none"]).exception, Unusable)
-            said = CliRunner().invoke(fleet, ["audit", "--fleet", str(path)])        # nobody there
+            said = CliRunner().invoke(fleet, ["audit", "--fleet", str(path)])  # nobody there
             self.assertEqual(said.exit_code, 3, said.output)
         compare(self, lines, "fleet_faults")
 
     def test_contradiction(self):
         """Two that hold one revision and do not hold the same are shown side by side; acts on the old one are counted."""
+
         def told(name, list_digest, revision=5, acts=(), settings="s"):
             entry = {"generation": 1, "digest": settings, "by": "start", "heard_ms": 90_000.0, "acts": 3, "last_ms": 10.0}
-            lists = [{"incarnation": 1, "revision": at, "digest": "x", "by": "discovery", "heard_ms": heard, "acts": done, "last_ms": last}
-                     for at, heard, done, last in acts]
+            lists = [
+                {
+                    "incarnation": 1,
+                    "revision": at,
+                    "digest": "x",
+                    "by": "discovery",
+                    "heard_ms": heard,
+                    "acts": done,
+                    "last_ms": last,
+                }
+                for at, heard, done, last in acts
+            ]
             held = {"incarnation": 1, "revision": revision, "digest": list_digest, "by": "discovery at d:1", "heard_ms": 20_000.0}
-            return ({"name": name, "program": "p", "up_ms": 90_000, "settings": entry, "list": held, "confirmed_ms": 10,
-                     "open": 0, "refused": []}, {"settings": [entry], "lists": [*lists, held | {"acts": 1, "last_ms": 5.0}], "refused": []})
+            return (
+                {
+                    "name": name,
+                    "program": "p",
+                    "up_ms": 90_000,
+                    "settings": entry,
+                    "list": held,
+                    "confirmed_ms": 10,
+                    "open": 0,
+                    "refused": [],
+                },
+                {"settings": [entry], "lists": [*lists, held | {"acts": 1, "last_ms": 5.0}], "refused": []},
+            )
+
         roll = r.Roll(tuple(r.Proxy(name, ("127.0.0.1", at + 1)) for at, name in enumerate("abc")), None)
         said = audit(roll, [told("a", "x"), told("b", "y"), told("c", "z", 4, [(4, 60_000.0, 7, 1_000.0)])], None, 6000.0)
         self.assertEqual([one["revision"] for one in said["contradictions"]], [5])
