--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -1,4 +1,5 @@
 """Framing, and bodies that are longer than what is held of them."""
+
 import asyncio
 import random
 import types
@@ -22,15 +23,26 @@
     wire, bodies, count = b"", [], rng.randint(1, 3)
     for at in range(count):
         body = rng.randbytes(rng.choice((0, 1, 7, 300, 3000)))
-        head = [b"HTTP/1.1 %d %b" % (rng.choice((200, 500, 503)), rng.choice((b"OK", b"", b"Not so good")))] if answers else [
-            b"%b %b HTTP/1.1" % (rng.choice((b"GET", b"POST", b"PUT", b"DELETE")), rng.choice((b"/", b"/a?b=c", b"http://h/x"))),
-            b"Host:h"]
+        head = (
+            [b"HTTP/1.1 %d %b" % (rng.choice((200, 500, 503)), rng.choice((b"OK", b"", b"Not so good")))]
+            if answers
+            else [
+                b"%b %b HTTP/1.1"
+                % (rng.choice((b"GET", b"POST", b"PUT", b"DELETE")), rng.choice((b"/", b"/a?b=c", b"http://h/x"))),
+                b"Host:h",
+            ]
+        )
         for _ in range(rng.randint(0, 4)):
             name = bytes(rng.choices(TOKEN, k=rng.randint(1, 12)))
-            head.append(b"X" + name + b":" + rng.choice((b"", b" ", b"\t ")) + rng.choice((b"v", b"a b", b"")) + rng.choice((b"", b" ")))
+            head.append(
+                b"X" + name + b":" + rng.choice((b"", b" ", b"\t ")) + rng.choice((b"v", b"a b", b"")) + rng.choice((b"", b" "))
+            )
         how = rng.choice(("length", "chunks", "chunks") + ("end",) * (answers and at == count - 1))
         if how == "length":
-            head.append(rng.choice((b"Content-Length", b"content-length")) + b":%b%d%b" % (rng.choice((b" ", b"")), len(body), rng.choice((b"", b" "))))
+            head.append(
+                rng.choice((b"Content-Length", b"content-length"))
+                + b":%b%d%b" % (rng.choice((b" ", b"")), len(body), rng.choice((b"", b" ")))
+            )
             text = body
         elif how == "end":
             text = body
@@ -62,8 +74,12 @@
         framing.feed(piece, len(piece))
     framing.feed(b"", 0)
     for message in framing.whole:
-        found.append((message.body(), [(name, value.lower() if name == b"transfer-encoding" else value)
-                                       for name, value in message.headers]))
+        found.append(
+            (
+                message.body(),
+                [(name, value.lower() if name == b"transfer-encoding" else value) for name, value in message.headers],
+            )
+        )
     return found
 
 
@@ -101,12 +117,12 @@
 
 class Frames(unittest.TestCase):
     @settings(max_examples=300, deadline=None)
-    @given(st.integers(0, 2 ** 32), st.booleans())
+    @given(st.integers(0, 2**32), st.booleans())
     def test_like_an_independent_parser(self, seed, answers):
         self.assertIsNone(alike(seed, answers))
 
     @settings(max_examples=300, deadline=None)
-    @given(st.integers(0, 2 ** 32), st.booleans())
+    @given(st.integers(0, 2**32), st.booleans())
     def test_where_it_was_cut_is_all_the_same(self, seed, answers):
         """However a message is cut, and if one byte of it is another, the same comes out, or the same fault."""
         rng = random.Random(seed)
@@ -121,9 +137,8 @@
             seen.append(([(m.body(), m.headers) for m in framing.whole], framing.fault))
         self.assertEqual(*seen)
 
-
     @settings(max_examples=300, deadline=None)
-    @given(st.integers(0, 2 ** 32))
+    @given(st.integers(0, 2**32))
     def test_what_is_sent_on(self, seed):
         """A request read in any form goes on as exactly one message, with that body and none of its framing."""
         rng = random.Random(seed)
@@ -141,23 +156,48 @@
             self.assertEqual([h for h in said if h[0] not in http1.HOP], headers)
 
     @settings(max_examples=300, deadline=None)
-    @given(st.integers(0, 2 ** 32))
+    @given(st.integers(0, 2**32))
     def test_plain_is_plain(self, seed):
         """What the door turns away unparsed is, to the parser, one whole request of that length, and no more."""
         rng = random.Random(seed)
         length = rng.choice((0, 3, 20))
-        head = [rng.choice((b"POST /api HTTP/1.1", b"GET /api?x HTTP/1.1", b"GET  / HTTP/1.1")), b"Host: x", b"X-Call-Id: c1",
-                b"X-Call-Class: safe", b"X-Caller: acme", b"X-Budget-Ms: 300"]
+        head = [
+            rng.choice((b"POST /api HTTP/1.1", b"GET /api?x HTTP/1.1", b"GET  / HTTP/1.1")),
+            b"Host: x",
+            b"X-Call-Id: c1",
+            b"X-Call-Class: safe",
+            b"X-Caller: acme",
+            b"X-Budget-Ms: 300",
+        ]
         for _ in range(rng.randint(0, 3)):
-            head.insert(rng.randint(1, len(head)), rng.choice((
-                b"Content-Length: %d" % length, b"content-length:%d " % length, b"Content-Length: 3, 3", b"X-Caller: other",
-                b"Transfer-Encoding: chunked", b"Expect: 100-continue", b"X : y", b" folded", b"X:\xff", b"X: a\x00b",
-                b"Content-Length: +3", b"X-A: b\n", b"Connection: close")))
+            head.insert(
+                rng.randint(1, len(head)),
+                rng.choice(
+                    (
+                        b"Content-Length: %d" % length,
+                        b"content-length:%d " % length,
+                        b"Content-Length: 3, 3",
+                        b"X-Caller: other",
+                        b"Transfer-Encoding: chunked",
+                        b"Expect: 100-continue",
+                        b"X : y",
+                        b" folded",
+                        b"X:\xff",
+                        b"X: a\x00b",
+                        b"Content-Length: +3",
+                        b"X-A: b\n",
+                        b"Connection: close",
+                    )
+                ),
+            )
         text = b"\r\n".join(head) + b"\r\n\r\n" + b"b" * rng.choice((length, length, length + 1, 0))
         door = types.SimpleNamespace(shut=lambda: True)
         clients = types.SimpleNamespace(
-            facade=types.SimpleNamespace(door=door, bars=lambda *_: 5.0), duty=types.SimpleNamespace(leaving=False),
-            schemes={b"safe": 0}, tenant={b"acme": 0}.get)
+            facade=types.SimpleNamespace(door=door, bars=lambda *_: 5.0),
+            duty=types.SimpleNamespace(leaving=False),
+            schemes={b"safe": 0},
+            tenant={b"acme": 0}.get,
+        )
         if Guest.glance(types.SimpleNamespace(clients=clients), bytearray(text), len(text)):
             framing = Framing(False)
             framing.feed(text, len(text))
@@ -182,9 +222,12 @@
 
     def test_trailers(self):
         """A trailer is no header: it frames nothing of what is sent on."""
+
         async def story(h):
-            head = ("POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: c1\r\nX-Call-Class: once\r\nX-Caller: acme\r\n"
-                    "X-Budget-Ms: 3000\r\nTransfer-Encoding: chunked\r\n")
+            head = (
+                "POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: c1\r\nX-Call-Class: once\r\nX-Caller: acme\r\n"
+                "X-Budget-Ms: 3000\r\nTransfer-Encoding: chunked\r\n"
+            )
             await h.ask(head + "\r\n5;x=y\r\nhello\r\n0\r\nX-Tail: 1\r\n\r\n")
             for trailer in ("Content-Length: 400", "Transfer-Encoding: identity", "X-Load: 1", "X-Call-Id: c2"):
                 await h.ask(head + f"\r\n3\r\nabc\r\n0\r\n{trailer}\r\n\r\n")
@@ -193,6 +236,7 @@
             await h.ask(head.replace("HTTP/1.1", "HTTP/2.0", 1) + "\r\n0\r\n\r\n")
             await h.ask(head.replace(": chunked", ": gzip, chunked", 1) + "\r\n0\r\n\r\n")
             await h.ask(head.replace("acme", "acme \t").replace("once", "once  ") + "\r\n0\r\n\r\n")
+
         h = Harbour({"b": answer()})
         h.show_head = True
         play(self, story, "flow_trailers", h)
@@ -202,9 +246,14 @@
         the client can tell; the connection is used again where it may be."""
         long, head = b"x" * (3 * KEPT), b"HTTP/1.1 200 X\r\n"
         chunks = b"".join(b"%x\r\n%b\r\n" % (n, b"x" * n) for n in (1, 70000, 9, KEPT)) + b"0\r\nX-Late: 1\r\n\r\n"
-        said = [answer("x" * len(long)), head + b"Transfer-Encoding: chunked\r\n\r\n" + chunks,
-                head + b"Connection: close\r\n\r\n" + long, answer("x" * len(long))[:-9],
-                head + b"Transfer-Encoding: chunked\r\n\r\n" + chunks[:-30], answer()]
+        said = [
+            answer("x" * len(long)),
+            head + b"Transfer-Encoding: chunked\r\n\r\n" + chunks,
+            head + b"Connection: close\r\n\r\n" + long,
+            answer("x" * len(long))[:-9],
+            head + b"Transfer-Encoding: chunked\r\n\r\n" + chunks[:-30],
+            answer(),
+        ]
 
         async def story(h):
             for at, what in enumerate(said):
@@ -213,22 +262,31 @@
                 await h.take_all("1.1")
                 if at < 2:
                     await h.take_all("1.0")
+
         order = [0, 0, 1, 1, 2, 3, 4, 5]
         play(self, story, "flow_long_answers", Tap({"b": lambda n: said[order[n - 1]]}))
 
     def test_pauses(self):
         """An answer of no said length that pauses, before and after it is begun to be passed on: nothing of it is
         missing in the middle, whoever was waiting for it."""
+
         async def story(h):
             for _ in range(4):
                 await h.take_all("1.1")
-        parts = [b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n", b"5\r\nfirst\r\n", b"6\r\nsec", b"ond\r\n5\r\nth",
-                 b"ird\r\n0\r\n\r\n"]
+
+        parts = [
+            b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"5\r\nfirst\r\n",
+            b"6\r\nsec",
+            b"ond\r\n5\r\nth",
+            b"ird\r\n0\r\n\r\n",
+        ]
         play(self, story, "flow_pauses", Tap({"b": parts}, expiry=400))
 
     def test_long_requests(self):
         """A body longer than what is held goes to one backend, once; a dead one before it costs nothing; its client
         may break off; a backend may answer before it has all of it."""
+
         async def story(h):
             body = "y" * (4 * KEPT)
             connection = await h.open()
@@ -236,13 +294,15 @@
             await h.call("once", "short", connection)
             await h.call("safe", X_Call_Id="c7")
             h.say("-- in chunks")
-            head = ("POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: c1\r\nX-Call-Class: keyed\r\nX-Caller: acme\r\n"
-                    "Idempotency-Key: k1\r\nX-Budget-Ms: 3000\r\n")
+            head = (
+                "POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: c1\r\nX-Call-Class: keyed\r\nX-Caller: acme\r\n"
+                "Idempotency-Key: k1\r\nX-Budget-Ms: 3000\r\n"
+            )
             parts = "".join(f"{n:x}\r\n{'z' * n}\r\n" for n in (5, 70000, 70000, 1))
             await h.ask(head + "Transfer-Encoding: chunked\r\n\r\n" + parts + "0\r\n\r\n")
             h.say("-- the client breaks off")
             _, writer = await h.open()
-            writer.write((head + f"Content-Length: {len(body)}\r\n\r\n" + body[:2 * KEPT]).encode())
+            writer.write((head + f"Content-Length: {len(body)}\r\n\r\n" + body[: 2 * KEPT]).encode())
             await writer.drain()
             while h.begun < 5:
                 await asyncio.sleep(0.01)
@@ -250,15 +310,21 @@
             while not h.lines[-1].endswith("broken off"):
                 await asyncio.sleep(0.01)
             await h.call("safe", X_Call_Id="c8")
+
         play(self, story, "flow_long_requests", Tap({"b": answer()}, known=None))
 
     def test_early_answer(self):
         """Answered before its body has come: the client gets it, and its connection ends."""
+
         async def story(h):
             body = "y" * (2 * KEPT)
             reader, writer = await h.open()
-            writer.write(("POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: c1\r\nX-Call-Class: keyed\r\nX-Caller: acme\r\n"
-                          f"Idempotency-Key: k1\r\nX-Budget-Ms: 3000\r\nContent-Length: {4 * KEPT}\r\n\r\n" + body).encode())
+            writer.write(
+                (
+                    "POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: c1\r\nX-Call-Class: keyed\r\nX-Caller: acme\r\n"
+                    f"Idempotency-Key: k1\r\nX-Budget-Ms: 3000\r\nContent-Length: {4 * KEPT}\r\n\r\n" + body
+                ).encode()
+            )
             while h.begun < 1:
                 await asyncio.sleep(0.01)
             writer.write(body[:KEPT].encode())
@@ -267,6 +333,7 @@
             h.say("-- the next one goes on a connection of its own: what was left there is nobody's beginning")
             h.early = b""
             await h.call("keyed", "next", X_Call_Id="c2", Idempotency_Key="k2")
+
         early = answer("early")
         play(self, story, "flow_early", Tap({"b": answer()}, early=early))
 
@@ -297,8 +364,10 @@
                     size = int((head.split("content-length: ") + ["0"])[1].split("\r\n")[0])
                     await reader.readexactly(size)
                 self.asked += 1
-                self.say(f"  backend, connection {connection}: {head.split()[0]} with {size} bytes"
-                         f"{' in chunks' if 'chunked' in head else ''}")
+                self.say(
+                    f"  backend, connection {connection}: {head.split()[0]} with {size} bytes"
+                    f"{' in chunks' if 'chunked' in head else ''}"
+                )
                 what = script(self.asked) if callable(script) else script
                 if isinstance(what, list):
                     *before, what = what
@@ -315,8 +384,10 @@
     async def take_all(self, version):
         """One request, and all of what comes back, by an independent parser or to the end."""
         reader, writer = await self.open()
-        writer.write(f"GET /api HTTP/{version}\r\nHost: x\r\nX-Call-Id: c1\r\nX-Call-Class: safe\r\nX-Caller: acme\r\n"
-                     "X-Budget-Ms: 3000\r\nConnection: close\r\n\r\n".encode())
+        writer.write(
+            f"GET /api HTTP/{version}\r\nHost: x\r\nX-Call-Id: c1\r\nX-Call-Class: safe\r\nX-Caller: acme\r\n"
+            "X-Budget-Ms: 3000\r\nConnection: close\r\n\r\n".encode()
+        )
         peer, size, start, whole = h11.Connection(h11.CLIENT), 0, b"", False
         peer.send(h11.Request(method="GET", target="/", headers=[("Host", "x")]))
         peer.send(h11.EndOfMessage())
@@ -336,8 +407,10 @@
         except (h11.RemoteProtocolError, OSError):
             pass
         writer.close()
-        self.say(f"client of {version}: {head}, {size} bytes, "
-                 f"{bytes(start).decode() if size < 99 else ''} {'whole' if whole else 'not whole'}")
+        self.say(
+            f"client of {version}: {head}, {size} bytes, "
+            f"{bytes(start).decode() if size < 99 else ''} {'whole' if whole else 'not whole'}"
+        )
 
 
 if __name__ == "__main__":
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -1,4 +1,5 @@
 """The load tool: plans are the same for the same seed, counts add up, and a short play ends with every txn counted."""
+
 import unittest
 
 from click.testing import CliRunner
@@ -67,8 +68,10 @@
         self.assertIsNone(tally.recovered(2.0))
 
     def test_rows(self):
-        rows = [(1.0, [{"in_time": 100, "cpu_us": 50}], [{"in_time": 50, "cpu_us": 100}]),
-                (4.0, [{"in_time": 90, "cpu_us": 30}], [{"in_time": 0, "cpu_us": 60}])]
+        rows = [
+            (1.0, [{"in_time": 100, "cpu_us": 50}], [{"in_time": 50, "cpu_us": 100}]),
+            (4.0, [{"in_time": 90, "cpu_us": 30}], [{"in_time": 0, "cpu_us": 60}]),
+        ]
         self.assertEqual(step.held(rows), {1.0: 1.0, 4.0: 0.9})
         self.assertEqual(step.ratios(rows, "cpu_us"), {1.0: (0.5, 0.5, 0.5), 4.0: (0.5, 0.5, 0.5)})
         self.assertEqual(step.ratios(rows, "in_time"), {1.0: (2.0, 2.0, 2.0)})
@@ -89,8 +92,11 @@
     def test_command_line(self):
         """Bad input gets one line that names the option, and exit 2."""
         main.add_command(load)
-        for words, name in ((["load", "run", "--curve", "x"], "--curve"), (["load", "step", "--factors", "a"], "--factors"),
-                            (["load", "run", "--target", "10.0.0.1:80"], "--target")):
+        for words, name in (
+            (["load", "run", "--curve", "x"], "--curve"),
+            (["load", "step", "--factors", "a"], "--factors"),
+            (["load", "run", "--target", "10.0.0.1:80"], "--target"),
+        ):
             said = CliRunner().invoke(main, words)
             self.assertIsInstance(said.exception, p.Fault, words)
             self.assertIn(name, str(said.exception))
--- a/tests/test_migration.py
+++ b/tests/test_migration.py
@@ -2,6 +2,7 @@
 
 The old shape asks backends before it picks; the new one may not, hears late reports and knows its txns' keys.
 """
+
 import asyncio
 import unittest
 from heapq import heappop, heappush
@@ -17,12 +18,24 @@
 
 OLD = {"limits.probing": True, "tariffs.probe": 0.002}
 NEW = {"family_info.warm_keys": True, "tariffs.cross_zone": 0.1}
-BOTH = {"schemes.count": 1, "schemes.0.idempotency": "retryable", "schemes.0.sla_time": 400.0,
-        "schemes.0.expiry": 1000.0, "limits.most_postings": 4, "limits.cancel": True, "limits.second_copies": True,
-        "limits.retry_after": True, "load_info.via": "answers", "load_info.fields": "inflight", "step": 1.0,
-        "obligations.cold": 8000.0, "obligations.cold_from": 0.25, "obligations.fall": 1000.0,
-        "obligations.fall_multiple": 3.0}
-WORK, REPORTED, STALE = 40.0, 2.0, 500.0     # ms: of a txn at a free core; until a report is made anew, for each shape
+BOTH = {
+    "schemes.count": 1,
+    "schemes.0.idempotency": "retryable",
+    "schemes.0.sla_time": 400.0,
+    "schemes.0.expiry": 1000.0,
+    "limits.most_postings": 4,
+    "limits.cancel": True,
+    "limits.second_copies": True,
+    "limits.retry_after": True,
+    "load_info.via": "answers",
+    "load_info.fields": "inflight",
+    "step": 1.0,
+    "obligations.cold": 8000.0,
+    "obligations.cold_from": 0.25,
+    "obligations.fall": 1000.0,
+    "obligations.fall_multiple": 3.0,
+}
+WORK, REPORTED, STALE = 40.0, 2.0, 500.0  # ms: of a txn at a free core; until a report is made anew, for each shape
 
 
 class Instance:
@@ -41,12 +54,23 @@
         self.fleet.paused += pause > 0
         self.answer(ref)
 
-    def reverse(self, ref): self.answer(ref)
-    def answer(self, ref): self.answers[ref] = self.answers.get(ref, 0) + 1
-    def withdraw(self, ref, seq): pass
-    def watch(self): pass
-    def note(self, text): pass
-    def wake(self, at, token): self.fleet.at(at, self.proxy.woken, token)
+    def reverse(self, ref):
+        self.answer(ref)
+
+    def answer(self, ref):
+        self.answers[ref] = self.answers.get(ref, 0) + 1
+
+    def withdraw(self, ref, seq):
+        pass
+
+    def watch(self):
+        pass
+
+    def note(self, text):
+        pass
+
+    def wake(self, at, token):
+        self.fleet.at(at, self.proxy.woken, token)
 
     def probe(self, backend):
         inflight = self.fleet.holds[backend]
@@ -110,8 +134,12 @@
         one.proxy.left(now, ref)
 
 
-def all_told(shapes, _): return len(shapes)
-def own_bank(shapes, shape): return shapes.count(shape)
+def all_told(shapes, _):
+    return len(shapes)
+
+
+def own_bank(shapes, shape):
+    return shapes.count(shape)
 
 
 class Migration(unittest.TestCase):
@@ -121,8 +149,8 @@
         """One answer each, nothing to a backend that drains, and neither shape starves the other."""
         fleet, out = Fleet(self.SHAPES, all_told), Lines()
         names = [f"b{n}" for n in range(8)]
-        fleet.list(*((name, ports.READY, -10000.0) for name in names))       # warm
-        fleet.traffic(13.0, 0.0, 16000.0, Random(5))         # 156 a second; eight backends can do 200, seven 175
+        fleet.list(*((name, ports.READY, -10000.0) for name in names))  # warm
+        fleet.traffic(13.0, 0.0, 16000.0, Random(5))  # 156 a second; eight backends can do 200, seven 175
         fleet.run(8000.0)
         fleet.list(("b3", ports.DRAINING, -10000.0), scope=ports.CHANGES)
         fleet.run(20000.0)
@@ -145,7 +173,7 @@
         """The cold backend's work in its fullest span over what rule 4 allows there, all instances together."""
         fleet = Fleet(["old"] * 12 + ["new"] * 24, told)
         fleet.now = 50000.0
-        fleet.list(("cold", ports.READY, 50000.0))           # nobody else is there: all want it
+        fleet.list(("cold", ports.READY, 50000.0))  # nobody else is there: all want it
         fleet.traffic(4.0, 50000.0, 54000.0, Random(3))
         fleet.run(56000.0)
         worst = 0.0
@@ -229,6 +257,7 @@
             def script(_):
                 begun.append(name)
                 return answer(name, 200, 'X-Load-Report: {"inflight":0}')
+
             return script
 
         async def story():
@@ -243,13 +272,14 @@
                         said["new"].append(await new.call("safe", X_Call_Id=f"n{n}", X_Call_Info="work=3,entity=k1"))
                     for shape, came in said.items():
                         served = sum(text[:3] == "200" for text in came)
-                        out.lines.append(f"{shape}: {len(came)} asked, {served} served, "
-                                         f"by {len({text[4:] for text in came})} backends")
+                        out.lines.append(
+                            f"{shape}: {len(came)} asked, {served} served, by {len({text[4:] for text in came})} backends"
+                        )
                     kept = said["new"][-1][4:]
                     out.lines.append(f"begun at backends: {len(begun)}")
                     for harbour in (old, new):
                         harbour.list((kept, "leaving"), complete=False)
-                    await asyncio.sleep(0.1)         # as for every list that a test here tells
+                    await asyncio.sleep(0.1)  # as for every list that a test here tells
                     begun.clear()
                     for n in range(10):
                         for shape, harbour in (("p", old), ("q", new)):
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -1,4 +1,5 @@
 """What a proxy does when too much comes: the door's decisions, the lobby, and both on loopback."""
+
 import asyncio
 import socket
 import types
@@ -17,8 +18,7 @@
 from sloeferry.core.records import Txn
 from tests.trace import Harbour, Lines, Printer, answer, compare
 
-TWO = {"tenants.count": 2, "tenants.0.share": 3.0, "tenants.1.share": 1.0, "limits.retry_after": True,
-       "schemes.2.gain": 5.0}
+TWO = {"tenants.count": 2, "tenants.0.share": 3.0, "tenants.1.share": 1.0, "limits.retry_after": True, "schemes.2.gain": 5.0}
 
 
 def door(**more):
@@ -46,6 +46,7 @@
 
         def say(what):
             out.lines.append(f"{what}: bound {one.limit:.1f}, {one.rate * 1000:.0f} a second")
+
         one.ended = 60
         for at in range(20):
             now += one.every
@@ -106,8 +107,14 @@
             self.assertEqual(host.proxy.board.spread.count > before, not behind)
 
     @settings(max_examples=150, deadline=None)
-    @given(st.lists(st.tuples(st.sampled_from("beat take over ask stall".split()), st.integers(0, 2),
-                              st.integers(0, 1), st.floats(0, 200)), max_size=120))
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from("beat take over ask stall".split()), st.integers(0, 2), st.integers(0, 1), st.floats(0, 200)
+            ),
+            max_size=120,
+        )
+    )
     def test_properties(self, steps):
         """Counts never go wrong; without a bound nobody is outside; the better gain is never outside alone."""
         one, host = door()
@@ -143,11 +150,13 @@
         def call_at(at, do):
             timers.append([at, do])
             return types.SimpleNamespace(cancel=lambda entry=timers[-1]: entry in timers and timers.remove(entry))
+
         loop = types.SimpleNamespace(time=lambda: now[0], call_at=call_at)
         alarms = Alarms(loop)
 
         def task(name):
             return types.SimpleNamespace(cancel=lambda: rung.append((name, round(now[0], 3))))
+
         kept = [alarms.set(at, task(at)) for at in (0.5, 0.1, 0.3, 0.2, 0.9)]
         kept[2].off()
         kept[4].off()
@@ -168,12 +177,20 @@
         class Guest:
             def __init__(self, name, clients):
                 self.name, self.clients, self.enrolled, self.since, self.fresh, self.barred = (
-                    name, clients, False, 0.0, True, 5.0)
+                    name,
+                    clients,
+                    False,
+                    0.0,
+                    True,
+                    5.0,
+                )
                 self.ours, self.theirs = socket.socketpair()
                 self.ours.setblocking(False)
                 self.sock = types.SimpleNamespace(
-                    fileno=self.ours.fileno, recv_into=lambda b: calls.append("read") or self.ours.recv_into(b),
-                    send=lambda data: calls.append("write") or self.ours.send(data))
+                    fileno=self.ours.fileno,
+                    recv_into=lambda b: calls.append("read") or self.ours.recv_into(b),
+                    send=lambda data: calls.append("write") or self.ours.send(data),
+                )
                 self.wire = types.SimpleNamespace(feed=lambda buffer, n: calls.append(f"{name} is parsed"))
 
             def glance(self, buffer, n, last):
@@ -181,8 +198,14 @@
 
         async def story():
             loop, room, open_, budget = asyncio.get_running_loop(), [0], [False], [True]
-            gate = types.SimpleNamespace(shut=lambda: not open_[0], room=lambda: room[0], patience=0.0, longest=1e9,
-                                         may_dismiss=lambda now: budget[0], queued=lambda n: None)
+            gate = types.SimpleNamespace(
+                shut=lambda: not open_[0],
+                room=lambda: room[0],
+                patience=0.0,
+                longest=1e9,
+                may_dismiss=lambda now: budget[0],
+                queued=lambda n: None,
+            )
             lobby = Lobby(loop, types.SimpleNamespace(door=gate), Buffers())
             clients = types.SimpleNamespace(pause_of=lambda ms: [(b"Retry-After", b"%d" % ms)])
             guests = [Guest(name, clients) for name in "abcdef"]
@@ -196,6 +219,7 @@
                 on = "".join(sorted(name for name, one in gates.items() if one.done()))
                 out.lines.append(f"{what}: gone on {on or '-'}; {', '.join(calls) or 'no call'}")
                 calls.clear()
+
             gate.patience = 1e9
             for guest in guests[:3]:
                 guest.theirs.send(b"plain")
@@ -221,6 +245,7 @@
                 guest.ours.close()
                 guest.theirs.close()
             lobby.epoll.close()
+
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(story())
         compare(self, out, "lobby")
@@ -233,12 +258,14 @@
         is served on the connections that were kept."""
         logger.remove()
         harbour = Harbour({"b": answer()}, retry_after=True)
-        head = ("POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: c1\r\nX-Call-Class: once\r\nX-Caller: acme\r\n"
-                "X-Budget-Ms: 3000\r\n")
+        head = "POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: c1\r\nX-Call-Class: once\r\nX-Caller: acme\r\nX-Budget-Ms: 3000\r\n"
 
         async def story(h):
-            with mock.patch.object(overload.Door, "beat"), mock.patch.object(
-                    overload.Door, "shut", lambda self: True), mock.patch.object(overload.Door, "room", lambda self: 1):
+            with (
+                mock.patch.object(overload.Door, "beat"),
+                mock.patch.object(overload.Door, "shut", lambda self: True),
+                mock.patch.object(overload.Door, "room", lambda self: 1),
+            ):
                 stay = mock.patch.object(overload.Door, "bars", lambda *_: 250.0)
                 kept = await h.open()
                 stay.start()
@@ -262,6 +289,7 @@
         async def day():
             async with harbour:
                 await story(harbour)
+
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(asyncio.wait_for(day(), 60))
         compare(self, harbour, "door_shut")
@@ -273,7 +301,7 @@
         asked = []
 
         async def story(h):
-            for at in range(4):          # so that it knows how long answers take
+            for at in range(4):  # so that it knows how long answers take
                 await h.call("safe")
             h.say("-- the next is met by silence")
             asked.append(True)
@@ -285,12 +313,14 @@
                 asked.clear()
                 return None
             return answer()
+
         harbour = Harbour({"b": script, "c": script}, second_copies=True, probing=True, expiry=3000)
         harbour.proxy_tasks = lambda: [t for t in asyncio.all_tasks() if "exchange" in repr(t.get_coro())]
 
         async def day():
             async with harbour:
                 await story(harbour)
+
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(asyncio.wait_for(day(), 60))
         got = [line for line in harbour.lines if line.startswith("client gets")]
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -1,4 +1,5 @@
 """The rehearsal kit: its network, the same record for the same seed, and a judge that convicts planted faults."""
+
 import asyncio
 import errno
 import json
@@ -44,8 +45,9 @@
         super().__init__()
         self.world = World(seed)
         self.net = Net(self.world, same=0.001, cross=0.01, **net)
-        self.here, self.there = (Process(self.world, Host(self.net, ip, zone), ip) for ip, zone in
-                                 (("127.0.0.1", "a"), ("127.0.0.2", "b")))
+        self.here, self.there = (
+            Process(self.world, Host(self.net, ip, zone), ip) for ip, zone in (("127.0.0.1", "a"), ("127.0.0.2", "b"))
+        )
 
     def say(self, text):
         self.lines.append(f"{1000 * (self.world.monotonic() - BEGIN):9.3f}  {text}")
@@ -95,8 +97,8 @@
             other, _ = listener.accept()
             there.create_task(quay.read(there, other, "the other"))
             await asyncio.sleep(0.05)
-            here.create_task(quay.dial(here, "two"))         # it takes the only place
-            here.create_task(quay.dial(here, "three"))       # finds the table full
+            here.create_task(quay.dial(here, "two"))  # it takes the only place
+            here.create_task(quay.dial(here, "three"))  # finds the table full
             await asyncio.sleep(0.5)
             two, _ = listener.accept()
             quay.say("two is accepted")
@@ -120,7 +122,7 @@
             crossing = quay.net.sock(here)
             again = quay.listener(port=81)
             dial = here.create_task(here.sock_connect(crossing, ("127.0.0.2", 81)))
-            await asyncio.sleep(0.015)   # it has arrived, and the listener closes before anybody took it
+            await asyncio.sleep(0.015)  # it has arrived, and the listener closes before anybody took it
             again.close()
             try:
                 await dial
@@ -136,15 +138,20 @@
             await asyncio.sleep(5)
             quay.say(f"cut off: the other end has {sum(map(len, five.inbox))} bytes, four is {'up' if four.up else 'down'}")
             there.host.cut = False
-            there.kill()                 # it comes back as a new process, which knows of no connection
+            there.kill()  # it comes back as a new process, which knows of no connection
             await quay.read(here, four, "four")
             world.current.call_soon(quay.say, "end")
+
         quay.run((quay.here, course()))
         trace.compare(self, quay, "rehearsal_network")
 
     @settings(max_examples=25, deadline=None)
-    @given(st.lists(st.integers(1, 3 * SENT // 2), min_size=1, max_size=5), st.floats(0, 0.9), st.integers(1, 9999),
-           st.integers(1, 5))
+    @given(
+        st.lists(st.integers(1, 3 * SENT // 2), min_size=1, max_size=5),
+        st.floats(0, 0.9),
+        st.integers(1, 9999),
+        st.integers(1, 5),
+    )
     def test_bytes(self, sizes, pieces, room, seed):
         """Whatever the pieces and the reader's room, what arrives is what was sent, in order, and no more than
         a window of it is ever under way."""
@@ -169,6 +176,7 @@
             while n := await quay.there.sock_recv_into(sock, buffer):
                 most = max(most, sock.peer.out)
                 got.extend(buffer[:n])
+
         listener = quay.listener()
         quay.run((quay.there, take()), (quay.here, give()), seconds=3000)
         self.assertFalse(quay.lines)
@@ -192,6 +200,7 @@
             epoll.modify(other.fileno(), 1)
             seen.append(epoll.poll(0, 9))
             seen.append(other.fileno())
+
         quay.run((quay.here, course()))
         fd = seen.pop()
         self.assertEqual(seen, [[], [(fd, 1)], [], [(fd, 1)]])
@@ -211,6 +220,7 @@
             quay.here.call_later(0.1, quay.say, "due while it was halted for two seconds")
             quay.world.after(0.05, quay.here.halt, 2)
             await asyncio.sleep(0)
+
         quay.run((quay.here, course()))
         trace.compare(self, quay, "rehearsal_time")
 
@@ -221,45 +231,74 @@
         for name in s.shipped():
             self.assertEqual(s.read(name).name, name)
         self.assertEqual(troubles.known(), [])
-        self.assertGreaterEqual(set(s.shipped()), set(
-            "calm stalls cold-return rolling-deploy long-queues stalls-during-drain never-retries proxies-die "
-            "discovery-out overload storm large".split()))
+        self.assertGreaterEqual(
+            set(s.shipped()),
+            set(
+                "calm stalls cold-return rolling-deploy long-queues stalls-during-drain never-retries proxies-die "
+                "discovery-out overload storm large".split()
+            ),
+        )
         large = s.read("large")
         self.assertGreaterEqual((large.bank.proxies, sum(n.count for n in large.nodes)), (32, 200))
 
     def test_faults(self):
         """A fault names its key, and the command line ends with it and nothing started."""
         text, lines = SQUALL.read_text(), trace.Lines()
-        for old, new in (("seconds = 9", "seconds = -1"), ("proxies = 3", "proxies = 3\nspeed = 2"),
-                         ("proxies = 3", 'proxies = "3"'), ('what = "stall"', 'what = "storm"'),
-                         ("window_ms = 10000", "window_ms = 0"), ('zones = ["a", "b"]', 'zones = ["a", "a"]'),
-                         ("at = 7", "at = 70"), ("at = 7", 'at = 7\nzone = "c"'), ("[callers]", "[callers"),
-                         ("clients = 12", "clients = 12\npatience = [0.9, 0.5]"), ("seconds = 9", 'seconds = 9\nclock = "noon"'),
-                         ('what = "cuts"', 'what = "lossy-way"'), (CUTS, CUTS.replace("cuts", "waits").replace("odds = 0.3", 'customer = "x"')),
-                         ('what = "cuts"', 'what = "false-reports"\nshows = "nothing"')):
+        for old, new in (
+            ("seconds = 9", "seconds = -1"),
+            ("proxies = 3", "proxies = 3\nspeed = 2"),
+            ("proxies = 3", 'proxies = "3"'),
+            ('what = "stall"', 'what = "storm"'),
+            ("window_ms = 10000", "window_ms = 0"),
+            ('zones = ["a", "b"]', 'zones = ["a", "a"]'),
+            ("at = 7", "at = 70"),
+            ("at = 7", 'at = 7\nzone = "c"'),
+            ("[callers]", "[callers"),
+            ("clients = 12", "clients = 12\npatience = [0.9, 0.5]"),
+            ("seconds = 9", 'seconds = 9\nclock = "noon"'),
+            ('what = "cuts"', 'what = "lossy-way"'),
+            (CUTS, CUTS.replace("cuts", "waits").replace("odds = 0.3", 'customer = "x"')),
+            ('what = "cuts"', 'what = "false-reports"\nshows = "nothing"'),
+        ):
             self.assertIn(old, text)
             with self.assertRaises(s.Fault) as caught:
                 s.checked(text.replace(old, new, 1))
             lines.lines.append(f"{new.splitlines()[-1]}  ->  {caught.exception}")
         trace.compare(self, lines, "rehearsal_faults")
-        for words in (["run", "no-such-thing"], ["run", "calm", "--live", "--policy", "random"],
-                      ["compare", "calm", "--seeds", "x"], ["run", "large", "--live"],
-                      ["run", "nobody", "--record", "/no/such/folder/file"]):
+        for words in (
+            ["run", "no-such-thing"],
+            ["run", "calm", "--live", "--policy", "random"],
+            ["compare", "calm", "--seeds", "x"],
+            ["run", "large", "--live"],
+            ["run", "nobody", "--record", "/no/such/folder/file"],
+        ):
             self.assertIsInstance(CliRunner().invoke(rehearse, words).exception, s.Fault, words)
 
 
 class Blames(unittest.TestCase):
     """Troubles in which a wrong one is blamed easily, each held to the judge's figures of the text that met it."""
+
     # Service at the least, postings a txn at the most, as the mean of the seeds.  Without the defences: waiting-customer
     # 0.41 (without Board.DRAG; no seed of six over 0.43), bad-txns 1.6 postings a txn (each error its backend's).
-    SEEDS = {"waiting-customer": (1, 2, 3)}      # one play of it swings by 0.04
-    FLOORS = {"untrue-reports": (0.96, 1.1), "one-sided": (0.93, 1.1), "lossy-way": (0.96, 1.1),
-              "bad-txns": (0.96, 1.25), "waiting-customer": (0.45, 1.0)}
+    SEEDS = {"waiting-customer": (1, 2, 3)}  # one play of it swings by 0.04
+    FLOORS = {
+        "untrue-reports": (0.96, 1.1),
+        "one-sided": (0.93, 1.1),
+        "lossy-way": (0.96, 1.1),
+        "bad-txns": (0.96, 1.25),
+        "waiting-customer": (0.45, 1.0),
+    }
 
     def test_floors(self):
-        plays = {name: [subprocess.Popen([sys.executable, "-c", Plays.RUN, name, str(seed)], stdout=subprocess.PIPE,
-                                         cwd=HERE.parent, text=True) for seed in self.SEEDS.get(name, (3,))]
-                 for name in self.FLOORS}
+        plays = {
+            name: [
+                subprocess.Popen(
+                    [sys.executable, "-c", Plays.RUN, name, str(seed)], stdout=subprocess.PIPE, cwd=HERE.parent, text=True
+                )
+                for seed in self.SEEDS.get(name, (3,))
+            ]
+            for name in self.FLOORS
+        }
         for name, processes in plays.items():
             records = [json.loads(process.communicate()[0]) for process in processes]
             service = statistics.mean(record["service"]["total"] for record in records)
@@ -271,12 +310,19 @@
 
 
 class Plays(unittest.TestCase):
-    RUN = ("import json, sys; from sloeferry.rehearsal import play, scenario as s; "
-           "print(json.dumps(play.play(s.read(sys.argv[1]), int(sys.argv[2])), sort_keys=True))")
+    RUN = (
+        "import json, sys; from sloeferry.rehearsal import play, scenario as s; "
+        "print(json.dumps(play.play(s.read(sys.argv[1]), int(sys.argv[2])), sort_keys=True))"
+    )
 
     def start(self, seed, hashes):
-        return subprocess.Popen([sys.executable, "-c", self.RUN, str(SQUALL), str(seed)], stdout=subprocess.PIPE,
-                                cwd=HERE.parent, env={**os.environ, "PYTHONHASHSEED": hashes}, text=True)
+        return subprocess.Popen(
+            [sys.executable, "-c", self.RUN, str(SQUALL), str(seed)],
+            stdout=subprocess.PIPE,
+            cwd=HERE.parent,
+            env={**os.environ, "PYTHONHASHSEED": hashes},
+            text=True,
+        )
 
     def test_same_anew(self):
         """For one seed the same record, byte by byte, whatever the hash seed; another seed's differs.  The rules
@@ -290,8 +336,10 @@
         self.assertFalse(any(record["rules"].values()), record["breaches"])
         self.assertEqual(record["faults"], [])
         txns = record["txns"]
-        self.assertEqual(txns["asked"], sum(txns[how] for how in (
-            "settled", "declined", "reversed", "lost", "killed", "left", "untaken", "late")))
+        self.assertEqual(
+            txns["asked"],
+            sum(txns[how] for how in ("settled", "declined", "reversed", "lost", "killed", "left", "untaken", "late")),
+        )
         self.assertTrue(txns["left"] and txns["declined"] and txns["settled"] > txns["asked"] / 2, txns)
 
     def test_nobody(self):
@@ -306,8 +354,10 @@
 
     def test_day_ends(self):
         """A calendar day that ends in the middle changes nothing: times are monotonic."""
-        plain, late = (play.play(squall(lines=[("seconds = 9", f'seconds = 3\nclock = "2026-12-31T{clock}Z"'), *EARLY]), 5)
-                       for clock in ("12:00:00", "23:59:58"))
+        plain, late = (
+            play.play(squall(lines=[("seconds = 9", f'seconds = 3\nclock = "2026-12-31T{clock}Z"'), *EARLY]), 5)
+            for clock in ("12:00:00", "23:59:58")
+        )
         self.assertEqual(plain, late)
 
     def test_other_luck(self):
@@ -330,8 +380,7 @@
 
     def test_live(self):
         """A short play with real daemons ends, with every txn counted; how it went is the machine's affair."""
-        told = squall(lines=[("seconds = 9", "seconds = 2"), ("proxies = 3", "proxies = 2"), ("[[9, 70]]", "[[2, 30]]"),
-                             *EARLY])
+        told = squall(lines=[("seconds = 9", "seconds = 2"), ("proxies = 3", "proxies = 2"), ("[[9, 70]]", "[[2, 30]]"), *EARLY])
         record = live.play(told, 1)
         self.assertEqual(record["txns"]["asked"], len(bank.arrivals(told, live.Street(None, 1, "").rng("arrivals"))))
         self.assertEqual(record["rules"]["crash"], 0)
@@ -356,8 +405,7 @@
     def test_innocent(self):
         """Without a planted fault the same days keep every rule: it is the fault that is found."""
         for lines in ((), self.REFERENCED, self.LONG_STALLS, self.COLD):
-            self.assertEqual(self.broken(squall(lines=lines), policy="round-robin" if lines is self.COLD else "design"),
-                             ({}, []))
+            self.assertEqual(self.broken(squall(lines=lines), policy="round-robin" if lines is self.COLD else "design"), ({}, []))
 
     def test_stood_still(self):
         """Guards Clients.stood: what lay unread while the proxy got no time is not new.  Taken for new it was sent
@@ -377,6 +425,7 @@
         def forgets(door, *most):
             door.crowd = None
             accept(door, *most)
+
         self.assertEqual(self.broken(told), ({}, []))
         with mock.patch.object(clients.Clients, "accept", forgets):
             rules, texts = self.broken(told)
@@ -390,11 +439,14 @@
         def forgets(door, *most):
             door.stalled = 0
             accept(door, *most)
+
         self.assertEqual(self.broken(told), ({}, []))
         # These callers leave at their expiry, and a look at that before each first byte holds the same requests back: it
         # is taken out too, or this would no longer show what `stalled` alone keeps.
-        with mock.patch.object(clients.Clients, "accept", forgets), \
-                mock.patch.object(clients.Guest, "gone", lambda guest: guest.ended):
+        with (
+            mock.patch.object(clients.Clients, "accept", forgets),
+            mock.patch.object(clients.Guest, "gone", lambda guest: guest.ended),
+        ):
             rules, texts = self.broken(told)
         self.assertIn("1", rules, texts)
         self.assertIn("past its expiry", texts[0])
@@ -412,9 +464,11 @@
                 if one.ask.leaves and not one.answered:
                     found.append(since > (one.at + one.ends) / 2 + 0.3)
                 posted(judged, node, zone, ident, since)
+
             with mock.patch.object(judge.Judge, "posted", noted):
                 play.play(told, 2)
             return len(found), sum(found)
+
         of, late = sent_on()
         self.assertGreater(of, 100)
         self.assertEqual(late, 0)
@@ -436,20 +490,24 @@
         """Told to quiesce, it goes on as ever, but for its answer to those who ask whether it is ready."""
         told = s.read("quiesce")
         self.assertEqual(self.broken(told), ({}, []))
-        with mock.patch.object(duty.Duty, "sends_away", lambda self: self.leaving), \
-                mock.patch.object(duty.Duty, "lets_go", lambda *_: False):
+        with (
+            mock.patch.object(duty.Duty, "sends_away", lambda self: self.leaving),
+            mock.patch.object(duty.Duty, "lets_go", lambda *_: False),
+        ):
             self.assertEqual(set(self.broken(told)[0]), {"drain"})
 
     def test_trailer_for_a_header(self):
         """Fields behind a chunked body are taken for headers, and counted into its length, as they once were."""
+
         def on_header(framing, name, value):
             message = framing.message
             message.headers.append((name.lower(), value))
             message.named[name.lower()] = value
             message.size += len(name) + len(value) + 4
+
         told = s.read("quiesce")
         self.assertGreater(play.play(told, 2, "design")["service"]["worst_scheme"], 0.95)
-        with mock.patch.object(http1.Framing, "on_header", on_header):       # nodes wait for bytes that never come
+        with mock.patch.object(http1.Framing, "on_header", on_header):  # nodes wait for bytes that never come
             self.assertLess(play.play(told, 2, "design")["service"]["worst_scheme"], 0.8)
 
     def test_sent_twice(self):
@@ -459,6 +517,7 @@
         def again(framing):
             framing.message.flows = False
             complete(framing)
+
         self.assertEqual(self.broken(told), ({}, []))
         with mock.patch.object(http1.Framing, "on_message_complete", again):
             rules, texts = self.broken(told)
@@ -470,6 +529,7 @@
         async def twice(guest, data):
             count[0] += 1
             await send(guest, data * 2 if count[0] % 50 == 0 and b" 200 " in data else data)
+
         with mock.patch.object(clients.Guest, "send", twice):
             rules, texts = self.broken()
         self.assertIn("1", rules, texts)
@@ -481,6 +541,7 @@
             count[0] += 1
             if count[0] % 50:
                 await send(guest, data)
+
         with mock.patch.object(clients.Guest, "send", silent):
             rules, texts = self.broken()
         self.assertIn("1", rules, texts)
@@ -491,16 +552,21 @@
 
         def other(status, body=b"", headers=(), keep=True):
             return answer(status, b"0" * len(body), headers, keep)
+
         with mock.patch.object(http1, "answer", other):
             rules, texts = self.broken()
         self.assertIn("1", rules, texts)
 
     def test_pushed_again(self):
         """A once-only txn that may have run is sent again."""
+
         def may_post(rules, txn, now, instead=None):
             return not txn.answered and now < txn.ends and len(txn.postings) < 4
-        with (mock.patch.object(decide.Rules, "may_post", may_post),
-              mock.patch.object(decide.Rules, "drops_repeats", lambda *_: True)):
+
+        with (
+            mock.patch.object(decide.Rules, "may_post", may_post),
+            mock.patch.object(decide.Rules, "drops_repeats", lambda *_: True),
+        ):
             rules, texts = self.broken()
         self.assertIn("2", rules, texts)
 
@@ -514,6 +580,7 @@
         def finish(rules, txn, pause=0.0):
             if not txn.answered:
                 rules.p.host.decline(txn.ref, pause)
+
         with mock.patch.object(decide.Rules, "finish", finish):
             rules, texts = self.broken(squall(lines=self.LONG_STALLS))
         self.assertIn("2", rules, texts)
@@ -531,13 +598,16 @@
     def test_crash(self):
         """A program that ends, be it by a part that should never end or by its own will."""
         for part, code in (("sweep", 3), ("backstop", None)):
+
             async def ends(self):
                 await asyncio.sleep(1)
                 if code:
                     sys.exit(code)
+
             with mock.patch.object(clients.Clients, part, ends):
-                rules, texts = self.broken(squall(lines=[("seconds = 9", "seconds = 2"), ("proxies-roll", "proxies-stop"),
-                                                         *EARLY]))
+                rules, texts = self.broken(
+                    squall(lines=[("seconds = 9", "seconds = 2"), ("proxies-roll", "proxies-stop"), *EARLY])
+                )
             self.assertIn("crash", rules, texts)
 
 
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -1,5 +1,6 @@
 """The rig: plans are checked, records are judged, links do what they are told, and with real processes the true build
 keeps every plan while a build with one wrong line is convicted."""
+
 import asyncio
 import pathlib
 import subprocess
@@ -52,16 +53,27 @@
     def test_faults(self):
         """A fault names its key; the command line ends with one line."""
         lines = trace.Lines()
-        for more in ('[[fault]]\nwhat = "flood"\nat = 1', '[[fault]]\nwhat = "kill"\nat = 1\nlasts = 9',
-                     '[[fault]]\nwhat = "cut"\nat = 0\nbetween = "nowhere"', '[[fault]]\nwhat = "stop"\nat = 0\nproxies = [2]',
-                     '[[fault]]\nwhat = "hup"\nat = 0\nfile = "burnt"', '[[trouble]]\nwhat = "one-sided"\nat = 0',
-                     "[rig]\ncallers = 0", "[expect]\nservice = 2", "clock"):
+        for more in (
+            '[[fault]]\nwhat = "flood"\nat = 1',
+            '[[fault]]\nwhat = "kill"\nat = 1\nlasts = 9',
+            '[[fault]]\nwhat = "cut"\nat = 0\nbetween = "nowhere"',
+            '[[fault]]\nwhat = "stop"\nat = 0\nproxies = [2]',
+            '[[fault]]\nwhat = "hup"\nat = 0\nfile = "burnt"',
+            '[[trouble]]\nwhat = "one-sided"\nat = 0',
+            "[rig]\ncallers = 0",
+            "[expect]\nservice = 2",
+            "clock",
+        ):
             with self.assertRaises(s.Fault) as caught:
                 p.checked(SMALL + more, "small.toml")
             lines.lines.append(f"{more.splitlines()[-1]}  ->  {caught.exception}")
         trace.compare(self, lines, "rig_faults")
-        for words in (["run", "no-such-plan"], ["check", "/no/such/file"], ["run", "calm", "--record", "/no/such/folder/x"],
-                      ["run", "calm", "--plant", "nothing"]):
+        for words in (
+            ["run", "no-such-plan"],
+            ["check", "/no/such/file"],
+            ["run", "calm", "--record", "/no/such/folder/x"],
+            ["run", "calm", "--plant", "nothing"],
+        ):
             self.assertIsInstance(CliRunner().invoke(rig, words).exception, s.Fault, words)
 
     def test_altered(self):
@@ -91,8 +103,10 @@
                 for ident, ago, news in (("new", 400.0, True), ("young", 400.0, False), ("old", 50_000.0, False)):
                     at = starts.taken(now, ident, now + 5e9 - ago, news)
                     same = starts.taken(now + 9.0, ident, now + 5e9 - ago, False) == at
-                    lines.lines.append(f"clock off by {off / 3600e3:g} h, {confirmed} confirms it: {ident}, started {ago:g} ms "
-                                       f"ago, news {news}: taken for {now - at:.0f} ms ago, stays {same}")
+                    lines.lines.append(
+                        f"clock off by {off / 3600e3:g} h, {confirmed} confirms it: {ident}, started {ago:g} ms "
+                        f"ago, news {news}: taken for {now - at:.0f} ms ago, stays {same}"
+                    )
                 lines.lines.append(f"long ago stays so: {starts.taken(now, 'x', 0, True)}")
         trace.compare(self, lines, "rig_clocks")
 
@@ -109,20 +123,24 @@
             scribe.note(10.0, "begin")
             for event in events:
                 scribe.note(*event)
-            for number in range(numbers):        # whoever has no other end
+            for number in range(numbers):  # whoever has no other end
                 if not any(event[1] == "ended" and event[2] == number for event in events):
                     scribe.note(13.0, "ended", number, "untaken", 10.0, 1)
             scribe.close()
-            path.write_bytes(path.read_bytes() + b'[11.0, 11.0, "post')      # its writer was killed
+            path.write_bytes(path.read_bytes() + b'[11.0, 11.0, "post')  # its writer was killed
             return verdict.judge(plan, 1, [path], {}, {})
 
     IDENT = "%012x0000" % 3
     ASKED = (11.0, "asked", IDENT, "p1", 11.8), (11.0, "sent", IDENT, 11.8)
 
     def test_kept(self):
-        said = self.judged(*self.ASKED, (11.01, "posted", "s-0001", "a", self.IDENT, 11.01),
-                           (11.01, "ran", "s-0001", self.IDENT), (11.05, "answered", self.IDENT, 200, True),
-                           (11.05, "ended", 3, "settled", 11.0, 1))
+        said = self.judged(
+            *self.ASKED,
+            (11.01, "posted", "s-0001", "a", self.IDENT, 11.01),
+            (11.01, "ran", "s-0001", self.IDENT),
+            (11.05, "answered", self.IDENT, 200, True),
+            (11.05, "ended", 3, "settled", 11.0, 1),
+        )
         self.assertEqual((said["verdict"], said["txns"]["settled"]), ("kept", 1))
 
     def test_broken(self):
@@ -131,22 +149,44 @@
         ran = [(11.01, "posted", "s-0001", "a", self.IDENT, 11.01), (11.01, "ran", "s-0001", self.IDENT)]
         end = (12.0, "ended", 3, "settled", 11.0, 1)
         for what, *events in (
-                ("ran twice", *ran, (11.2, "posted", "s-0000", "a", self.IDENT, 11.2), (11.2, "ran", "s-0000", self.IDENT), end),
-                ("declined and ran", *ran, (11.3, "answered", self.IDENT, 503, True), end),
-                ("posted after its expiry", (11.9, "posted", "s-0001", "a", self.IDENT, 11.9), end),
-                ("posted in time, held on its way", (11.7, "entered", "nodes/1/1", self.IDENT, 11.7),
-                 (11.9, "posted", "s-0001", "a", self.IDENT, 11.9), end),
-                ("told of a drain", (10.5, "told", "p1", "s-0001", "leaving", 0), *ran, end),
-                ("no answer", (11.9, "lost", self.IDENT, "its time was over"), (12.0, "ended", 3, "lost", 11.0, 1)),
-                ("no answer, its proxy was killed", (11.1, "killed", "p1"), (11.2, "lost", self.IDENT, "its connection ended"),
-                 (12.0, "ended", 3, "lost", 11.0, 1)),
-                ("no answer, its way was cut", (11.1, "apart", "p1", 11.3), (11.2, "lost", self.IDENT, "its connection ended"),
-                 (12.0, "ended", 3, "lost", 11.0, 1)),
-                ("fell, and nobody had been told", (10.9, "started", "s-0001", 500),
-                 (11.1, "fell", "s-0001", 0.5, [(11.0, 900, self.IDENT)]), end),
-                ("fell, and its proxy had been told", (10.9, "started", "s-0001", 500), (10.95, "told", "p1", "s-0001", "active", 500),
-                 (11.1, "fell", "s-0001", 0.5, [(11.0, 900, self.IDENT)]), end),
-                ("measured too late", (11.5, "late", "callers", 900.0), end)):
+            ("ran twice", *ran, (11.2, "posted", "s-0000", "a", self.IDENT, 11.2), (11.2, "ran", "s-0000", self.IDENT), end),
+            ("declined and ran", *ran, (11.3, "answered", self.IDENT, 503, True), end),
+            ("posted after its expiry", (11.9, "posted", "s-0001", "a", self.IDENT, 11.9), end),
+            (
+                "posted in time, held on its way",
+                (11.7, "entered", "nodes/1/1", self.IDENT, 11.7),
+                (11.9, "posted", "s-0001", "a", self.IDENT, 11.9),
+                end,
+            ),
+            ("told of a drain", (10.5, "told", "p1", "s-0001", "leaving", 0), *ran, end),
+            ("no answer", (11.9, "lost", self.IDENT, "its time was over"), (12.0, "ended", 3, "lost", 11.0, 1)),
+            (
+                "no answer, its proxy was killed",
+                (11.1, "killed", "p1"),
+                (11.2, "lost", self.IDENT, "its connection ended"),
+                (12.0, "ended", 3, "lost", 11.0, 1),
+            ),
+            (
+                "no answer, its way was cut",
+                (11.1, "apart", "p1", 11.3),
+                (11.2, "lost", self.IDENT, "its connection ended"),
+                (12.0, "ended", 3, "lost", 11.0, 1),
+            ),
+            (
+                "fell, and nobody had been told",
+                (10.9, "started", "s-0001", 500),
+                (11.1, "fell", "s-0001", 0.5, [(11.0, 900, self.IDENT)]),
+                end,
+            ),
+            (
+                "fell, and its proxy had been told",
+                (10.9, "started", "s-0001", 500),
+                (10.95, "told", "p1", "s-0001", "active", 500),
+                (11.1, "fell", "s-0001", 0.5, [(11.0, 900, self.IDENT)]),
+                end,
+            ),
+            ("measured too late", (11.5, "late", "callers", 900.0), end),
+        ):
             said = self.judged(*self.ASKED, *events)
             lines.lines += [f"{what}: {said['verdict']}", *(f"  {text}" for text in said["void"] + said["failed"])]
             for one in said["evidence"]:
@@ -172,8 +212,9 @@
                 except OSError:
                     seen.append(b"reset")
                 except asyncio.CancelledError:
-                    pass                 # the test is over
+                    pass  # the test is over
                 writer.close()
+
             server = await asyncio.start_server(echo, "127.0.0.1", two)
             link = Link(loop, "nodes/0/0", ("127.0.0.1", one), ("127.0.0.1", two), types.SimpleNamespace(note=lambda *_: None))
             await link.open()
@@ -195,8 +236,17 @@
                     return await asyncio.open_connection("127.0.0.1", one)
                 except OSError:
                     return None
-            for what, told in (("", {}), ("hold", {"way": "there"}), ("hold", {"way": "back"}), ("hold", {"way": "both"}),
-                               ("delay", {"ms": 20}), ("cut", {}), ("half-open", {}), ("break", {"way": "back", "bytes": 5})):
+
+            for what, told in (
+                ("", {}),
+                ("hold", {"way": "there"}),
+                ("hold", {"way": "back"}),
+                ("hold", {"way": "both"}),
+                ("delay", {"ms": 20}),
+                ("cut", {}),
+                ("half-open", {}),
+                ("break", {"way": "back", "bytes": 5}),
+            ):
                 kept = await dial()
                 lines.lines.append(f"{what or 'whole'} {told}")
                 lines.lines.append(f"  before: {await ask(kept, b'a')}")
@@ -207,12 +257,15 @@
                 new = await dial()
                 lines.lines.append(f"  new: {await ask(new, b'e') if new else 'refused'}; the far end saw {seen}")
                 await link.do("", {})
-                lines.lines.append(f"  over: kept {await hear(kept)}, new {await hear(new) if new else '-'}; the far end saw {seen}")
+                lines.lines.append(
+                    f"  over: kept {await hear(kept)}, new {await hear(new) if new else '-'}; the far end saw {seen}"
+                )
                 for connection in (kept, new):
                     if connection:
                         connection[1].close()
             server.close()
             link.server.close()
+
         asyncio.run(day())
         trace.compare(self, lines, "rig_links")
 
@@ -245,24 +298,31 @@
         for between, excuse in (("callers", "apart"), ("discovery", "unfed")):
             said = []
             crew = types.SimpleNamespace(
-                struck={0: ([8], [f"{between}/8"])}, loop=types.SimpleNamespace(time=lambda: 5.0, call_later=lambda *_: None),
+                struck={0: ([8], [f"{between}/8"])},
+                loop=types.SimpleNamespace(time=lambda: 5.0, call_later=lambda *_: None),
                 judge=types.SimpleNamespace(note=lambda at, what, *_: said.append(what), stopped=lambda *_: None),
-                relay=types.SimpleNamespace(do=lambda *what: said.append(what[0])))
+                relay=types.SimpleNamespace(do=lambda *what: said.append(what[0])),
+            )
             Crew.strike(crew, 0, p.Cut(at=1.0, between=between))
             self.assertEqual(said, ["fault", excuse, "do"])
 
 
 class Processes(unittest.TestCase):
     """Real proxies, each a process; two plays side by side, each with its own addresses."""
+
     TRUE = ("zombies", "lists", "links", "deaths", "colds", "doors", "settings", "errors", "cut-answers")
     # The rest of what can be planted is convicted by `rig run --plant`, outside: each takes a play.
     PLANTED = ("news-dropped", "late-taken-for-new", "changes-unheard", "whole-as-unwritten")
 
     @staticmethod
     def play(words):
-        for _ in range(3):               # a play whose measuring processes got no time is none
-            done = subprocess.run([sys.executable, "-m", "sloeferry.cli", "rig", "run", *words], text=True,
-                                  capture_output=True, cwd=pathlib.Path(__file__).parents[1])
+        for _ in range(3):  # a play whose measuring processes got no time is none
+            done = subprocess.run(
+                [sys.executable, "-m", "sloeferry.cli", "rig", "run", *words],
+                text=True,
+                capture_output=True,
+                cwd=pathlib.Path(__file__).parents[1],
+            )
             if done.returncode != 3:
                 break
         return done.returncode, done.stdout + done.stderr
@@ -270,8 +330,15 @@
     def test_plans(self):
         with ThreadPoolExecutor(2) as pool:
             plays = [(name, 0, "rules kept", pool.submit(self.play, [name])) for name in self.TRUE]
-            plays += [(f"{name} planted", 1, f"RULES BROKEN: {planted.PLANTED[name].rules}",
-                       pool.submit(self.play, [planted.PLANTED[name].plan, "--plant", name])) for name in self.PLANTED]
+            plays += [
+                (
+                    f"{name} planted",
+                    1,
+                    f"RULES BROKEN: {planted.PLANTED[name].rules}",
+                    pool.submit(self.play, [planted.PLANTED[name].plan, "--plant", name]),
+                )
+                for name in self.PLANTED
+            ]
             for name, code, words, play in plays:
                 with self.subTest(name):
                     said, text = play.result()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,4 +1,5 @@
 """The four rules and the estimate, each where the wrong action would be tempting."""
+
 import unittest
 
 from sloeferry.core import ports
@@ -6,7 +7,6 @@
 
 
 class Rules(unittest.TestCase):
-
     def test_rule_1_one_answer_before_expiry(self):
         """Nobody is there to serve: the answer still comes, once, and a late end of a posting adds none."""
         host = Printer()
@@ -47,10 +47,10 @@
             host.take(ref, scheme)
             host.end(ref, 0, ports.ERRED)
             host.until(host.now + 5)
-        host.take(4, scheme=2)                  # a refused connection proves that it never ran
+        host.take(4, scheme=2)  # a refused connection proves that it never ran
         host.end(4, 0, ports.UNREACHED)
         host.until(host.now + 20)
-        host.take(5, scheme=1)                  # its window of 300 ms is over when the error comes
+        host.take(5, scheme=1)  # its window of 300 ms is over when the error comes
         host.until(host.now + 310)
         host.end(5, 0, ports.ERRED)
         compare(self, host, "rule_2")
@@ -59,11 +59,13 @@
         """Where draining alone binds: one left out of the list serves on until it fails; one that drained first, or
         drains while it is missing, gets nothing more, and neither does one that failed, until it is listed again."""
         host = Printer(obligations__only_draining_binds=True)
+
         def show(what):
             host.until(host.now + 10.0)
             host.take(ref := int(host.now))
             host.say(f"{what}: uses {' '.join(sorted(b.ident for b in host.proxy.board.open))}")
             return ref
+
         host.list(("a",), ("b",), ("c",))
         host.list(("b", 0, ports.DRAINING), scope=ports.CHANGES)
         show("b drains")
@@ -95,8 +97,13 @@
 
     def test_rule_4_cold_backend(self):
         """A cold backend reports itself empty; it still gets no more than this proxy's part."""
-        host = Printer(obligations__cold=8000.0, obligations__cold_from=0.5, obligations__fall=1000.0,
-                       obligations__fall_multiple=3.0, instances=2)
+        host = Printer(
+            obligations__cold=8000.0,
+            obligations__cold_from=0.5,
+            obligations__fall=1000.0,
+            obligations__fall_multiple=3.0,
+            instances=2,
+        )
         host.until(50000.0)
         host.list(("warm",), ("cold", 0, ports.READY, 50000.0))
         host.report("warm", 9)
@@ -116,9 +123,9 @@
         host.now = 8001.0
         host.take(2, scheme=2)
         host.until(9000.0)
-        host.list(("a",), scope=ports.CHANGES)           # the call is answered
+        host.list(("a",), scope=ports.CHANGES)  # the call is answered
         host.take(3, scheme=2)
-        host.list(scope=ports.WHOLE)                     # an empty list: nobody to send to
+        host.list(scope=ports.WHOLE)  # an empty list: nobody to send to
         host.take(4, scheme=2)
         host.until(9900.0)
         compare(self, host, "rule_3_unheard")
@@ -127,8 +134,14 @@
         """200 proxies, a part of the budget far below one txn: what all send a cold backend, by second."""
         host, sent = Printer(), [0] * 8
         for ordinal in range(200):
-            one = Printer(obligations__cold=8000.0, obligations__cold_from=0.5, obligations__fall=1000.0,
-                          obligations__fall_multiple=3.0, instances=200, ordinal=ordinal)
+            one = Printer(
+                obligations__cold=8000.0,
+                obligations__cold_from=0.5,
+                obligations__fall=1000.0,
+                obligations__fall_multiple=3.0,
+                instances=200,
+                ordinal=ordinal,
+            )
             one.until(50000.0)
             one.list(("cold", 0, ports.READY, 50000.0))
             for second in range(8):
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -1,4 +1,5 @@
 """The list of known failures: what it passes over, and what it refuses."""
+
 import unittest
 
 from tests.__main__ import ListError, all_tests, read_known_red, without_known_red
@@ -8,8 +9,9 @@
     def test_entries(self):
         """Comments and empty lines are passed over; a cause may hold commas."""
         entries = read_known_red("# why\n\ntests.a.B.test_c, first, then second, issue 9\n")
-        self.assertEqual([(one.test, one.cause, one.issue) for one in entries],
-                         [("tests.a.B.test_c", "first, then second", "issue 9")])
+        self.assertEqual(
+            [(one.test, one.cause, one.issue) for one in entries], [("tests.a.B.test_c", "first, then second", "issue 9")]
+        )
 
     def test_refused(self):
         """Half a line, an empty part, one entry too many."""
--- a/tests/test_send_guard.py
+++ b/tests/test_send_guard.py
@@ -1,4 +1,5 @@
 """The guard of sending: what it refuses right before a first byte, and what it calls a violation afterwards."""
+
 import types
 import unittest
 
@@ -7,7 +8,7 @@
 from sloeferry.core.staleness import ON_SOCKETS
 from tests.trace import Printer
 
-SLACK, GRACE = 50.0, 250.0               # ms
+SLACK, GRACE = 50.0, 250.0  # ms
 
 
 class Guard(unittest.TestCase):
@@ -50,10 +51,13 @@
         guard, stale = self.guard, self.staleness.usable_until
         guard.listed(100.0, "a", False)
         for at, errand, backend, broken in (
-                (100.0 + GRACE + SLACK, self.errand(), "a", None), (101.0 + GRACE + SLACK, self.errand(), "a", Violation.DRAIN),
-                (101.0 + GRACE + SLACK, self.errand(), "b", None), (1051.0, self.errand(), "b", Violation.DEADLINE),
-                (10.0, self.errand(over=True), "b", Violation.ANSWERED),
-                (stale + GRACE + SLACK + 1, self.errand(ends=99999.0), "b", Violation.LIST_STALE)):
+            (100.0 + GRACE + SLACK, self.errand(), "a", None),
+            (101.0 + GRACE + SLACK, self.errand(), "a", Violation.DRAIN),
+            (101.0 + GRACE + SLACK, self.errand(), "b", None),
+            (1051.0, self.errand(), "b", Violation.DEADLINE),
+            (10.0, self.errand(over=True), "b", Violation.ANSWERED),
+            (stale + GRACE + SLACK + 1, self.errand(ends=99999.0), "b", Violation.LIST_STALE),
+        ):
             self.assertEqual(guard.check_written(at, errand, 0, backend), broken)
         guard.listed(2000.0, "a", True)
         self.assertIsNone(guard.check_written(900.0, self.errand(), 0, "a"))
--- a/tests/test_staleness.py
+++ b/tests/test_staleness.py
@@ -1,4 +1,5 @@
 """How long the list of backends may be used once nobody confirms it any more (rule 3)."""
+
 import math
 import unittest
 
@@ -7,7 +8,7 @@
 from sloeferry.core.staleness import AT_ONCE, NEWS, ON_SOCKETS, SPREAD, WAIT_OVER, CallEnd, Cause, Limits, ListStaleness
 from tests.test_rig import Processes
 
-MUST_ASK_IN = 10000.0                    # ms
+MUST_ASK_IN = 10000.0  # ms
 AWAY = (CallEnd.UNREACHABLE, CallEnd.UNANSWERED)
 
 
@@ -137,8 +138,7 @@
         self.assertEqual(staleness.usable_until, math.inf)
 
     @settings(max_examples=300, deadline=None, derandomize=True)
-    @given(st.lists(st.tuples(st.sampled_from(["ended", "silent", "moved", "began", *CallEnd]), st.floats(0, 3000)),
-                    max_size=12))
+    @given(st.lists(st.tuples(st.sampled_from(["ended", "silent", "moved", "began", *CallEnd]), st.floats(0, 3000)), max_size=12))
     def test_never_past_news(self, facts):
         """Whatever happens without word from discovery: never longer than the time of news after the last moment at
         which it can have been out of reach."""
@@ -152,7 +152,7 @@
             elif isinstance(what, CallEnd):
                 staleness.call_failed(now, what, began)
             elif what == "ended":
-                if staleness.cause is Cause.WATCHED:     # it stood until then
+                if staleness.cause is Cause.WATCHED:  # it stood until then
                     reach = now - SPREAD
                 staleness.watch_ended(now)
             elif what == "silent":
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -1,4 +1,5 @@
 """System calls that fail for a moment: what was taken on is still answered, and nothing is blamed for it that is not."""
+
 import errno
 import json
 import os
@@ -16,6 +17,7 @@
 class Connect(Crossing):
     def test_no_connection_can_be_made(self):
         """connect fails on this machine for a while: the request is served all the same, and its backend not blamed."""
+
         async def story(h):
             dial, failing = http1.dial, [errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS, errno.EINTR]
 
@@ -23,18 +25,23 @@
                 if failing:
                     raise OSError(failing.pop(), "no")
                 return await dial(*what)
+
             with mock.patch("sloeferry.net.http1.dial", dialled):
                 await h.call("once")
             h.say(f"left to fail: {failing}; failures held against it: {h.facade.proxy.board.all['b'].fails}")
+
         play(self, story, "system_connect", Opened({"b": answer()}))
 
     def test_none_for_long(self):
         """It goes on failing: the request is refused by half of its time."""
+
         async def story(h):
             async def dialled(*what):
                 raise OSError(errno.EADDRNOTAVAIL, "no")
+
             with mock.patch("sloeferry.net.http1.dial", dialled):
                 await h.call("once")
+
         play(self, story, "system_connect_long", Opened({"b": answer()}, expiry=400))
 
     def test_whose_fault_it_is(self):
@@ -62,7 +69,7 @@
                         wrote = folder.write(200.0, {"revision": 2}, {})
                     lines.lines.append(f"{errno.errorcode[number]} at {step}: written {wrote}, stands {folder.read(300.0)}")
             kept = set()
-            for cut in range(len(whole)):        # a machine that went down in the middle of a write
+            for cut in range(len(whole)):  # a machine that went down in the middle of a write
                 with open(f"{folder.path}/snapshot", "wb") as file:
                     file.write(whole[:cut])
                 kept.add(json.dumps(folder.read(300.0)))
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -1,4 +1,5 @@
 """What is said of a configuration that can't be used: each fault names its key."""
+
 import json
 import subprocess
 import sys
@@ -9,28 +10,49 @@
 from sloeferry.standins.processes import free_ports
 from tests.trace import Lines, compare
 
-GOOD = {"name": "n0", "listen": "127.0.0.1:8000", "discovery": "127.0.0.1:8500", "seed": "8c1f",
-        "limits": {"sockets": 1024}, "settings": {
-            "schemes": [{"name": "a", "expiry": 800000}, {"name": "b", "sla_time": 320000}],
-            "tenants": [{"name": "7"}], "zones": ["north", "south"],
-            "load_info": {"fields": ["inflight", "queue"]}}}
+GOOD = {
+    "name": "n0",
+    "listen": "127.0.0.1:8000",
+    "discovery": "127.0.0.1:8500",
+    "seed": "8c1f",
+    "limits": {"sockets": 1024},
+    "settings": {
+        "schemes": [{"name": "a", "expiry": 800000}, {"name": "b", "sla_time": 320000}],
+        "tenants": [{"name": "7"}],
+        "zones": ["north", "south"],
+        "load_info": {"fields": ["inflight", "queue"]},
+    },
+}
 
 
 class Terms(unittest.TestCase):
     def test_faults(self):
         out = Lines()
         out.lines.append(read(GOOD))
-        for path, said in (("listen", "8000"), ("discovery", "host:0"), ("seed", "xyz"),
-                           ("limits.sockets", 3), ("limits", 7), ("known", []), ("settings", {}),
-                           ("settings.schemes", []),
-                           ("settings.schemes.0.name", None), ("settings.schemes.1.expiry", 0),
-                           ("settings.schemes.1.gain", "much"), ("settings.tenants.0.name", 4),
-                           ("settings.family_info", {"warm_keys": 1}), ("settings.family_info", {"warm_keys": "yes"}),
-                           ("settings.limits", {"probing": 1}), ("settings.step", -1),
-                           ("settings.obligations", {"must_ask_in": True}),
-                           ("settings.obligations", {"only_draining_binds": 1}),
-                           ("settings.blend", {"log_loss_part": -0.2}), ("settings.blend", {"log_loss_part": "much"}),
-                           ("settings.blend", {"nines_wanted": 0}), ("settings.blend", {"nines_wanted": "three"})):
+        for path, said in (
+            ("listen", "8000"),
+            ("discovery", "host:0"),
+            ("seed", "xyz"),
+            ("limits.sockets", 3),
+            ("limits", 7),
+            ("known", []),
+            ("settings", {}),
+            ("settings.schemes", []),
+            ("settings.schemes.0.name", None),
+            ("settings.schemes.1.expiry", 0),
+            ("settings.schemes.1.gain", "much"),
+            ("settings.tenants.0.name", 4),
+            ("settings.family_info", {"warm_keys": 1}),
+            ("settings.family_info", {"warm_keys": "yes"}),
+            ("settings.limits", {"probing": 1}),
+            ("settings.step", -1),
+            ("settings.obligations", {"must_ask_in": True}),
+            ("settings.obligations", {"only_draining_binds": 1}),
+            ("settings.blend", {"log_loss_part": -0.2}),
+            ("settings.blend", {"log_loss_part": "much"}),
+            ("settings.blend", {"nines_wanted": 0}),
+            ("settings.blend", {"nines_wanted": "three"}),
+        ):
             told = node = json.loads(json.dumps(GOOD))
             *way, last = path.split(".")
             for step in way:
@@ -48,8 +70,12 @@
         with tempfile.NamedTemporaryFile("w") as file:
             json.dump(GOOD, file)
             file.flush()
-            environ = {"BALANCER_CONFIG": file.name, "BALANCER_LISTEN": f"127.0.0.1:{free_ports('127.0.0.1', 1)[0]}",
-                       "BALANCER_DISCOVERY": "127.0.0.1:1", "SLOEFERRY_LOG_FORMAT": "json"}
+            environ = {
+                "BALANCER_CONFIG": file.name,
+                "BALANCER_LISTEN": f"127.0.0.1:{free_ports('127.0.0.1', 1)[0]}",
+                "BALANCER_DISCOVERY": "127.0.0.1:1",
+                "SLOEFERRY_LOG_FORMAT": "json",
+            }
             with subprocess.Popen([sys.executable, "-m", "sloeferry"], env=environ, stderr=subprocess.PIPE) as daemon:
                 try:
                     first = json.loads(daemon.stderr.readline())
@@ -67,8 +93,16 @@
             berth = terms.read({"BALANCER_CONFIG": file.name, "BALANCER_NAME": "n1"})
         except terms.Fault as fault:
             return str(fault).replace(file.name, "FILE")
-        kept = {key: berth.terms[key] for key in (
-            "schemes.0.expiry", "schemes.0.sla_time", "schemes.1.sla_time", "zones", "load_info.fields",
-            "obligations.must_ask_in")}
+        kept = {
+            key: berth.terms[key]
+            for key in (
+                "schemes.0.expiry",
+                "schemes.0.sla_time",
+                "schemes.1.sla_time",
+                "zones",
+                "load_info.fields",
+                "obligations.must_ask_in",
+            )
+        }
         lists = berth.named("tenants"), berth.places("zones")
         return f"{berth.name} {berth.listen} {berth.seed} {lists[0]} {lists[1]} {kept}"
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -1,4 +1,5 @@
 """Versions: an order that never guesses, a ledger that is bounded and counts exactly, and what operators are told."""
+
 import asyncio
 import json
 import os
@@ -41,9 +42,11 @@
     def test_shared(self):
         """One version for all proxies that hold the same, whatever each held before: its own place, the order of
         schemes and those that were dropped make no other."""
+
         def of(*schemes, **more):
             lines = {f"schemes.{at}.{key}": said for at, scheme in enumerate(schemes) for key, said in scheme.items()}
             return terms.complete({"schemes.count": len(schemes), **lines, **more})
+
         a, b, c = ({"name": name, "gain": gain} for name, gain in (("a", 1.0), ("b", 2.0), ("c", 3.0)))
         started, former = of(a, b, ordinal=3, zone=1), of(c, b, a, ordinal=5)
         self.assertEqual(shared(terms.aligned(of(a, b, ordinal=5), former)), shared(started))
@@ -55,7 +58,7 @@
         self.assertNotEqual(digest({"a": 1}), digest({"a": 2}))
         self.assertEqual(of_files([("a", b"x"), ("b", b"y")]), of_files([("b", b"y"), ("a", b"x")]))
         self.assertNotEqual(of_files([("a", b"xb"), ("b", b"y")]), of_files([("a", b"x"), ("b", b"by")]))
-        self.assertEqual(compare(Settings(2, "a"), Settings(1, "b")), NEWER)     # a roll-back is the newer one
+        self.assertEqual(compare(Settings(2, "a"), Settings(1, "b")), NEWER)  # a roll-back is the newer one
 
 
 class Ledgers(unittest.TestCase):
@@ -72,6 +75,7 @@
 
         def txn(ref):
             return types.SimpleNamespace(ref=ref)
+
         ledger.set(0.0, "s-a", "start")
         ledger.list(10.0, 41, "l-a", "known")
         ledger.taken(20.0, txn(1))
@@ -105,8 +109,9 @@
         self.assertEqual(ledger.now_held(40.0)["confirmed_ms"], 10)
 
     @settings(max_examples=60, deadline=None)
-    @given(st.lists(st.tuples(st.sampled_from(["set", "list", "take", "end", "post", "refuse"]), st.integers(0, 9)),
-                    max_size=400))
+    @given(
+        st.lists(st.tuples(st.sampled_from(["set", "list", "take", "end", "post", "refuse"]), st.integers(0, 9)), max_size=400)
+    )
     def test_counts(self, course):
         """Whatever happens it stays bounded, and each txn and posting is counted once, where it belongs."""
         ledger, now, taken, posted, open_ = Ledger(0.0, ""), 0.0, 0, 0, set()
@@ -134,8 +139,9 @@
         if not ledger.dropped:
             self.assertEqual(sum(one.acts for one in ledger.settings), taken)
             self.assertEqual(sum(one.acts for one in ledger.lists), posted)
-        self.assertEqual([one.version.generation for one in ledger.settings],
-                         sorted(one.version.generation for one in ledger.settings))
+        self.assertEqual(
+            [one.version.generation for one in ledger.settings], sorted(one.version.generation for one in ledger.settings)
+        )
 
     def test_bound(self):
         """A thousand versions cost what MOST cost; who has open txns is kept."""
@@ -192,6 +198,7 @@
                 await self.ops(h, "/admin/acted")
                 for since in ("x", "-1", "nan", "0"):
                     await self.ops(h, f"/admin/acted?since={since}")
+
             on = {"SLOEFERRY_OPERATOR": str(path), "BALANCER_CONFIG": str(file)}
             play(self, story, "versions_told", Harbour({"b": answer()}, ops=True, environ=on), Harbour({"b": answer()}, ops=True))
 
@@ -206,7 +213,13 @@
         lines = Lines()
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder, "operator.toml")
-            for text in ("[versions]\ntell = 1", "[versions]\nshout = true", "[version]\ntell = true", "versions = 3", "[versions"):
+            for text in (
+                "[versions]\ntell = 1",
+                "[versions]\nshout = true",
+                "[version]\ntell = true",
+                "versions = 3",
+                "[versions",
+            ):
                 path.write_text(text)
                 with self.assertRaises(terms.Fault) as caught:
                     operators.read(path)
@@ -221,9 +234,11 @@
     def test_signal_at_start(self):
         """A SIGHUP that comes while the program starts ends nothing, and the file is read once more."""
         # Until there was a handler, some 0.2 s, it ended the process: the rig's drawn plan 19.
-        code = ("import runpy, signal, sys; sys.modules['uvloop'] = None\n"
-                "try: runpy.run_module('sloeferry', run_name='__main__')\n"
-                "except ImportError: print(signal.getsignal(signal.SIGHUP) == signal.SIG_DFL)")
+        code = (
+            "import runpy, signal, sys; sys.modules['uvloop'] = None\n"
+            "try: runpy.run_module('sloeferry', run_name='__main__')\n"
+            "except ImportError: print(signal.getsignal(signal.SIGHUP) == signal.SIG_DFL)"
+        )
         self.assertEqual(subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True).stdout, "False\n")
         with tempfile.TemporaryDirectory() as folder:
             path, file = pathlib.Path(folder, "operator.toml"), pathlib.Path(folder, "config.json")
@@ -232,14 +247,17 @@
             async def story(h):
                 said = await self.quiet(h)
                 h.say(f"generation {said['settings']['generation']} by {said['settings']['by']}, refused {len(said['refused'])}")
+
             on = {"SLOEFERRY_OPERATOR": str(path), "BALANCER_CONFIG": str(file)}
             with mock.patch.object(start, "early", [True]):
                 play(self, story, "versions_early", Harbour({"b": answer()}, ops=True, environ=on))
 
     def test_off(self):
         """What is off is not imported."""
-        code = ("import sys, sloeferry.__main__ as m; m.operators_of({}); "
-                "print([name for name in sys.modules if 'versions' in name or 'operators' in name])")
+        code = (
+            "import sys, sloeferry.__main__ as m; m.operators_of({}); "
+            "print([name for name in sys.modules if 'versions' in name or 'operators' in name])"
+        )
         self.assertEqual(subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True).stdout, "[]\n")
 
 
--- a/tests/trace.py
+++ b/tests/trace.py
@@ -1,5 +1,6 @@
 """The one helper of the tests: a host that prints every decision, peers on loopback that print what they see,
 and the comparison with a kept trace."""
+
 import asyncio
 import contextlib
 import difflib
@@ -17,7 +18,7 @@
 from sloeferry.core.staleness import Limits
 from sloeferry.net import backends
 
-SETTLED = backends.SETTLED               # as it is outside the tests
+SETTLED = backends.SETTLED  # as it is outside the tests
 SCHEMES = [("retryable", "all"), ("dedup", "zone"), ("fragile", "all")]
 
 
@@ -34,12 +35,29 @@
     def __init__(self, **more):
         self.lines, self.now, self.wakes, self.sent = [], 0.0, [], {}
         seed, limits = more.pop("seed", 7), more.pop("limits", Limits())
-        told = {"schemes.count": len(SCHEMES), "instances": 1, "step": 1.0, "limits.most_postings": 4,
-                "limits.cancel": True, "load_info.fields": "inflight", "load_info.via": "answers"}
+        told = {
+            "schemes.count": len(SCHEMES),
+            "instances": 1,
+            "step": 1.0,
+            "limits.most_postings": 4,
+            "limits.cancel": True,
+            "load_info.fields": "inflight",
+            "load_info.via": "answers",
+        }
         for at, (kind, group) in enumerate(SCHEMES):
-            told.update({f"schemes.{at}.{name}": value for name, value in (
-                ("idempotency", kind), ("group", group), ("sla_time", 700.0), ("expiry", 1000.0),
-                ("gain", 1.0), ("dedup_window", 300.0))})
+            told.update(
+                {
+                    f"schemes.{at}.{name}": value
+                    for name, value in (
+                        ("idempotency", kind),
+                        ("group", group),
+                        ("sla_time", 700.0),
+                        ("expiry", 1000.0),
+                        ("gain", 1.0),
+                        ("dedup_window", 300.0),
+                    )
+                }
+            )
         told.update({name.replace("__", "."): value for name, value in more.items()})
         self.proxy = decide.Proxy(self, 0.0, seed, terms.complete(told), limits)
 
@@ -50,13 +68,26 @@
         seq = self.sent[ref] = self.sent.get(ref, -1) + 1
         self.say(f"post {ref}/{seq} to {backend}")
 
-    def withdraw(self, ref, seq): self.say(f"withdraw {ref}/{seq}")
-    def decline(self, ref, pause): self.say(f"decline {ref}, again after {pause:.0f}")
-    def reverse(self, ref): self.say(f"reverse {ref}")
-    def probe(self, backend): self.say(f"probe {backend}")
-    def watch(self): self.say("watch")
-    def note(self, text): self.say(f"note {text}")
-    def wake(self, at, token): self.wakes.append((at, token))
+    def withdraw(self, ref, seq):
+        self.say(f"withdraw {ref}/{seq}")
+
+    def decline(self, ref, pause):
+        self.say(f"decline {ref}, again after {pause:.0f}")
+
+    def reverse(self, ref):
+        self.say(f"reverse {ref}")
+
+    def probe(self, backend):
+        self.say(f"probe {backend}")
+
+    def watch(self):
+        self.say("watch")
+
+    def note(self, text):
+        self.say(f"note {text}")
+
+    def wake(self, at, token):
+        self.wakes.append((at, token))
 
     def until(self, now):
         """Let the clock run, with every timer that falls due."""
@@ -69,7 +100,7 @@
 
     def list(self, *lines, scope=ports.WHOLE):
         """Lines: name, then zone, standing and launched where they matter."""
-        full = [tuple(line) + (0, ports.READY, 0.0)[len(line) - 1:] for line in lines]
+        full = [tuple(line) + (0, ports.READY, 0.0)[len(line) - 1 :] for line in lines]
         self.proxy.listed(self.now, scope, [(n, z, 0, z, s, 1.0, at) for n, z, s, at in full])
 
     def take(self, ref, scheme=0, left=1000.0, **more):
@@ -82,8 +113,15 @@
 
     def end(self, ref, seq, how, inflight=None, answered=None, took=50.0):
         self.say(f"   {ref}/{seq} ends: {NAMES[how]}" + ("" if inflight is None else f", reports {inflight}"))
-        self.proxy.ended(self.now, ref, seq, how, how == ports.SETTLED if answered is None else answered, took,
-                         () if inflight is None else (inflight,))
+        self.proxy.ended(
+            self.now,
+            ref,
+            seq,
+            how,
+            how == ports.SETTLED if answered is None else answered,
+            took,
+            () if inflight is None else (inflight,),
+        )
 
 
 NAMES = "settled erred turned_away late unreached cut withdrawn never_sent unknown".split()
@@ -103,6 +141,7 @@
     async def day(harbour):
         async with harbour:
             await story(harbour)
+
     for harbour in harbours:
         harbour.lines = lines
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
@@ -115,39 +154,54 @@
 
     What the peers see is written down in `lines`, as the decisions are by Printer.
     """
-    SETTLED = 0.0                        # seconds until a connection is used again
+
+    SETTLED = 0.0  # seconds until a connection is used again
     SCHEMES = [("safe", "retryable"), ("keyed", "dedup"), ("once", "fragile")]
 
     def __init__(self, backends, known=None, sockets=256, expiry=3000, ask_in=4000, more=None, ops=False, environ=(), **limits):
         self.lines, self.scripts, self.servers = [], backends, []
         self.known, self.sockets, self.expiry, self.limits, self.ops = known, sockets, expiry, limits, ops
-        self.ask_in, self.more = ask_in, more or {}      # further settings
-        self.environ = dict(environ)     # beside this process's own
+        self.ask_in, self.more = ask_in, more or {}  # further settings
+        self.environ = dict(environ)  # beside this process's own
         self.revision, self.watches, self.writers, self.ports, self.count = 1, [], [], {}, {}
         self.shown, self.asked, self.calls, self.moods, self.show_head = {}, 0, [], [], False
-        self.connections = []            # of the client
+        self.connections = []  # of the client
 
     def say(self, text):
         self.lines.append(text)
 
     async def __aenter__(self):
         for name, script in self.scripts.items():
-            if name in self.ports:       # another harbour's: two proxies before the same backends
+            if name in self.ports:  # another harbour's: two proxies before the same backends
                 continue
             self.ports[name] = await self.listen(functools.partial(self.backend, name, script))
         discovery = await self.listen(self.discovery)
-        self.port = await self.listen(None)      # any that is free
+        self.port = await self.listen(None)  # any that is free
         times = {"expiry": self.expiry * 1000, "sla_time": self.expiry * 900, "dedup_window": 30000000}
-        settings = {"schemes": [{"name": n, "idempotency": kind, **times} for n, kind in self.SCHEMES],
-                    "tenants": [{"name": "acme"}], "discovery": "subscribe", "zones": ["a"], "kinds": ["m"],
-                    "load_info": {"via": "answers", "fields": ["inflight"]},
-                    "obligations": {"must_ask_in": self.ask_in * 1000}, "instances": 1, "ordinal": 0, "zone": 0,
-                    "limits": {"most_postings": 3, "dial_timeout": 250000, "conn_idle": 10000000, **self.limits},
-                    **self.more}
+        settings = {
+            "schemes": [{"name": n, "idempotency": kind, **times} for n, kind in self.SCHEMES],
+            "tenants": [{"name": "acme"}],
+            "discovery": "subscribe",
+            "zones": ["a"],
+            "kinds": ["m"],
+            "load_info": {"via": "answers", "fields": ["inflight"]},
+            "obligations": {"must_ask_in": self.ask_in * 1000},
+            "instances": 1,
+            "ordinal": 0,
+            "zone": 0,
+            "limits": {"most_postings": 3, "dial_timeout": 250000, "conn_idle": 10000000, **self.limits},
+            **self.more,
+        }
         # Which of its connections a backend is asked on must not hang on how long the call before took.
         backends.SETTLED = self.SETTLED
-        told = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{discovery}",
-                "seed": "7", "limits": {"sockets": self.sockets}, "settings": settings}
+        told = {
+            "name": "n0",
+            "listen": f"127.0.0.1:{self.port}",
+            "discovery": f"127.0.0.1:{discovery}",
+            "seed": "7",
+            "limits": {"sockets": self.sockets},
+            "settings": settings,
+        }
         self.told = told
         if self.ops:
             self.ops = await self.listen(None)
@@ -158,10 +212,11 @@
             json.dump(told, file)
             file.flush()
             berth = terms.read({"BALANCER_CONFIG": file.name})
-        self.proxy = asyncio.get_running_loop().create_task(start.serve(
-            berth, {**os.environ, **self.environ} if self.environ else os.environ))
+        self.proxy = asyncio.get_running_loop().create_task(
+            start.serve(berth, {**os.environ, **self.environ} if self.environ else os.environ)
+        )
         while "200" not in await self.ask("GET /ready HTTP/1.1\r\n\r\n", quiet=True):
-            if self.proxy.done():        # it will never be ready: its own exception says why
+            if self.proxy.done():  # it will never be ready: its own exception says why
                 self.proxy.result()
                 raise AssertionError("the proxy ended before it was ready")
             await asyncio.sleep(0.01)
@@ -173,7 +228,7 @@
         backends.SETTLED = SETTLED
         for end in (*self.servers, *self.writers, *self.watches):
             end.close()
-        await asyncio.sleep(0.01)        # for the peers to see their connections end
+        await asyncio.sleep(0.01)  # for the peers to see their connections end
 
     async def listen(self, answer):
         server = await asyncio.start_server(answer, "127.0.0.1", 0)
@@ -189,8 +244,19 @@
     def members(self, *lines):
         """Lines: name or (name, phase); no such backend: a port where nobody listens."""
         lines = [line if isinstance(line, tuple) else (line, "active") for line in lines]
-        return [{"id": name, "host_port": f"127.0.0.1:{self.ports.get(name, 1)}", "locality": "a", "flavor": "m",
-                 "cell": 0, "phase": phase, "size": 1.0, "up_since_ms": 0} for name, phase in lines]
+        return [
+            {
+                "id": name,
+                "host_port": f"127.0.0.1:{self.ports.get(name, 1)}",
+                "locality": "a",
+                "flavor": "m",
+                "cell": 0,
+                "phase": phase,
+                "size": 1.0,
+                "up_since_ms": 0,
+            }
+            for name, phase in lines
+        ]
 
     def tell(self, text):
         """One line to all watches."""
@@ -206,7 +272,7 @@
     async def discovery(self, reader, writer):
         self.calls.append((await reader.readuntil(b"\r\n\r\n")).decode().splitlines()[0])
         if self.known:
-            return writer.close()        # this one is down
+            return writer.close()  # this one is down
         if self.moods:
             writer.write(self.moods.pop(0))
             return self.writers.append(writer)
@@ -217,16 +283,21 @@
     async def backend(self, name, script, reader, writer):
         """A script says what to write for the nth request of all: b"" closes, None is silence, an event a wait."""
         self.writers.append(writer)
-        shown = self.shown.setdefault(name, f"backend {len(self.shown) + 1}")     # in the order they are met
+        shown = self.shown.setdefault(name, f"backend {len(self.shown) + 1}")  # in the order they are met
         connection = self.count[name] = self.count.get(name, 0) + 1
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode(errors="replace")
                 size = re.search(r"(?i)content-length: (\d+)", head)
                 body = (await reader.readexactly(int(size[1]))).decode() if size else ""
-                kept = sorted(line for line in head.split("\r\n")[1:]
-                              if line.lower().startswith(("x-call-id", "idempotency"))
-                              or self.show_head and line and not line.lower().startswith("x-budget"))
+                kept = sorted(
+                    line
+                    for line in head.split("\r\n")[1:]
+                    if line.lower().startswith(("x-call-id", "idempotency"))
+                    or self.show_head
+                    and line
+                    and not line.lower().startswith("x-budget")
+                )
                 self.say(f"  {shown}, connection {connection}: {head.splitlines()[0]}  {body} {kept}")
                 self.asked += 1
                 what = script(self.asked) if callable(script) else script
@@ -265,12 +336,20 @@
     async def call(self, scheme="safe", body="", connection=None, **headers):
         """A well-formed request, with some headers changed (None: left out)."""
         self.say(f"client asks: {scheme} {body[:40]}")
-        said = {"Host": "backend.local", "X-Call-Id": "c1", "X-Call-Class": scheme, "X-Caller": "acme",
-                "X-Budget-Ms": str(self.expiry), "Idempotency-Key": None if scheme == "safe" else "k1",
-                "Content-Length": len(body) if body else None}
+        said = {
+            "Host": "backend.local",
+            "X-Call-Id": "c1",
+            "X-Call-Class": scheme,
+            "X-Caller": "acme",
+            "X-Budget-Ms": str(self.expiry),
+            "Idempotency-Key": None if scheme == "safe" else "k1",
+            "Content-Length": len(body) if body else None,
+        }
         said.update({name.replace("_", "-"): value for name, value in headers.items()})
-        lines = [f"{'GET' if scheme == 'safe' else 'POST'} /api?q=1 HTTP/1.1",
-                 *(f"{name}: {value}" for name, value in said.items() if value is not None)]
+        lines = [
+            f"{'GET' if scheme == 'safe' else 'POST'} /api?q=1 HTTP/1.1",
+            *(f"{name}: {value}" for name, value in said.items() if value is not None),
+        ]
         return await self.ask("\r\n".join(lines) + "\r\n\r\n" + body, connection)
 
 
