--- a/sloeferry/core/decide.py
+++ b/sloeferry/core/decide.py
@@ -18,7 +18,7 @@
 from sloeferry.core.keys import Keys
 from sloeferry.core.records import BLAMELESS, BOUNDS, OUT, Backend, Curve, Make, Posting, Prompt, Scheme, Txn, compare
 from sloeferry.core.stages import Stages
-from sloeferry.core.staleness import AT_ONCE, Limits, ListStaleness
+from sloeferry.core.staleness import AT_ONCE, BY_SETTINGS_ALONE, ListStaleness
 from sloeferry.core.timers import Timers
 
 
@@ -664,7 +664,7 @@
 class Proxy(Timers):
     """One instance: takes the host's calls, keeps the timers and the chain."""
 
-    def __init__(self, host, now, seed, terms, limits=Limits()):
+    def __init__(self, host, now, seed, terms, limits=BY_SETTINGS_ALONE):
         super().__init__(host)
         # gap: between txns taken; processes: that are this one proxy, while one takes over from another
         self.gap, self.last, self.processes, self.rng = max(50.0, 4 * terms["step"]), now, 1, Random(seed)
--- a/sloeferry/core/ports.py
+++ b/sloeferry/core/ports.py
@@ -8,7 +8,8 @@
 Every call carries the time `now`; between calls nothing happens.
 """
 
-from typing import Any, Mapping, Protocol, Sequence
+from collections.abc import Mapping, Sequence
+from typing import Any, Protocol
 
 # How a posting or a probe ended.  A host uses UNKNOWN for what it can't tell: it may have run.
 SETTLED, ERRED, TURNED_AWAY, LATE, UNREACHED, CUT, WITHDRAWN, NEVER_SENT, UNKNOWN = range(9)
--- a/sloeferry/core/staleness.py
+++ b/sloeferry/core/staleness.py
@@ -52,6 +52,7 @@
     wait_over: float = inf
 
 
+BY_SETTINGS_ALONE = Limits()
 ON_SOCKETS = Limits(NEWS, MOVED_NEWS, WAIT_OVER)
 
 
@@ -62,7 +63,7 @@
     holds only where they are asked for, and four times as long after a call that failed.
     """
 
-    def __init__(self, now: float, must_ask_in: float, asked: bool, limits: Limits = Limits()):
+    def __init__(self, now: float, must_ask_in: float, asked: bool, limits: Limits = BY_SETTINGS_ALONE):
         self.must_ask_in, self.asked, self.limits = must_ask_in, asked, limits
         self.trusted_until = now
         self.cause = Cause.HELD
--- a/sloeferry/fleet/cli.py
+++ b/sloeferry/fleet/cli.py
@@ -10,7 +10,8 @@
 from sloeferry.faults import Unusable
 from sloeferry.fleet import roll as r
 from sloeferry.fleet.ask import ask_all
-from sloeferry.fleet.audit import BOUND, audit as audited
+from sloeferry.fleet.audit import BOUND
+from sloeferry.fleet.audit import audit as audited
 from sloeferry.fleet.bring_up import bring_up
 
 OLD = 86400.0 * 366  # seconds: whatever lies further back is a wrong number
--- a/sloeferry/load/cases.py
+++ b/sloeferry/load/cases.py
@@ -1,7 +1,7 @@
 """Hard cases: what befalls a daemon at or past its saturation, and how long until it serves as before."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, replace
-from typing import Callable
 
 from sloeferry.load.plan import Habits, Plan
 from sloeferry.load.play import Rig, play
--- a/sloeferry/load/cli.py
+++ b/sloeferry/load/cli.py
@@ -4,7 +4,10 @@
 
 import click
 
-from sloeferry.load import cases as hard, day as days, plan as p, step as s
+from sloeferry.load import cases as hard
+from sloeferry.load import day as days
+from sloeferry.load import plan as p
+from sloeferry.load import step as s
 from sloeferry.load.daemons import tree_of, workshop
 from sloeferry.load.play import Rig, play
 
--- a/sloeferry/load/plan.py
+++ b/sloeferry/load/plan.py
@@ -4,9 +4,9 @@
 piece arrivals are Poisson, so that bursts come as chance has them.
 """
 
+from collections.abc import Iterator
 from dataclasses import asdict, dataclass, field
 from random import Random
-from typing import Iterator
 
 from sloeferry.faults import Unusable
 
--- a/sloeferry/net/backends.py
+++ b/sloeferry/net/backends.py
@@ -14,7 +14,6 @@
 from sloeferry.net.flow import STALLED, Broken, Download, Upload
 from sloeferry.net.log import warn
 
-
 DIAL_AGAIN, DIAL_AGAIN_AT_MOST = 5.0, 80.0  # ms between two dials that this machine could not make
 LOADS = 512  # load reports that are kept read
 SETTLED = 0.006  # seconds: a second answer may come so much later (some ms, by the protocol)
--- a/sloeferry/net/discovery.py
+++ b/sloeferry/net/discovery.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import json
 import math
 import socket
 from dataclasses import dataclass
--- a/sloeferry/rehearsal/judge.py
+++ b/sloeferry/rehearsal/judge.py
@@ -8,8 +8,8 @@
 from math import log, sqrt
 from random import Random
 
-from sloeferry.standins.frames import content
 from sloeferry.rehearsal.scenario import BadTxns, Heavy, Waits
+from sloeferry.standins.frames import content
 
 WINDOW = 5.0  # seconds
 RULES = ("1", "2", "3", "4", "protocol", "drain", "crash")
--- a/sloeferry/rehearsal/play.py
+++ b/sloeferry/rehearsal/play.py
@@ -6,7 +6,8 @@
 
 from loguru import logger
 
-from sloeferry import __main__ as daemon, machine, terms
+from sloeferry import __main__ as daemon
+from sloeferry import machine, terms
 from sloeferry.rehearsal import baselines
 from sloeferry.rehearsal.bank import LONGEST, READY, Bank, Berth
 from sloeferry.rehearsal.network import Epoll, Host, Net
--- a/sloeferry/rig/berth.py
+++ b/sloeferry/rig/berth.py
@@ -12,7 +12,8 @@
 import os
 import time
 
-from sloeferry import __main__ as daemon, machine
+from sloeferry import __main__ as daemon
+from sloeferry import machine
 from sloeferry.rig import flaky_calls
 
 if __name__ == "__main__":
--- a/sloeferry/rig/cli.py
+++ b/sloeferry/rig/cli.py
@@ -10,7 +10,8 @@
 import click
 
 from sloeferry.rehearsal import scenario as s
-from sloeferry.rehearsal.cli import keep, say_shipped, short as told_short
+from sloeferry.rehearsal.cli import keep, say_shipped
+from sloeferry.rehearsal.cli import short as told_short
 from sloeferry.rig import plan as p
 
 MEMORY = "/dev/shm"
--- a/sloeferry/rig/crew.py
+++ b/sloeferry/rig/crew.py
@@ -89,7 +89,7 @@
         self.do("end")
         try:
             await asyncio.wait_for(self.process.wait(), 10)
-        except asyncio.TimeoutError:
+        except TimeoutError:
             self.process.kill()
             await self.process.wait()
 
--- a/sloeferry/terms.py
+++ b/sloeferry/terms.py
@@ -7,7 +7,8 @@
 
 import json
 import math
-from typing import Any, Mapping, NamedTuple
+from collections.abc import Mapping
+from typing import Any, NamedTuple
 
 TIMES = {
     "expiry",
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,7 +16,8 @@
 
 from loguru import logger
 
-from sloeferry import __main__ as start, terms
+from sloeferry import __main__ as start
+from sloeferry import terms
 from sloeferry.net import backends, clients, desk, http1
 from sloeferry.net.buffers import Buffers, Seats
 from tests.trace import Harbour, answer, play
--- a/tests/test_duty.py
+++ b/tests/test_duty.py
@@ -14,7 +14,8 @@
 from unittest import mock
 
 import uvloop
-from hypothesis import given, settings, strategies as st
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from loguru import logger
 
 from sloeferry import terms
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -15,7 +15,8 @@
 from click.testing import CliRunner
 
 from sloeferry.faults import Unusable
-from sloeferry.fleet import ask, roll as r
+from sloeferry.fleet import ask
+from sloeferry.fleet import roll as r
 from sloeferry.fleet.audit import audit
 from sloeferry.fleet.cli import fleet
 from sloeferry.rig.relay import Link
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -6,7 +6,8 @@
 import unittest
 
 import h11
-from hypothesis import given, settings, strategies as st
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from loguru import logger
 
 from sloeferry.net import http1
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -3,10 +3,13 @@
 import unittest
 
 from click.testing import CliRunner
-from hypothesis import given, settings, strategies as st
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from sloeferry.cli import main
-from sloeferry.load import cases, plan as p, play, step, tally as t
+from sloeferry.load import cases, play, step
+from sloeferry.load import plan as p
+from sloeferry.load import tally as t
 from sloeferry.load.cli import load
 
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -8,14 +8,15 @@
 from unittest import mock
 
 import uvloop
-from hypothesis import given, settings, strategies as st
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from loguru import logger
 
 from sloeferry.core import overload
+from sloeferry.core.records import Txn
 from sloeferry.net.alarms import Alarms
 from sloeferry.net.buffers import Buffers
 from sloeferry.net.lobby import Lobby
-from sloeferry.core.records import Txn
 from tests.trace import Harbour, Lines, Printer, answer, compare
 
 TWO = {"tenants.count": 2, "tenants.0.share": 3.0, "tenants.1.share": 1.0, "limits.retry_after": True, "schemes.2.gain": 5.0}
@@ -110,7 +111,7 @@
     @given(
         st.lists(
             st.tuples(
-                st.sampled_from("beat take over ask stall".split()), st.integers(0, 2), st.integers(0, 1), st.floats(0, 200)
+                st.sampled_from(["beat", "take", "over", "ask", "stall"]), st.integers(0, 2), st.integers(0, 1), st.floats(0, 200)
             ),
             max_size=120,
         )
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -13,12 +13,14 @@
 from unittest import mock
 
 from click.testing import CliRunner
-from hypothesis import given, settings, strategies as st
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from sloeferry.core import decide
 from sloeferry.net import clients, discovery, http1
 from sloeferry.ops import duty
-from sloeferry.rehearsal import bank, judge, live, play, scenario as s, troubles
+from sloeferry.rehearsal import bank, judge, live, play, troubles
+from sloeferry.rehearsal import scenario as s
 from sloeferry.rehearsal.cli import rehearse
 from sloeferry.rehearsal.network import SENT, Epoll, Host, Net
 from sloeferry.rehearsal.world import BEGIN, Process, World
@@ -234,8 +236,20 @@
         self.assertGreaterEqual(
             set(s.shipped()),
             set(
-                "calm stalls cold-return rolling-deploy long-queues stalls-during-drain never-retries proxies-die "
-                "discovery-out overload storm large".split()
+                [
+                    "calm",
+                    "stalls",
+                    "cold-return",
+                    "rolling-deploy",
+                    "long-queues",
+                    "stalls-during-drain",
+                    "never-retries",
+                    "proxies-die",
+                    "discovery-out",
+                    "overload",
+                    "storm",
+                    "large",
+                ]
             ),
         )
         large = s.read("large")
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -9,14 +9,13 @@
 import types
 import unittest
 from concurrent.futures import ThreadPoolExecutor
-from unittest import mock
 
 from click.testing import CliRunner
 
-from sloeferry import machine, terms
 from sloeferry.core.start_times import StartTimes
 from sloeferry.rehearsal import scenario as s
-from sloeferry.rig import plan as p, planted, verdict
+from sloeferry.rig import plan as p
+from sloeferry.rig import planted, verdict
 from sloeferry.rig.cli import rig
 from sloeferry.rig.crew import Crew
 from sloeferry.rig.relay import Link
@@ -226,7 +225,7 @@
             async def hear(connection):
                 try:
                     return repr(await asyncio.wait_for(connection[0].read(100), 0.3))
-                except asyncio.TimeoutError:
+                except TimeoutError:
                     return "nothing"
                 except OSError:
                     return "reset"
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -99,7 +99,7 @@
     def test_outcomes(self):
         """What the decisions are told of an ending, by how far it came."""
         out = Lines()
-        reasons = "SERVED ERRED REJECTED BROKEN LATE WITHDRAWN VOID SPOILT".split()
+        reasons = ["SERVED", "ERRED", "REJECTED", "BROKEN", "LATE", "WITHDRAWN", "VOID", "SPOILT"]
         for name in ("NOTHING", "PART", "WHOLE", "BEGUN"):
             told = {why: NAMES[facade.outcome(getattr(facade, name), getattr(facade, why))] for why in reasons}
             out.lines.append(f"{name}: {told}")
--- a/tests/test_staleness.py
+++ b/tests/test_staleness.py
@@ -3,7 +3,8 @@
 import math
 import unittest
 
-from hypothesis import given, settings, strategies as st
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from sloeferry.core.staleness import AT_ONCE, NEWS, ON_SOCKETS, SPREAD, WAIT_OVER, CallEnd, Cause, Limits, ListStaleness
 from tests.test_rig import Processes
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -16,7 +16,7 @@
 
 class Connect(Crossing):
     def test_no_connection_can_be_made(self):
-        """connect fails on this machine for a while: the request is served all the same, and its backend not blamed."""
+        """Connect fails on this machine for a while: the request is served all the same, and its backend not blamed."""
 
         async def story(h):
             dial, failing = http1.dial, [errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS, errno.EINTR]
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -13,14 +13,17 @@
 import unittest
 from unittest import mock
 
-from hypothesis import given, settings, strategies as st
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from loguru import logger
 
-from sloeferry import __main__ as start, operators, terms
+from sloeferry import __main__ as start
+from sloeferry import operators, terms
 from sloeferry.versions.ledger import MOST, Ledger
 from sloeferry.versions.order import NEWER, OLDER, SAME, UNLIKE, List, Settings, compare, digest, of_files
 from sloeferry.versions.witness import shared
-from tests.trace import Harbour, Lines, answer, compare as kept, play
+from tests.trace import Harbour, Lines, answer, play
+from tests.trace import compare as kept
 
 ROOT = pathlib.Path(__file__).parents[1]
 VERSION = st.one_of(st.builds(List, st.integers(1, 3), st.integers(0, 4), st.sampled_from("ab")))
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -6,7 +6,8 @@
 import unittest
 from unittest import mock
 
-from hypothesis import given, settings, strategies as st
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from loguru import logger
 
 from sloeferry.core import decide, ports
--- a/tests/trace.py
+++ b/tests/trace.py
@@ -13,7 +13,8 @@
 
 import uvloop
 
-from sloeferry import __main__ as start, terms
+from sloeferry import __main__ as start
+from sloeferry import terms
 from sloeferry.core import decide, ports
 from sloeferry.core.staleness import Limits
 from sloeferry.net import backends
@@ -124,7 +125,7 @@
         )
 
 
-NAMES = "settled erred turned_away late unreached cut withdrawn never_sent unknown".split()
+NAMES = ["settled", "erred", "turned_away", "late", "unreached", "cut", "withdrawn", "never_sent", "unknown"]
 
 
 def compare(test, printer, name):
