--- a/sloeferry/core/facade.py
+++ b/sloeferry/core/facade.py
@@ -69,7 +69,7 @@
         self.probing, self.listing = Errand(), Errand()
         # When this loop last turned; how long it may stand before what is known is looked at again; that look.
         self.seen, self.blink, self.catching = clock(), blink(terms), None
-        self.start_times = StartTimes(clock(), machine.unix() * 1000, terms["obligations.cold"])
+        self.start_times = StartTimes(clock(), machine.unix() * 1000)
         self.stale_since = None  # since when the list counts as stale, and nothing is sent
         self.before_stall = clock()  # when this loop last turned before it stood still
         self.catch_up = None  # the network's: reads what discovery wrote meanwhile
@@ -81,7 +81,6 @@
     def retune(self, berth):
         """Other settings, between two events: what is taken from now on is under these."""
         self.proxy.retune(berth.terms)
-        self.start_times.cold = berth.terms["obligations.cold"]
         self.door.retune()
         self.blink = blink(berth.terms)
 
@@ -182,6 +181,9 @@
             (ident, zone, kind, cell, STANDINGS[standing], share, self.start_times.taken(now, ident, started, ident in news))
             for ident, zone, kind, cell, standing, share, started in lines
         ]
+        for ident, start in self.start_times.confirmed_starts().items():
+            if backend := self.proxy.board.all.get(ident):
+                backend.launched = start
         if whole:  # who is missing from a whole list is gone
             self.start_times.keep_only({line[0] for line in lines})
             for ident in self.proxy.board.all.keys() - {line[0] for line in lines}:
--- a/sloeferry/core/start_times.py
+++ b/sloeferry/core/start_times.py
@@ -4,27 +4,28 @@
 that is ahead makes a cold backend pass for warm.  So a start is believed as far as other evidence bears it out:
 
 - nothing has started later than now;
-- a start that came as news on a standing watch is not older than news may be;
-- a Date header of discovery's (RFC 9110, 6.6.1) tells its clock to the second, and goes before the one here;
-- a start that claims to be over by a whole warm-up, on a clock that nothing has confirmed, counts from when it was first
-  met.  A clock that is ahead by less than a warm-up is not told from a right one until a Date header or news says so.
+- until something confirms the clock, a start counts from when it was first met;
+- a start that came as news on a standing watch, not older than news commonly is, confirms the clock;
+- a Date header of discovery's (RFC 9110, 6.6.1) tells its clock to the second: it goes before the one here, and confirms it.
 
-Times are float milliseconds; `unix` ones since the epoch, all others monotonic.
+Once the clock is confirmed, the starts met before are taken at their word, too.  Times are float milliseconds; `unix` ones
+since the epoch, all others monotonic.
 """
 
 from sloeferry.core.staleness import NEWS
 
 DATE_ERROR = 2000.0  # ms: a Date header's second, and how long it was on its way
+PROMPT = NEWS / 3  # ms: news of a start is commonly not older than that
 
 
 class StartTimes:
-    """The starts of one proxy's backends.  `cold` is how long (ms) a backend takes to be warm, by the settings."""
+    """The starts of one proxy's backends."""
 
-    def __init__(self, now: float, unix: float, cold: float):
-        self.cold = cold
+    def __init__(self, now: float, unix: float):
         self.confirmed = False  # whether anything has borne the clock out
+        self._reviewed = False  # whether what was met before that has been looked at again
         self._offset = unix - now
-        self._known: dict = {}  # backend -> (start as told, start as taken)
+        self._known: dict = {}  # backend -> (start as told, start as taken, when it was met)
 
     def told_time(self, now: float, unix: float) -> None:
         """Discovery's own word of what time it is."""
@@ -40,18 +41,25 @@
         known = self._known.get(backend)
         if known and known[0] == told:
             return known[1]  # once taken it stays, or each list would tell of another start
-        at = told - self._offset
-        if news:
-            if 0 <= now - at <= NEWS:
-                self.confirmed = True
-            elif now - at > NEWS:  # the clock is ahead: how old it is nobody knows
-                at = now
-        elif not self.confirmed and now - at >= self.cold:
-            at = now
-        at = min(now, at)
-        self._known[backend] = told, at
+        age = now - (told - self._offset)
+        if news and 0 <= age <= PROMPT:
+            self.confirmed = True
+        believed = self.confirmed and not (news and age > NEWS)
+        at = now - max(0.0, age) if believed else now
+        self._known[backend] = told, at, now
         return at
 
+    def confirmed_starts(self) -> dict:
+        """The starts that are taken otherwise now that the clock is confirmed: backend -> start."""
+        changed = {}
+        if self.confirmed and not self._reviewed:
+            self._reviewed = True
+            for backend, (told, at, met) in self._known.items():
+                if (right := min(met, told - self._offset)) != at and at == met:
+                    changed[backend] = right
+                    self._known[backend] = told, right, met
+        return changed
+
     def forget(self, backend) -> None:
         """That backend is gone."""
         self._known.pop(backend, None)
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -91,21 +91,23 @@
     def test_starts(self):
         """Guards StartTimes: a wall clock that is hours off makes no cold backend pass for warm, nor any cold for
         ever; a right one that something confirms changes nothing, and what was told once stays."""
-        lines, now, cold = trace.Lines(), 1_000_000.0, 20_000.0
+        lines, now = trace.Lines(), 1_000_000.0
         for off in (0, 3600e3, -3600e3):
             for confirmed in ("nothing", "a Date header", "news"):
-                starts = StartTimes(now, now + 5e9 + off, cold)
+                starts = StartTimes(now, now + 5e9 + off)
                 if confirmed == "a Date header":
                     starts.told_time(now, now + 5e9 - 300.0)
                 elif confirmed == "news":
                     starts.taken(now, "first", now + 5e9 - 700.0, True)
-                for ident, ago, news in (("new", 400.0, True), ("young", 400.0, False), ("old", 50_000.0, False)):
+                for ident, ago, news in (("old", 50_000.0, False), ("young", 400.0, False), ("new", 400.0, True)):
                     at = starts.taken(now, ident, now + 5e9 - ago, news)
                     same = starts.taken(now + 9.0, ident, now + 5e9 - ago, False) == at
                     lines.lines.append(
                         f"clock off by {off / 3600e3:g} h, {confirmed} confirms it: {ident}, started {ago:g} ms "
                         f"ago, news {news}: taken for {now - at:.0f} ms ago, stays {same}"
                     )
+                starts.told_time(now, now + 5e9 - 300.0)
+                lines.lines.append(f"confirmed then: {starts.confirmed_starts()}")
                 lines.lines.append(f"long ago stays so: {starts.taken(now, 'x', 0, True)}")
         trace.compare(self, lines, "rig_clocks")
 
