--- a/sloeferry/core/facade.py
+++ b/sloeferry/core/facade.py
@@ -15,7 +15,7 @@
 from sloeferry import machine
 from sloeferry.core import decide, ports
 from sloeferry.core.overload import Door
-from sloeferry.core.send_guard import Refusal, SendGuard
+from sloeferry.core.send_guard import Refusal, SendGuard, Violation
 from sloeferry.core.staleness import ON_SOCKETS
 from sloeferry.core.start_times import StartTimes
 
@@ -196,6 +196,11 @@
 
     # Facts about the list's age (core/staleness.py)
 
+    def closing(self, errand):
+        """A client's connection ends from this side, its client there and this request whole and without an answer."""
+        self.guard.violations[Violation.CLOSED_UNANSWERED] += 1
+        logger.error("request {}: {}", errand.ref, Violation.CLOSED_UNANSWERED.value)
+
     def guarded(self):
         """The guard's counters and the list's age now, for operators and the log."""
         now = clock()
@@ -296,7 +301,7 @@
         for a client who has left; and that the window in which a repeat is known has not ended meanwhile (rule 2)."""
         if not errand.over and errand.gone and errand.gone():
             self.report_left(errand)
-            self.guard.refuse(Refusal.CLIENT_GONE)
+            return self.guard.refuse(Refusal.CLIENT_GONE)
         now = clock()
         return self.guard.refuse(self.guard.request_refusal(now, errand, seq) or self.guard.backend_refusal(now, backend))
 
--- a/sloeferry/core/send_guard.py
+++ b/sloeferry/core/send_guard.py
@@ -24,13 +24,14 @@
 
 
 class Violation(enum.Enum):
-    """What an attempt that was written has broken."""
+    """What an attempt that was written has broken, or the end of a client's connection."""
 
     ANSWERED = "sent for a request that had its answer"
     DEADLINE = "sent past its deadline"
     REPEATED = "sent although an earlier attempt may have run"
     DRAIN = "sent past the drain grace"
     LIST_STALE = "sent by a stale list"
+    CLOSED_UNANSWERED = "closed with no answer"
 
 
 class SendGuard:
--- a/sloeferry/net/clients.py
+++ b/sloeferry/net/clients.py
@@ -383,6 +383,8 @@
         """Closes the connection, also from outside."""
         if self.ended:
             return
+        if self.errand and not (self.errand.over or self.wire.begun or self.wire.fault or machine.ended(self.sock)):
+            self.clients.facade.closing(self.errand)
         self.ended = True
         current, carries = asyncio.current_task(), self.errand and self.errand.relief
         if carries:  # its task is out with its posting, and would take a cancel for a word to that
