--- a/tests/test_staleness.py
+++ b/tests/test_staleness.py
@@ -2,10 +2,13 @@
 
 import math
 import unittest
+from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from sloeferry import machine, terms
+from sloeferry.core.facade import Facade
 from sloeferry.core.staleness import AT_ONCE, NEWS, ON_SOCKETS, SPREAD, WAIT_OVER, CallEnd, Cause, Limits, ListStaleness
 from tests.test_rig import Processes
 
@@ -165,6 +168,29 @@
             self.assertLessEqual(staleness.usable_until, reach + NEWS)
 
 
+class Standstill(unittest.TestCase):
+    def test_read_after_a_standstill(self):
+        """What is read once this program goes on may have been written at any time since it last turned: it confirms
+        nothing after that, whichever of timer and network comes first."""
+        told = terms.complete({"schemes.count": 1, "schemes.0.sla_time": 300.0, "discovery": "subscribe"})
+        for timer_first in (False, True):
+            clock = [1000.0]
+            with mock.patch.object(machine, "monotonic", lambda clock=clock: clock[0]):
+                facade = Facade(1, told, lambda at: None)
+                clock[0] += 2.0
+                facade.seen = clock[0] * 1000
+                facade.report_confirmed()
+                self.assertEqual(facade.staleness.trusted_until, 1_002_000.0 - SPREAD)
+                clock[0] += 5.0
+                if timer_first:
+                    facade.before_stall, facade.seen, facade.catching = facade.seen, clock[0] * 1000, object()
+                facade.report_confirmed()
+                self.assertEqual(facade.staleness.trusted_until, 1_002_000.0 - SPREAD)
+                facade.seen, facade.catching = clock[0] * 1000, None
+                facade.report_confirmed()
+                self.assertEqual(facade.staleness.trusted_until, 1_007_000.0 - SPREAD)
+
+
 class FailingCalls(unittest.TestCase):
     """Real proxies on loopback, their discovery reachable and each call for the list failing."""
 
