Staleness: a call that dials again and again tells of an outage with each dial that fails

Seen by reading: the time of a call's last dial was held against the gap behind the watch's end, so that an outage whose connections are refused counted as none after 2.5 s, and the list went stale.

--- a/sloeferry/core/facade.py
+++ b/sloeferry/core/facade.py
@@ -226,13 +226,13 @@
             now = self.seen
         self.staleness.confirmed(now)
 
-    def report_call_failed(self, how, began):
-        """A call that brought no list has ended; `began`: when the last attempt at it did, ms of this clock."""
-        self.staleness.call_failed(clock(), how, began)
+    def report_call_failed(self, how, began, tried):
+        """A call that brought no list has ended; `tried`: when its last dial began, or its request was written."""
+        self.staleness.call_failed(clock(), how, began, tried)
 
-    def report_call_waiting(self, began):
-        """A call that began then goes on waiting for its answer, longer than discovery lets one wait where it is there."""
-        self.staleness.call_waiting(began)
+    def report_call_waiting(self, began, tried):
+        """A call's dial failed, and it dials again; or its answer is waited for longer than discovery lets one wait."""
+        self.staleness.call_waiting(began, tried)
 
     def report_watch_ended(self):
         """A watch that had told its list has ended."""
--- a/sloeferry/core/staleness.py
+++ b/sloeferry/core/staleness.py
@@ -121,20 +121,21 @@
         self.trusted_until = min(self.trusted_until, now)
         self._limit(Cause.MOVED, self.limits.news if self.asked else self.limits.moved_news)
 
-    def call_waiting(self, began: float) -> None:
-        """A call has waited for longer than discovery, where it is there, lets one wait."""
-        if self._may_be_outage and began - self._outage_since <= self._outage_gap:
-            # Word stopped because discovery is out of reach, and has been from then on: nothing was missed so far.
-            self.trusted_until = max(self.trusted_until, began)
-            self.cause, self.usable_until = Cause.OUT_OF_REACH, self._allowed(self.trusted_until, began)
-
-    def call_failed(self, now: float, how: CallEnd, began: float) -> None:
-        """A call that brought no list has ended."""
+    def call_waiting(self, began: float, tried: float) -> bool:
+        """A call that began then is still on its way: its dial of the time `tried` failed, or its request, written then, has
+        waited for longer than discovery, where it is there, lets one wait.  Whether that tells of an outage."""
+        if not self._may_be_outage or began - self._outage_since > self._outage_gap:
+            return False
+        # Word stopped because discovery is out of reach, and has been from then on: nothing was missed so far.
+        self.trusted_until = max(self.trusted_until, tried)
+        self.cause, self.usable_until = Cause.OUT_OF_REACH, self._allowed(self.trusted_until, began)
+        return True
+
+    def call_failed(self, now: float, how: CallEnd, began: float, tried: float) -> None:
+        """A call that brought no list has ended; `began` and `tried` as above."""
         if how is CallEnd.SILENT:
-            return self.watch_silent(began)
-        away = how in (CallEnd.UNREACHABLE, CallEnd.UNANSWERED)
-        if away and self._may_be_outage and began - self._outage_since <= self._outage_gap:
-            self.call_waiting(began)
+            return self.watch_silent(tried)
+        if how in (CallEnd.UNREACHABLE, CallEnd.UNANSWERED) and self.call_waiting(began, tried):
             self._outage_since, self._outage_gap = now, self.limits.news
             return
         self._may_be_outage = False
--- a/sloeferry/net/discovery.py
+++ b/sloeferry/net/discovery.py
@@ -189,7 +189,7 @@
             if current or not self.standing:  # else its successor has told the list meanwhile
                 self.facade.report_watch_ended()
         elif current:
-            self.facade.report_call_failed(call.end(now, self.patience), call.tried)
+            self.facade.report_call_failed(call.end(now, self.patience), call.began, call.tried)
 
     async def catch_up(self):
         """This program stood still: goes on until what discovery wrote meanwhile is read and taken in."""
@@ -211,7 +211,8 @@
         try:
             while not (sock := await self.dial_once(call)):
                 self.late()
-                call.tried = f.clock()
+                if call.dialled and asyncio.current_task() is self.watching:
+                    self.facade.report_call_waiting(call.began, call.tried)
                 if self.loop.time() >= until and not self.facade.unheard():
                     return None
                 await asyncio.sleep(self.pause / 1000)
@@ -223,6 +224,7 @@
 
     async def dial_once(self, call):
         """One dial; None if no connection came up.  What this machine can't do tells nothing of discovery."""
+        call.tried = f.clock()
         try:
             sock = await http1.dial(self.loop, self.address, self.dial_time)
         except OSError as fault:
@@ -276,6 +278,7 @@
                         self.witness.confirmed()
                 alive = False
         except TimeoutError:
+            call.silent_since = call.tried
             return "silent"
         except OSError as broken:
             return str(broken)
@@ -296,7 +299,7 @@
             if await wire.waited(max(0.0, (away - f.clock()) / 1000)):
                 return True
             if asyncio.current_task() is self.watching and http1.quiet(wire.sock):
-                self.facade.report_call_waiting(call.tried)
+                self.facade.report_call_waiting(call.began, call.tried)
         return await wire.waited(max(0.0, due - self.loop.time()))
 
     def told_time(self, message):
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -311,7 +311,7 @@
 class Processes(unittest.TestCase):
     """Real proxies, each a process; two plays side by side, each with its own addresses."""
 
-    TRUE = ("zombies", "lists", "links", "deaths", "colds", "doors", "settings", "errors", "cut-answers")
+    TRUE = ("zombies", "lists", "links", "deaths", "colds", "doors", "settings", "errors", "cut-answers", "outage")
     # The rest of what can be planted is convicted by `rig run --plant`, outside: each takes a play.
     PLANTED = ("news-dropped", "late-taken-for-new", "changes-unheard", "whole-as-unwritten")
 
--- a/tests/test_staleness.py
+++ b/tests/test_staleness.py
@@ -38,7 +38,7 @@
         until = 11900.0 - SPREAD + WAIT_OVER
         self.assertEqual((staleness.usable_until, staleness.cause), (until, Cause.WATCH_ENDED))
         staleness.call_began(12000.0)
-        staleness.call_failed(until + 1, CallEnd.REFUSED, 12000.0)
+        staleness.call_failed(until + 1, CallEnd.REFUSED, 12000.0, 12000.0)
         self.assertEqual(staleness.usable_until, until)
 
     def test_call_refused(self):
@@ -46,7 +46,7 @@
         staleness, trusted = watched()
         staleness.watch_ended(10000.0)
         for at, end in ((10200.0, CallEnd.REFUSED), (12000.0, CallEnd.UNANSWERED), (14000.0, CallEnd.UNREACHABLE)):
-            staleness.call_failed(at, end, at - 50.0)
+            staleness.call_failed(at, end, at - 50.0, at - 50.0)
             self.assertEqual(staleness.usable_until, trusted + NEWS)
         self.assertFalse(staleness.usable(trusted + NEWS + 1))
 
@@ -56,10 +56,10 @@
             staleness, _ = watched()
             staleness.watch_ended(10000.0)
             for began in (10150.0, 14000.0, 18000.0):
-                staleness.call_failed(began + 1000.0, end, began)
+                staleness.call_failed(began + 1000.0, end, began, began)
                 self.assertEqual((staleness.usable_until, staleness.cause), (began + NEWS, Cause.OUT_OF_REACH))
-            staleness.call_failed(21000.0, CallEnd.REFUSED, 20999.0)
-            staleness.call_failed(23000.0, end, 22000.0)
+            staleness.call_failed(21000.0, CallEnd.REFUSED, 20999.0, 20999.0)
+            staleness.call_failed(23000.0, end, 22000.0, 22000.0)
             self.assertEqual(staleness.usable_until, 18000.0 + NEWS)
 
     def test_outage_known_late(self):
@@ -67,26 +67,34 @@
         staleness, trusted = watched()
         staleness.watch_ended(10000.0)
         self.assertFalse(staleness.usable(trusted + WAIT_OVER + 1))
-        staleness.call_failed(12300.0, CallEnd.UNANSWERED, 10150.0)
+        staleness.call_failed(12300.0, CallEnd.UNANSWERED, 10150.0, 10150.0)
         self.assertTrue(staleness.usable(12300.0))
 
     def test_call_that_waits(self):
         """A call that goes on waiting tells of an outage before it ends, not of one that came after a refusal."""
         staleness, trusted = watched()
         staleness.watch_ended(10000.0)
-        staleness.call_waiting(10060.0)
+        staleness.call_waiting(10060.0, 10060.0)
         self.assertEqual((staleness.usable_until, staleness.cause), (10060.0 + NEWS, Cause.OUT_OF_REACH))
         staleness, trusted = watched()
         staleness.watch_ended(10000.0)
-        staleness.call_failed(10100.0, CallEnd.REFUSED, 10090.0)
-        staleness.call_waiting(10600.0)
+        staleness.call_failed(10100.0, CallEnd.REFUSED, 10090.0, 10090.0)
+        staleness.call_waiting(10600.0, 10600.0)
         self.assertEqual(staleness.usable_until, trusted + NEWS)
 
+    def test_call_that_dials_again(self):
+        """One call dials again and again: each dial that fails moves the clock, from a call that left no gap."""
+        staleness, _ = watched()
+        staleness.watch_ended(10000.0)
+        for tried in (10060.0, 12000.0, 30000.0):
+            self.assertTrue(staleness.call_waiting(10060.0, tried))
+            self.assertEqual(staleness.usable_until, tried + NEWS)
+
     def test_gap_before_the_outage(self):
         """Between the watch's end and the first call news may have been there: no outage is taken for granted."""
         staleness, trusted = watched()
         staleness.watch_ended(10000.0)
-        staleness.call_failed(11500.0, CallEnd.UNANSWERED, 10000.0 + AT_ONCE + 1)
+        staleness.call_failed(11500.0, CallEnd.UNANSWERED, 10000.0 + AT_ONCE + 1, 10000.0 + AT_ONCE + 1)
         self.assertEqual(staleness.usable_until, trusted + NEWS)
 
     def test_silent(self):
@@ -95,15 +103,15 @@
         staleness.watch_silent(10000.0)
         self.assertTrue(staleness.overdue)
         for end in CallEnd:
-            staleness.call_failed(13000.0, end, 12900.0)
+            staleness.call_failed(13000.0, end, 12900.0, 12900.0)
         self.assertEqual(staleness.usable_until, trusted + NEWS)
 
     def test_call_silent(self):
         """A call that is let in and never answered is a silent watch from its request on."""
         staleness, trusted = watched()
         staleness.watch_ended(10000.0)
-        staleness.call_failed(10200.0, CallEnd.REFUSED, 10150.0)
-        staleness.call_failed(13000.0, CallEnd.SILENT, 10400.0)
+        staleness.call_failed(10200.0, CallEnd.REFUSED, 10150.0, 10150.0)
+        staleness.call_failed(13000.0, CallEnd.SILENT, 10400.0, 10400.0)
         self.assertEqual((staleness.usable_until, staleness.overdue), (trusted + NEWS, True))
 
     def test_moved(self):
@@ -117,10 +125,10 @@
         """From the start; calls that fail since the very beginning show an outage."""
         staleness = ListStaleness(500.0, MUST_ASK_IN, True, ON_SOCKETS)
         self.assertEqual((staleness.usable_until, staleness.cause), (500.0 + NEWS, Cause.HELD))
-        staleness.call_failed(3000.0, CallEnd.REFUSED, 2900.0)
+        staleness.call_failed(3000.0, CallEnd.REFUSED, 2900.0, 2900.0)
         self.assertEqual(staleness.usable_until, 500.0 + NEWS)
         staleness = ListStaleness(500.0, MUST_ASK_IN, True, ON_SOCKETS)
-        staleness.call_failed(3000.0, CallEnd.UNANSWERED, 2000.0)
+        staleness.call_failed(3000.0, CallEnd.UNANSWERED, 2000.0, 2000.0)
         self.assertEqual(staleness.usable_until, 2000.0 + NEWS)
 
     def test_settings_that_allow_less(self):
@@ -128,7 +136,7 @@
         staleness, trusted = watched(must_ask_in=1000.0)
         staleness.watch_ended(10000.0)
         self.assertEqual(staleness.usable_until, trusted + 1000.0)
-        staleness.call_failed(10300.0, CallEnd.REFUSED, 10200.0)
+        staleness.call_failed(10300.0, CallEnd.REFUSED, 10200.0, 10200.0)
         self.assertEqual(staleness.usable_until, 10200.0 + 4000.0)
 
     def test_simulator(self):
@@ -152,9 +160,9 @@
             began, now = now, now + after
             if what in AWAY:
                 reach = max(reach, began)
-                staleness.call_failed(now, what, began)
+                staleness.call_failed(now, what, began, began)
             elif isinstance(what, CallEnd):
-                staleness.call_failed(now, what, began)
+                staleness.call_failed(now, what, began, began)
             elif what == "ended":
                 if staleness.cause is Cause.WATCHED:  # it stood until then
                     reach = now - SPREAD
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -158,7 +158,7 @@
         host.take(1)
         host.end(1, 0, ports.SETTLED, 0)
         host.until(6100.0)
-        staleness.call_failed(6100.0, CallEnd.REFUSED, 6100.0)
+        staleness.call_failed(6100.0, CallEnd.REFUSED, 6100.0, 6100.0)
         host.list(scope=ports.FAILED)
         host.take(2)
         host.until(9000.0)
