--- a/sloeferry/rig/draw.py
+++ b/sloeferry/rig/draw.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from sloeferry.rig.draw_faults import FILES, TROUBLES, FaultDrawer
+
 SECONDS = 9.0
 
 
@@ -34,33 +36,14 @@
     schemes = rng.sample(schemes, rng.randint(1, 3))
     rate = min(300.0, load * nodes * cores * 1000 / work)
 
-    def when(longest, **more):
-        lasts = round(rng.uniform(0.5, longest), 2)
-        return {
-            "at": round(rng.uniform(0.5, SECONDS - lasts - 0.5), 2),
-            "lasts": lasts,
-            "part": rng.choice([0.1, 0.3, 0.6]),
-            **more,
-        }
-
-    def between(ends):
-        kind = rng.choice(["hold", "delay", "cut", "half-open", "break"])
-        more = {"way": rng.choice(["there", "back"])} if kind in ("hold", "break") else {}
-        more |= (
-            {"bytes": rng.choice([0, 40, 300, 900])}
-            if kind == "break"
-            else {"ms": rng.choice([5, 60])}
-            if kind == "delay"
-            else {}
-        )
-        return when(2.5, what=kind, between=ends, nodes=rng.choice([0.2, 0.6]), **more)
-
+    draw = FaultDrawer(rng, SECONDS, [0.1, 0.3, 0.6])
+    when = draw.when
     lists = [
         lambda: when(2, what="list-out"),
         lambda: when(3, what="list-lag"),
         lambda: when(1, what="list-anew"),
         lambda: when(2.5, what="list-older", by_s=rng.choice([1.0, 2.5])),
-        lambda: between("discovery"),
+        lambda: draw.link("discovery"),
     ]
     others = [
         lambda: when(2, what="kill"),
@@ -71,25 +54,16 @@
             what="hup",
             lost=rng.choice([0, 0.3]),
             sla=rng.choice([0.7, 1.5]),
-            file=rng.choice(["whole", "cut", "stale", "swapped", "missing"]),
+            file=rng.choice(FILES),
         ),
         lambda: when(1, what="clock", by_s=rng.choice([-7200.0, 30.0, 7200.0])),
-        lambda: between("nodes"),
-        lambda: between("nodes"),
-        lambda: between("callers"),
+        lambda: draw.link("nodes"),
+        lambda: draw.link("nodes"),
+        lambda: draw.link("callers"),
     ]
     faults = [rng.choice(lists)()] + [rng.choice(others)() for _ in range(rng.randint(1, 4))]
     troubles = [{"what": "deploy", "at": 1.0, "lasts": 4.0, "part": 0.6, "batch": 0.15, "drain_s": 0.6}]
-    troubles += rng.sample(
-        [
-            {"what": "crash", "at": 3.0, "lasts": 1.5, "part": 0.3},
-            {"what": "silent", "at": 2.0, "lasts": 2.0, "part": 0.2},
-            {"what": "errs", "at": 2.0, "lasts": 3.0, "part": 0.3, "odds": 0.4},
-            {"what": "stall", "at": 1.0, "lasts": 5.0, "part": 0.4, "ms": 400, "every_ms": 900},
-            {"what": "slow", "at": 2.0, "lasts": 4.0, "part": 0.3, "times": 3},
-        ],
-        rng.randint(0, 2),
-    )
+    troubles += rng.sample([*TROUBLES, {"what": "slow", "at": 2.0, "lasts": 4.0, "part": 0.3, "times": 3}], rng.randint(0, 2))
     return msgspec.toml.encode(
         {
             "name": f"drawn-{seed}",
--- a/sloeferry/rig/draw_soak.py
+++ b/sloeferry/rig/draw_soak.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from sloeferry.rig.draw_faults import FILES, TROUBLES, FaultDrawer
 from sloeferry.standins.call_failures import CallFailure
 
 SECONDS = 16.0
@@ -21,22 +22,8 @@
     rng = Random(f"soak {seed}")
     proxies, nodes, work = rng.choice([10, 14, 20, 28, 40]), rng.choice([8, 12, 16]), rng.choice([5, 10, 20])
 
-    def when(longest, **more):
-        lasts = round(rng.uniform(0.5, longest), 2)
-        return {"at": round(rng.uniform(0.5, SECONDS - lasts - 0.5), 2), "lasts": lasts, "part": rng.choice([0.1, 0.3]), **more}
-
-    def link(ends):
-        kind = rng.choice(["hold", "delay", "cut", "half-open", "break"])
-        more = {"way": rng.choice(["there", "back"])} if kind in ("hold", "break") else {}
-        more |= (
-            {"bytes": rng.choice([0, 40, 300, 900])}
-            if kind == "break"
-            else {"ms": rng.choice([5, 60])}
-            if kind == "delay"
-            else {}
-        )
-        return when(2.5, what=kind, between=ends, nodes=rng.choice([0.2, 0.6]), **more)
-
+    draw = FaultDrawer(rng, SECONDS, [0.1, 0.3])
+    when = draw.when
     failures = [failure.value for failure in CallFailure]
     lists = [
         lambda: when(LONGEST, what="list-fail", how=rng.choice(failures)),
@@ -50,12 +37,12 @@
         lambda: when(2, what="kill"),
         lambda: when(2, what="stop"),
         lambda: when(3, what="term"),
-        lambda: when(1, what="hup", lost=rng.choice([0, 0.3]), file=rng.choice(["whole", "cut", "stale", "swapped", "missing"])),
+        lambda: when(1, what="hup", lost=rng.choice([0, 0.3]), file=rng.choice(FILES)),
         lambda: when(1, what="clock", by_s=rng.choice([-3600.0, -5.0, 5.0, 3600.0])),
         lambda: when(1, what="calls"),
-        lambda: link("nodes"),
-        lambda: link("nodes"),
-        lambda: link("callers"),
+        lambda: draw.link("nodes"),
+        lambda: draw.link("nodes"),
+        lambda: draw.link("callers"),
     ]
     faults = [rng.choice(lists)() for _ in range(rng.randint(1, 2))] + [rng.choice(others)() for _ in range(rng.randint(4, 7))]
     schemes = [
@@ -71,15 +58,7 @@
         {"name": "page", "kind": "once-only", "work_ms": work, "gain": 2, "body": 100},
     ]
     troubles = [{"what": "deploy", "at": 1.0, "lasts": 8.0, "part": 0.6, "batch": 0.15, "drain_s": rng.choice([0.6, 8.0])}]
-    troubles += rng.sample(
-        [
-            {"what": "crash", "at": 3.0, "lasts": 1.5, "part": 0.3},
-            {"what": "silent", "at": 2.0, "lasts": 2.0, "part": 0.2},
-            {"what": "errs", "at": 2.0, "lasts": 3.0, "part": 0.3, "odds": 0.4},
-            {"what": "stall", "at": 1.0, "lasts": 5.0, "part": 0.4, "ms": 400, "every_ms": 900},
-        ],
-        rng.randint(0, 2),
-    )
+    troubles += rng.sample(TROUBLES, rng.randint(0, 2))
     cold = rng.random() < 0.5
     return msgspec.toml.encode(
         {
