Review case 1: settings nearer to the site's, and work by class

Cause: the first form sent one class at 160 requests a second, which is the whole deployment's rate, to machines of one speed. Change: the site's four classes in their shares, slow machines in the proxy's zone, 120 requests a second; the work of a stand-in follows from the request, for which cases 2 and 3 change one argument. Case 3 records what its clients send.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,14 +13,19 @@
 from review.stand_ins.testbed import Testbed, has_trouble, play
 
 SECONDS = 90.0
-REQUESTS_PER_SECOND = 160.0
-BUDGET_MS = 1000  # the deadline of the class
+REQUESTS_PER_SECOND = 120.0
 ZONES = ("curitiba",) * 2 + ("porto-alegre",) * 6  # of the backends; the proxy is in the first
-WORK_SECONDS = 0.048, 0.087  # linha-ativa
+SPEEDS = {"curitiba": 0.7, "porto-alegre": 1.2}  # of a core: the kind antiga, and rapida
+CLASSES = {  # share, deadline in ms, work in seconds
+    "linha-ativa": (0.38, 1000, (0.048, 0.087)),
+    "lote-atual": (0.31, 1000, (0.054, 0.097)),
+    "reanalise": (0.22, 2000, (0.079, 0.140)),
+    "auditoria": (0.09, 4000, (0.081, 0.150)),
+}
 PROBE_SECONDS = 0.00026, 0.00042
-SAME_ZONE_SECONDS, CROSS_ZONE_SECONDS = 0.00025, 0.016  # one way; the site has 0.15 to 0.33 ms and 9.5 to 18 ms
-SECOND_COPY_SHARE = 0.5
-SECOND_COPY_SECONDS = 0.001, 0.0035  # some milliseconds after the answer
+SAME_ZONE_SECONDS, CROSS_ZONE_SECONDS = 0.00025, 0.017  # one way; the site has 0.15 to 0.33 ms and 9.5 to 18 ms
+SECOND_COPY_SHARE = 0.6
+SECOND_COPY_SECONDS = 0.002, 0.0038  # some milliseconds after the answer
 LONGEST_SECOND_COPY_SECONDS = 0.004  # one that would be later is left out
 
 
@@ -41,6 +46,11 @@
             self.send(data)
 
 
+def work_seconds(request: Request) -> float:
+    """Return the work of a request on a core of speed 1."""
+    return random.uniform(*CLASSES[request.headers["x-call-class"]][2])
+
+
 async def case(bed: Testbed) -> list[str]:
     """Return the requests that were answered 200 with what no backend made for them."""
     backends = {}
@@ -48,14 +58,19 @@
         backend = Backend(
             f"verificador-{index}",
             bed,
-            lambda: random.uniform(*WORK_SECONDS),
+            lambda request, speed=SPEEDS[zone]: work_seconds(request) / speed,
             lambda: random.uniform(*PROBE_SECONDS),
             link_seconds=SAME_ZONE_SECONDS if zone == ZONES[0] else CROSS_ZONE_SECONDS,
             connection_class=CopyingConnection,
         )
         await backend.start()
         backends[backend.name] = backend, zone
-    discovery = Discovery([entry(name, backend.address, zone, "padrao") for name, (backend, zone) in backends.items()])
+    discovery = Discovery(
+        [
+            entry(name, backend.address, zone, "antiga" if zone == ZONES[0] else "rapida")
+            for name, (backend, zone) in backends.items()
+        ]
+    )
     await discovery.start()
     address, _ = await bed.start_proxy("n1", site.curitiba(instances=10), discovery.address)
     clients = KeptConnections(address)
@@ -65,7 +80,9 @@
     async def ask() -> None:
         call_id = new_id()
         bed.note(f"client sends {call_id}")
-        answer = await clients.ask(request_bytes(call_id, "linha-ativa", BUDGET_MS), BUDGET_MS / 1000 + 0.5)
+        class_name = random.choices(list(CLASSES), [share for share, _, _ in CLASSES.values()])[0]
+        deadline_ms = CLASSES[class_name][1]
+        answer = await clients.ask(request_bytes(call_id, class_name, deadline_ms), deadline_ms / 1000 + 0.5)
         status = answer.status if answer else 0
         counts[status] = counts.get(status, 0) + 1
         bed.note(f"client got {call_id}: {answer.status if answer else 'nothing'} {answer.body if answer else b''!r}")
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -71,7 +71,7 @@
 async def case(bed: Testbed) -> list[str]:
     """Return the requests whose answer was cut off although their backend still gave it."""
     backends = [
-        Backend(f"node-{index}", bed, lambda: random.uniform(*FIRST_BYTE_SECONDS), connection_class=SlowConnection)
+        Backend(f"node-{index}", bed, lambda _: random.uniform(*FIRST_BYTE_SECONDS), connection_class=SlowConnection)
         for index in range(BACKENDS)
     ]
     for backend in backends:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -40,7 +40,7 @@
 async def case(bed: Testbed) -> list[str]:
     """Return the requests that went to the draining backend after the grace."""
     backends = [
-        Backend(f"node-{index}", bed, lambda: random.uniform(*WORK_SECONDS), connection_class=NotingConnection)
+        Backend(f"node-{index}", bed, lambda _: random.uniform(*WORK_SECONDS), connection_class=NotingConnection)
         for index in range(BACKENDS)
     ]
     for backend in backends:
@@ -58,6 +58,7 @@
         async def ask() -> None:
             call_id = new_id()
             senders[call_id] = name
+            bed.note(f"client of {name} sends {call_id}")
             answer = await clients.ask(request_bytes(call_id, "pull", BUDGET_MS), BUDGET_MS / 1000 + 0.5)
             bed.note(f"client of {name} got {call_id}: {answer.status if answer else 'nothing'}")
 
--- a/review/stand_ins/backend.py
+++ b/review/stand_ins/backend.py
@@ -33,7 +33,7 @@
 
     name: str
     bed: Testbed
-    work_seconds: Callable[[], float]
+    work_seconds: Callable[[Request], float]
     probe_seconds: Callable[[], float] = lambda: 0.0
     link_seconds: float = 0.0  # each way
     connection_class: type["Connection"] | None = None
@@ -139,7 +139,7 @@
 
     def run(self, request: Request) -> None:
         """Run a request."""
-        self.loop.call_later(self.backend.work_seconds(), self._complete, request)
+        self.loop.call_later(self.backend.work_seconds(request), self._complete, request)
 
     def _complete(self, request: Request) -> None:
         self.backend.has_run(request.call_id)
