Review: a proxy's port can't go to a listener of another case

Change: ports of proxies lie below the system's range, and an answer to the wait for readiness is waited for for 2 s.

--- a/review/stand_ins/testbed.py
+++ b/review/stand_ins/testbed.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -21,6 +22,8 @@
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 READY_SECONDS = 30.0  # the platform's limit for a start
 RUN_SECONDS = 110.0
+PORTS = 16_000  # below the system's range, for proxies
+READY_ANSWER_SECONDS = 2.0
 
 
 class CannotRunError(Exception):
@@ -33,10 +36,16 @@
 
 
 def free_port() -> int:
-    """Return a port of the loopback address that is free now."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    """Return a free port of the loopback address, below those that the system gives to listeners and connections by itself.
+
+    A port of the system's own range could go to another process between this call and the start of the proxy.
+    """
+    first = int(pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range").read_text(encoding="ascii").split()[0])
+    while True:
+        port = random.randrange(max(1024, first - PORTS), first)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((HOST, port))
+            return port
 
 
 class Testbed:
@@ -100,10 +109,10 @@
     async def _wait_until_ready(self, name: str, address: tuple[str, int], process: subprocess.Popen) -> None:
         deadline = time.monotonic() + READY_SECONDS
         while time.monotonic() < deadline and process.poll() is None:
-            with contextlib.suppress(OSError, IndexError):
+            with contextlib.suppress(OSError, IndexError, TimeoutError):
                 reader, writer = await asyncio.open_connection(*address)
                 writer.write(b"GET /ready HTTP/1.1\r\nHost: backend.local\r\nConnection: close\r\n\r\n")
-                answer = await reader.read()
+                answer = await asyncio.wait_for(reader.read(), READY_ANSWER_SECONDS)
                 writer.close()
                 if answer.split()[1] == b"200":
                     return
