Health checks wait until no duplicate response is due on their connection

Cause: the first bytes after a request are taken for its response, which holds only while nothing is due from the exchange before. Requests waited 6 ms for a second copy, health checks did not: the copy passed for the report, and the connection went back to the pool with the report still due.

Change: the wait holds for every exchange. It ends by the clock: a timer of 6 ms set by uvloop after 4 ms of work fired after 5.17 ms. Where there are load reports, a response to a health check that is none ends the connection. A connection on which something arrives while the process catches up after a stall is closed. test_duplicate_response now lets the time pass that it waits for, as the wait looks at the clock; its golden file is as it was.

Before the fix test_duplicate_response_before_health_check[duplicate], test_health_check_answered_with_something_else[other] and test_wait_for_duplicates_ends_by_the_clock failed, their twins passed; now all pass, with 97 tests of network and dispatch.

--- a/sloeferry/network/attempt.py
+++ b/sloeferry/network/attempt.py
@@ -98,7 +98,6 @@
             on_first_byte=lambda: self._dispatcher.attempt_begins(context, number, endpoint_id),
             body=body,
             attempt_number=number,
-            must_have_been_idle=True,
             dial_deadline=min((context.arrived_at + context.deadline) / 2, started_at + max_dial_ms),
         )
 
--- a/sloeferry/network/connection_pool.py
+++ b/sloeferry/network/connection_pool.py
@@ -14,7 +14,8 @@
 from sloeferry.network.limited_log import warn
 from sloeferry.network.sockets import is_open_and_idle
 
-# A backend may send a duplicate response up to this long after the first (the protocol says some ms).
+# A backend may send a duplicate response, to a request or a health check, up to this long after the first (the protocol says
+# some ms).
 DUPLICATE_RESPONSE_SECONDS = 0.006
 IDLE_LIMIT_RATIO = 0.8  # of the time after which a backend closes an idle connection
 SWEEPS_PER_IDLE_LIMIT = 8
@@ -56,25 +57,22 @@
         else:
             self.addresses[endpoint_id] = address
 
-    async def acquire(self, endpoint_id: str, must_have_been_idle: bool, dial_deadline: float) -> BackendConnection | AttemptEnd:
-        """Return a connection that is ready for a request, or the reason why there is none.
+    async def acquire(self, endpoint_id: str, dial_deadline: float) -> BackendConnection | AttemptEnd:
+        """Return a connection that is ready for a request or health check, or the reason why there is none.
 
-        `must_have_been_idle`: the connection must have been idle for `DUPLICATE_RESPONSE_SECONDS`, so that no duplicate response
-        is still due on it.  `dial_deadline` (ms): until then, dials that fail with a local error are retried.
+        No duplicate response is still due on it.  `dial_deadline` (ms): until then, dials that fail with a local error are
+        retried.
         """
-        return await self._take_idle(endpoint_id, must_have_been_idle) or await self._dial(endpoint_id, dial_deadline)
+        return await self._take_idle(endpoint_id) or await self._dial(endpoint_id, dial_deadline)
 
-    async def _take_idle(self, endpoint_id: str, must_have_been_idle: bool) -> BackendConnection | None:
+    async def _take_idle(self, endpoint_id: str) -> BackendConnection | None:
         """Take an idle connection that is still usable; return None if there is none.
 
         Among the connections idle for `DUPLICATE_RESPONSE_SECONDS` the most recently used is taken, which its backend will close
-        last.  On one idle for a shorter time, a late duplicate response could be taken for the next request's response, and a
-        duplicate rejection could cause a request that runs to be sent again (rules 1 and 2).  If all were used more recently,
-        the oldest is waited for: a new connection costs its backend more than a few ms.
+        last.  If all were used more recently, the oldest is waited for: a new connection costs its backend more than a few ms.
         """
         while idle_connections := self.idle.get(endpoint_id):
-            now = environment.monotonic()
-            idle_before = now - DUPLICATE_RESPONSE_SECONDS
+            idle_before = environment.monotonic() - DUPLICATE_RESPONSE_SECONDS
             connection = next(
                 (each for each in reversed(idle_connections) if each.idle_since <= idle_before), idle_connections[0]
             )
@@ -82,18 +80,29 @@
                 connection.close()
                 continue
             connection.mark_in_use()
-            if must_have_been_idle and (seconds_left := connection.idle_since + DUPLICATE_RESPONSE_SECONDS - now) > 0:
-                try:
-                    await asyncio.sleep(seconds_left)
-                except asyncio.CancelledError:
-                    connection.finish(keep_alive=True)
-                    raise
-                if not is_open_and_idle(connection.sock):
-                    connection.close()
-                    continue
-            return connection
+            if await self._wait_for_duplicates(connection):
+                return connection
+            connection.close()
         return None
 
+    async def _wait_for_duplicates(self, connection: BackendConnection) -> bool:
+        """Wait until no duplicate response can be due, and return whether the connection is still open with nothing to read.
+
+        The next exchange would take a late duplicate response for its own, and leave its own for the exchange after it, whether
+        it is a request or a health check: a client would get what was made for another (rule 1), and a duplicate rejection
+        could cause a request that runs to be sent again (rule 2).
+        """
+        has_waited = False
+        try:
+            # The event loop rounds a timer to whole ms and counts it from the start of the iteration, so that it may be early.
+            while (seconds_left := connection.idle_since + DUPLICATE_RESPONSE_SECONDS - environment.monotonic()) > 0:
+                has_waited = True
+                await asyncio.sleep(seconds_left)
+        except asyncio.CancelledError:
+            connection.finish(keep_alive=True)
+            raise
+        return not has_waited or is_open_and_idle(connection.sock)
+
     async def _dial(self, endpoint_id: str, dial_deadline: float) -> BackendConnection | AttemptEnd:
         """Open a new connection, or return the reason why there is none; local errors are retried until `dial_deadline`."""
         address = self.addresses.get(endpoint_id)
--- a/sloeferry/network/exchange.py
+++ b/sloeferry/network/exchange.py
@@ -45,8 +45,9 @@
     on_first_byte: Callable[[], None] | None = None  # called after `make_request`, immediately before the first byte
     body: RequestBodyStream | None = None  # a body of which `make_request` contains only the first part
     attempt_number: int = 0
-    must_have_been_idle: bool = False  # see `ConnectionPool.acquire`
     dial_deadline: float = 0.0  # until then, dials that fail with a local error are retried
+    # Whether a response can be the one to this request; if it cannot, the connection is not used again.
+    recognizes: Callable[[Message], bool] = lambda response: True
 
 
 class Exchange:
@@ -91,13 +92,9 @@
     async def _begin(self) -> bool:
         """Connect, and return whether the request may be written."""
         plan = self._plan
-        connection = await self._pool.acquire(plan.endpoint_id, plan.must_have_been_idle, plan.dial_deadline)
-        if isinstance(connection, AttemptEnd):
-            self._end = connection
+        connection = await self._acquire_connection()
+        if connection is None:
             return False
-        self._connection = connection
-        while catching_up := self._dispatcher.record_loop_iteration():
-            await asyncio.wait([catching_up])
         # The deadline may have passed and the address may belong to another endpoint since the dial began.
         is_late = environment.monotonic_ms() >= plan.deadline
         if is_late or not connection.has_current_address() or not plan.may_begin():
@@ -105,6 +102,33 @@
             return False
         return True
 
+    async def _acquire_connection(self) -> BackendConnection | None:
+        """Take a connection once this process is up to date after a stall; return None, with the reason in `_end`, if there is
+        none.
+
+        A connection on which something arrives during that wait is closed, and another one taken: its backend has ended it, or
+        would have its bytes read as the response.
+        """
+        plan = self._plan
+        while True:
+            connection = await self._pool.acquire(plan.endpoint_id, plan.dial_deadline)
+            if isinstance(connection, AttemptEnd):
+                self._end = connection
+                return None
+            self._connection = connection
+            if not await self._catch_up() or is_open_and_idle(connection.sock):
+                return connection
+            self._connection = None
+            connection.close()
+
+    async def _catch_up(self) -> bool:
+        """Wait until all that discovery wrote during a stall is applied; return whether there was anything to wait for."""
+        has_waited = False
+        while catching_up := self._dispatcher.record_loop_iteration():
+            await asyncio.wait([catching_up])
+            has_waited = True
+        return has_waited
+
     async def _write(self) -> None:
         """Write the request, and the rest of a streamed body as it is received."""
         plan = self._plan
@@ -205,7 +229,7 @@
         elif connection is None:
             return
         elif response:
-            connection.finish(response.keep_alive)
+            connection.finish(response.keep_alive and self._plan.recognizes(response))
         elif self._end is not AttemptEnd.ABORTED_LOCALLY:
             connection.abort()
         elif self._progress is AttemptProgress.NOTHING_WRITTEN:
--- a/sloeferry/network/health_checker.py
+++ b/sloeferry/network/health_checker.py
@@ -8,6 +8,7 @@
 from sloeferry.network.deadline_timers import DeadlineTimers
 from sloeferry.network.exchange import Exchange, ExchangePlan
 from sloeferry.network.http1 import writer
+from sloeferry.network.http1.message import Message
 from sloeferry.network.load_reports import NO_REPORT, LoadReportReader
 from sloeferry.network.task_set import TaskSet
 
@@ -38,14 +39,14 @@
             self._tasks.spawn(self._check(command.endpoint_id))
 
     async def _check(self, endpoint_id: str) -> None:
-        # A health check may use a connection that was just used: waiting could exceed the policy's `check_timeout_ms`, and a
-        # duplicate response to an earlier request is harmless here.  The connect timeout bounds the whole check.
+        # The connect timeout bounds the whole check.
         started_at = environment.monotonic_ms()
         plan = ExchangePlan(
             endpoint_id,
             started_at + self._pool.connect_timeout_ms,
             may_begin=lambda: self._dispatcher.may_begin_health_check(endpoint_id),
             make_request=lambda: self._request,
+            recognizes=self._is_report_if_expected,
         )
         result = await Exchange(plan, self._dispatcher, self._pool, self._timers).run()
         end, load_report, response = result.end, NO_REPORT, result.response
@@ -56,3 +57,10 @@
                 response.body_stream.close()
         duration_ms = environment.monotonic_ms() - started_at
         self._dispatcher.health_check_ended(endpoint_id, result.progress, end, duration_ms, load_report)
+
+    def _is_report_if_expected(self, response: Message) -> bool:
+        """Return whether a response has the form of one to a health check: a load report, where the settings have any.
+
+        Another response may be a duplicate of one to an earlier request, in which case that to the health check is still due.
+        """
+        return not self._load_reports.fields or self._load_reports.read(response.body()) is not NO_REPORT
--- a/tests/network/test_exchange.py
+++ b/tests/network/test_exchange.py
@@ -5,13 +5,15 @@
 import select
 import socket
 import types
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 from unittest import mock
 
+import pytest
+
 from sloeferry.config.settings_reader import build_settings
 from sloeferry.dispatch.attempt_end import AttemptEnd
-from sloeferry.network import sockets
+from sloeferry.network import connection_pool, sockets
 from sloeferry.network.buffers import BufferPool
 from sloeferry.network.connection_pool import ConnectionPool
 from sloeferry.network.deadline_timers import DeadlineTimers
@@ -20,7 +22,7 @@
 from sloeferry.policy.interface import EndpointState
 from tests.support.fake_backends import response
 from tests.support.instrumented_harness import NEVER_SECONDS, Gate, InstrumentedHarness, wait_until
-from tests.support.proxy_harness import ProxyHarness, ScenarioChecker
+from tests.support.proxy_harness import ProxyHarness, ScenarioChecker, run_scenario
 
 NO_DEADLINE_MS = 1e12  # a deadline that is never reached
 UNSENT_BODY_BYTES = 60_000  # more than the backend's receive buffer holds
@@ -235,6 +237,24 @@
     DUPLICATE_WAIT_SECONDS = NEVER_SECONDS
 
 
+@contextlib.contextmanager
+def duplicate_waits_at(gate: Gate) -> Iterator[None]:
+    """Block waits for duplicate responses at a gate; once it is open, each connection has been idle for long enough."""
+    sleep = asyncio.sleep
+
+    async def wait_long_enough(seconds: float) -> None:
+        if seconds <= 1:
+            return await sleep(seconds)
+        await gate.wait_until_open()
+        connection_pool.DUPLICATE_RESPONSE_SECONDS = 0.0
+
+    with (
+        mock.patch("asyncio.sleep", wait_long_enough),
+        mock.patch.object(connection_pool, "DUPLICATE_RESPONSE_SECONDS", NEVER_SECONDS),
+    ):
+        yield
+
+
 def test_duplicate_response(check_scenario: ScenarioChecker):
     """A backend sends a duplicate response just after the first.
 
@@ -247,16 +267,16 @@
         await harness.request("safe", X_Call_Id="c1")
         [connection] = harness.pool.idle["b"]
         writer = backends.writers[-1]
-        sleep = asyncio.sleep
         gate = Gate()
-        with mock.patch("asyncio.sleep", lambda seconds: gate.wait_until_open() if seconds > 1 else sleep(seconds)):
+        with duplicate_waits_at(gate):
             request = asyncio.ensure_future(harness.request("safe", X_Call_Id="c2"))
             await wait_until(lambda: gate.reached.is_set() or backends.requests_received == 2)  # it waits, or was sent
             writer.write(response("again"))
             await wait_until(lambda: connection.sock.fileno() < 0 or not sockets.is_open_and_idle(connection.sock))
             gate.opened.set()
             await request
-            gate = Gate()
+        gate = Gate()
+        with duplicate_waits_at(gate):
             client = await harness.send_raw(harness.request_head("c3"))
             await wait_until(lambda: gate.reached.is_set() or backends.requests_received == 3)
             client.connection().task.cancel()  # this task runs the attempt inline
@@ -268,3 +288,82 @@
     check_scenario(
         scenario, "exchange_duplicate_response", EndlessDuplicateWaitHarness({"b": lambda number: response(f"answer {number}")})
     )
+
+
+async def run_health_check(harness: InstrumentedHarness) -> None:
+    """Send a health check to the backend b and wait for its end."""
+    dispatcher = harness.dispatcher
+    with mock.patch.object(dispatcher, "health_check_ended", wraps=dispatcher.health_check_ended) as ended:
+        dispatcher.host.send_health_check("b")
+        await wait_until(lambda: ended.called)
+
+
+@pytest.mark.parametrize("has_duplicate", [True, False], ids=["duplicate", "no_duplicate"])
+def test_duplicate_response_before_health_check(check_scenario: ScenarioChecker, has_duplicate: bool):
+    """Guards against a client that gets a load report: a duplicate response was read as that of a health check.
+
+    The health check waits until no duplicate is due.  Where none comes, it uses the connection of the request before.
+    """
+    report_due = asyncio.Event()
+
+    async def scenario(harness: EndlessDuplicateWaitHarness) -> None:
+        backends = harness.backends
+        backends.late_response = response('{"inflight": 0}')
+        await harness.request("safe", X_Call_Id="c1")
+        [connection] = harness.pool.idle["b"]
+        gate = Gate()
+        with duplicate_waits_at(gate):
+            check = asyncio.ensure_future(run_health_check(harness))
+            await wait_until(lambda: gate.reached.is_set() or backends.requests_received == 2)  # it waits, or was sent
+            if has_duplicate:
+                backends.writers[0].write(response("answer 1"))
+                await wait_until(lambda: check.done() or not sockets.is_open_and_idle(connection.sock))
+            gate.opened.set()
+            await wait_until(lambda: check.done() or backends.requests_received == 2)
+            request = asyncio.ensure_future(harness.request("safe", X_Call_Id="c2"))
+            await wait_until(lambda: check.done() or backends.requests_received == 3)
+            report_due.set()
+            await request
+            await check
+        harness.record(f"connections: {backends.connection_counts['b']}")
+
+    def reply(number: int) -> Any:
+        return report_due if number == 2 else response(f"answer {number}")
+
+    name = "exchange_duplicate_before_health_check" if has_duplicate else "exchange_no_duplicate_before_health_check"
+    check_scenario(scenario, name, EndlessDuplicateWaitHarness({"b": reply}))
+
+
+@pytest.mark.parametrize(
+    ("body", "is_kept"), [('{"inflight": 0}', True), ("answer to an earlier request", False)], ids=["report", "other"]
+)
+def test_health_check_answered_with_something_else(check_scenario: ScenarioChecker, body: str, is_kept: bool):
+    """Guards against shifted answers: a connection on which a health check got no load report may still owe it that report."""
+
+    async def scenario(harness: InstrumentedHarness) -> None:
+        await run_health_check(harness)
+        harness.record(f"kept as expected: {len(harness.pool.idle.get('b', ())) == is_kept}")
+
+    check_scenario(scenario, "exchange_health_check_form", InstrumentedHarness({"b": response(body)}))
+
+
+def test_wait_for_duplicates_ends_by_the_clock():
+    """Guards against a wait that a timer ends early: the event loop's timers may fire before the time that they were set to."""
+
+    async def scenario(harness: EndlessDuplicateWaitHarness) -> None:
+        await harness.request("safe", X_Call_Id="c1")
+        [connection] = harness.pool.idle["b"]
+        waits: list[float] = []
+
+        async def end_early(seconds: float) -> None:
+            waits.append(seconds)
+            if len(waits) == 3:
+                connection.idle_since -= NEVER_SECONDS
+
+        connection.mark_in_use()
+        with mock.patch("asyncio.sleep", end_early):
+            assert await harness.pool._wait_for_duplicates(connection)
+        assert len(waits) == 3
+        connection.finish(keep_alive=True)
+
+    run_scenario(scenario, EndlessDuplicateWaitHarness({"b": response()}))
