Long responses of unknown length are forwarded however steadily they come

Cause: `Exchange._read` held such a response back until its backend paused for a quarter of the shortest latency objective, counted anew with each read, or 64 KiB had come. Excluded: the forwarding itself, which test_long_responses and test_paused_response show whole.

Change: it is held back for that time in all, at most 1 s, and no longer than to 25 ms before its deadline. The same assumption elsewhere: the limit of a pause outlasted an interim response that came in two pieces, and ended a response over 64 KiB between its head and its body; both wait for the deadline now.

--- a/sloeferry/network/exchange.py
+++ b/sloeferry/network/exchange.py
@@ -19,9 +19,14 @@
 from sloeferry.network.deadline_timers import DeadlineTimers
 from sloeferry.network.http1.framing import StreamEnd
 from sloeferry.network.http1.message import Message
+from sloeferry.network.http1.stream import HttpStream
 from sloeferry.network.limited_log import warn
 from sloeferry.network.sockets import is_open_and_idle
 
+MAX_HOLD_BACK_SECONDS = 1.0  # a long response of which the backend's bytes are held back for 2 s counts as lost
+# The policy gives a request up two ticks before its deadline; a tick lasts up to 12.5 ms.
+FORWARD_BEFORE_DEADLINE_SECONDS = 0.025
+
 
 class ExchangeResult(NamedTuple):
     """The result of an exchange: its progress and why it ended.
@@ -63,6 +68,7 @@
         self._progress = AttemptProgress.NOTHING_WRITTEN
         self._end = AttemptEnd.CONNECTION_LOST
         self._response: Message | None = None
+        self._stream_at: float | None = None  # when a response of unknown length is streamed; the event loop's time
 
     async def run(self) -> ExchangeResult:
         """Run the exchange and return its result; failures are part of the result and never raised."""
@@ -174,26 +180,40 @@
         stream = self._connection.stream
         while not stream.completed and not stream.oversized_message():
             if stream.has_unknown_length() and stream.message.body_bytes:
-                # The length is not known in advance: once the backend pauses, the response is streamed to the client.
-                if not await stream.receive_within(self._pool.max_pause_seconds):
+                if not await self._receive_while_held_back(stream):
                     self._response = stream.message
                     break
             else:
                 await stream.receive()
             if stream.fault:
                 break
-            if stream.has_begun:
-                self._limit_response_time(stream.has_unknown_length())
+            self._limit_response_time(stream)
         self._take_response()
 
-    def _limit_response_time(self, has_unknown_length: bool) -> None:
-        """Record that the response has begun, and limit the wait for the rest of it.
+    async def _receive_while_held_back(self, stream: HttpStream) -> bool:
+        """Receive more of a response of unknown length; return False once it is to be streamed to the client.
 
-        The backend writes a response without pauses: if the rest does not arrive, its stated length was wrong.
+        It may be of any length, and only the time of its first bytes is limited.  It is held back for a limited time, however
+        steadily it comes, and no longer than to shortly before the deadline.
         """
-        self._progress = AttemptProgress.RESPONSE_BEGUN
+        now = self._loop.time()
+        if self._stream_at is None:
+            hold_back_seconds = min(self._pool.max_pause_seconds, MAX_HOLD_BACK_SECONDS)
+            self._stream_at = min(now + hold_back_seconds, self._read_by - FORWARD_BEFORE_DEADLINE_SECONDS)
+        return now < self._stream_at and await stream.receive_within(self._stream_at - now)
+
+    def _limit_response_time(self, stream: HttpStream) -> None:
+        """Record whether the response has begun, and limit the wait for the rest of it.
+
+        The backend writes a short response without pauses: if the rest does not arrive, its stated length was wrong.  A long one,
+        one of unknown length, and one announced by an interim response (1xx) may come later.
+        """
+        if stream.has_begun:
+            self._progress = AttemptProgress.RESPONSE_BEGUN
         self._timer.cancel()
-        pause_ends_at = self._read_by if has_unknown_length else self._loop.time() + self._pool.max_pause_seconds
+        pause_ends_at = self._read_by
+        if stream.has_begun and not stream.has_unknown_length() and not stream.has_long_body():
+            pause_ends_at = self._loop.time() + self._pool.max_pause_seconds
         self._timer = self._timers.set(min(self._read_by, pause_ends_at), self._task)
 
     def _take_response(self) -> None:
--- a/sloeferry/network/http1/framing.py
+++ b/sloeferry/network/http1/framing.py
@@ -180,7 +180,7 @@
             return None
         # A response known to be long is streamed from its first bytes. A request is buffered up to the limit, because it can be
         # sent to another backend until more than the buffered part has been sent.
-        is_long = self._is_response and (message.content_length or 0) > MAX_BUFFERED_BODY_BYTES
+        is_long = self._is_response and self.has_long_body()
         return message if is_long or message.body_bytes >= MAX_BUFFERED_BODY_BYTES else None
 
     def pending_messages(self) -> list[Message]:
@@ -194,6 +194,10 @@
         is_final = message.status >= 200
         return self._is_response and self.has_begun and message.is_head_complete and message.content_length is None and is_final
 
+    def has_long_body(self) -> bool:
+        """Return whether the message being received is stated to exceed the buffer limit."""
+        return (self.message.content_length or 0) > MAX_BUFFERED_BODY_BYTES
+
     def close(self) -> None:
         """Break the reference cycle between the parser and this object.
 
--- a/tests/network/test_body_stream.py
+++ b/tests/network/test_body_stream.py
@@ -22,6 +22,7 @@
     "X-Budget-Ms: 3000\r\nTransfer-Encoding: chunked\r\n"
 )
 PIECE_SECONDS = 0.15  # between two pieces of a response
+STEADY_PIECES = 120  # of a response that takes longer than its deadline, or than the longest pause
 
 
 def test_one_attempt_at_a_time_writes_the_body():
@@ -45,6 +46,7 @@
         self.requests_begun = 0
         self.early_response = early_response  # if given, it is sent before the request body is read
         self.closes_after_response = False
+        self.piece_seconds = PIECE_SECONDS
 
     async def serve(self, name: str, script: Script, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection to a backend."""
@@ -88,12 +90,11 @@
         await reader.readexactly(2)
         return byte_count
 
-    @staticmethod
-    async def _write_pieces(pieces: Sequence[bytes], writer: asyncio.StreamWriter) -> bytes:
+    async def _write_pieces(self, pieces: Sequence[bytes], writer: asyncio.StreamWriter) -> bytes:
         *before, last = pieces
         for piece in before:
             writer.write(piece)
-            await asyncio.sleep(PIECE_SECONDS)
+            await asyncio.sleep(self.piece_seconds)
         writer.write(last)
         return last
 
@@ -214,6 +215,62 @@
     check_scenario(scenario, "body_paused_response", ProxyHarness(LongBodyBackends({"b": pieces}), deadline_ms=400))
 
 
+def test_slow_steady_response_is_forwarded(check_scenario: ScenarioChecker):
+    """Guards against a long response being cut off at the deadline because its length is unknown and its backend never pauses.
+
+    Short responses in chunks, which come at once, are still held whole and sent with their length.
+    """
+    head = b"HTTP/1.1 200 X\r\n"
+    chunked_head = head + b"Transfer-Encoding: chunked\r\n\r\n"
+    chunks = [b"280\r\n%b\r\n" % (b"x" * 640)] * STEADY_PIECES
+    cases = (  # name, response, whether the backend closes the connection after it
+        ("chunks", [chunked_head, *chunks, b"0\r\n\r\n"], False),
+        ("to the end", [head + b"Connection: close\r\n\r\n", *[b"x" * 640] * STEADY_PIECES], True),
+        ("short, at once", chunked_head + b"5\r\nfirst\r\n0\r\n\r\n", False),
+    )
+    backends = LongBodyBackends({"b": lambda number: cases[number - 1][1]})
+    backends.piece_seconds = 0.02
+
+    async def scenario(harness: ProxyHarness) -> None:
+        for name, _, is_closed in cases:
+            backends.closes_after_response = is_closed
+            harness.record(f"-- {name}")
+            await record_response(harness, "1.1")
+
+    check_scenario(scenario, "body_steady_response", ProxyHarness(backends, deadline_ms=1500))
+
+
+def test_wait_before_the_body(check_scenario: ScenarioChecker):
+    """Guards against a response being cut off between its parts: after an interim response that came in two pieces, and after
+    the head of a long response.
+
+    A short response whose stated length does not come is still given up, and another attempt made.
+    """
+    pause = [b""] * STEADY_PIECES
+    interim = [b"HTTP/1.1 103 Early", b" Hints\r\n\r\n", *pause, response("after the interim response")]
+    long_response = response("x" * (2 * MAX_BUFFERED_BODY_BYTES))
+    head, separator, body = long_response.partition(b"\r\n\r\n")
+    cases = (  # name, and the responses of the attempts
+        ("interim response", [interim]),
+        ("head of a long response", [[head + separator, *pause, body]]),
+        ("short length", [[b"HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\nhalf", *pause, b""], response("second")]),
+    )
+    replies = [reply for _, attempts in cases for reply in attempts]
+
+    def reply_to(number: int) -> Script:
+        return replies[number - 1]
+
+    backends = LongBodyBackends({"b": reply_to, "c": reply_to})
+    backends.piece_seconds = 0.02
+
+    async def scenario(harness: ProxyHarness) -> None:
+        for name, _ in cases:
+            harness.record(f"-- {name}")
+            await record_response(harness, "1.1")
+
+    check_scenario(scenario, "body_wait_before_body", ProxyHarness(backends, deadline_ms=3000))
+
+
 def test_long_request_is_sent_once(check_scenario: ScenarioChecker):
     """A body longer than the buffer is sent once, to one backend. A client may disconnect in the middle of it, and the next
     request is served."""
--- a/tests/network/test_exchange.py
+++ b/tests/network/test_exchange.py
@@ -11,9 +11,10 @@
 
 import pytest
 
+from sloeferry import environment
 from sloeferry.config.settings_reader import build_settings
 from sloeferry.dispatch.attempt_end import AttemptEnd
-from sloeferry.network import connection_pool, sockets
+from sloeferry.network import connection_pool, exchange, sockets
 from sloeferry.network.buffers import BufferPool
 from sloeferry.network.connection_pool import ConnectionPool
 from sloeferry.network.deadline_timers import DeadlineTimers
@@ -37,9 +38,9 @@
         self.pool = ConnectionPool(self._loop, build_settings({"schemes.count": 1}), DescriptorBudget(9), BufferPool())
         self.pool.set_address("b", ("127.0.0.1", harness.backends.ports["b"]))
 
-    def run(self, request: bytes, may_begin: bool = True) -> Awaitable[Any]:
+    def run(self, request: bytes, may_begin: bool = True, deadline: float = NO_DEADLINE_MS) -> Awaitable[Any]:
         """Run an exchange with that request and return its result."""
-        plan = ExchangePlan("b", NO_DEADLINE_MS, may_begin=lambda: may_begin, make_request=lambda: request)
+        plan = ExchangePlan("b", deadline, may_begin=lambda: may_begin, make_request=lambda: request)
         return Exchange(plan, self._dispatcher, self.pool, DeadlineTimers(self._loop)).run()
 
 
@@ -367,3 +368,19 @@
         connection.finish(keep_alive=True)
 
     run_scenario(scenario, EndlessDuplicateWaitHarness({"b": response()}))
+
+
+def test_response_begun_before_the_deadline_is_forwarded():
+    """Guards against a response of unknown length being cut off whose first bytes come just before the deadline."""
+
+    async def scenario(harness: InstrumentedHarness) -> None:
+        exchanges = ExchangeMaker(harness)
+        exchanges.pool.max_pause_seconds = NEVER_SECONDS
+        with mock.patch.object(exchange, "MAX_HOLD_BACK_SECONDS", NEVER_SECONDS):
+            result = await exchanges.run(b"GET /x HTTP/1.1\r\n\r\n", deadline=environment.monotonic_ms() + 500)
+        assert result.response.body_stream is not None
+        assert result.response.take_body() == b"first"
+        result.response.body_stream.close()
+
+    begun = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n"
+    run_scenario(scenario, InstrumentedHarness({"b": begun}))
