Connections rest twice as long for a minute after surplus bytes were seen

The records show copies sent 3.5 to 3.7 ms late that arrived 6 to 11 ms after the answer, on connections that had carried requests alone. Excluded: health checks (none between the two answers in the records looked at).

Change: surplus bytes on a connection, read with a response or found on an idle one, make the wait for duplicates 12 ms for a minute, for all endpoints.

--- a/sloeferry/network/backend_connection.py
+++ b/sloeferry/network/backend_connection.py
@@ -50,6 +50,8 @@
         Surplus bytes belong to no attempt: the next one would read them as its response, so the connection is closed.
         """
         has_surplus_bytes = self.stream.completed or self.stream.has_begun
+        if has_surplus_bytes:
+            self._pool.note_surplus_bytes()
         if keep_alive and not has_surplus_bytes and self.has_current_address():
             self.mark_idle()
         else:
--- a/sloeferry/network/connection_pool.py
+++ b/sloeferry/network/connection_pool.py
@@ -12,11 +12,13 @@
 from sloeferry.network.buffers import BufferPool
 from sloeferry.network.descriptor_budget import DescriptorBudget
 from sloeferry.network.limited_log import warn
-from sloeferry.network.sockets import is_open_and_idle
+from sloeferry.network.sockets import has_unread_bytes, is_open_and_idle
 
 # A backend may send a duplicate response, to a request or a health check, up to this long after the first (the protocol says
 # some ms).
 DUPLICATE_RESPONSE_SECONDS = 0.006
+# The same for some time after surplus bytes were seen: where duplicates occur, a busy link or host may delay some of them.
+DELAYED_DUPLICATE_MULTIPLE, DUPLICATES_EXPECTED_SECONDS = 2, 60.0
 IDLE_LIMIT_RATIO = 0.8  # of the time after which a backend closes an idle connection
 SWEEPS_PER_IDLE_LIMIT = 8
 # A dial or a response that makes no progress for this ratio of the shortest latency objective is given up.
@@ -33,6 +35,7 @@
         self.buffers = buffers
         self.addresses: dict[str, Address] = {}  # by endpoint id
         self.idle: dict[str, list[BackendConnection]] = {}  # by endpoint id, the most recently used last
+        self._duplicates_expected_until = 0.0  # seconds, monotonic
         self._update(settings)
 
     def update_config(self, config: InstanceConfig) -> None:
@@ -68,23 +71,33 @@
     async def _take_idle(self, endpoint_id: str) -> BackendConnection | None:
         """Take an idle connection that is still usable; return None if there is none.
 
-        Among the connections idle for `DUPLICATE_RESPONSE_SECONDS` the most recently used is taken, which its backend will close
-        last.  If all were used more recently, the oldest is waited for: a new connection costs its backend more than a few ms.
+        Among the connections on which no duplicate response can be due the most recently used is taken, which its backend will
+        close last.  If all were used more recently, the oldest is waited for: a new connection costs its backend more than a few
+        ms.
         """
         while idle_connections := self.idle.get(endpoint_id):
-            idle_before = environment.monotonic() - DUPLICATE_RESPONSE_SECONDS
+            idle_before = environment.monotonic() - self._duplicate_seconds()
             connection = next(
                 (each for each in reversed(idle_connections) if each.idle_since <= idle_before), idle_connections[0]
             )
-            if not connection.is_usable():
-                connection.close()
-                continue
-            connection.mark_in_use()
-            if await self._wait_for_duplicates(connection):
-                return connection
+            if connection.is_usable():
+                connection.mark_in_use()
+                if await self._wait_for_duplicates(connection):
+                    return connection
+            if has_unread_bytes(connection.sock):
+                self.note_surplus_bytes()
             connection.close()
         return None
 
+    def note_surplus_bytes(self) -> None:
+        """Record that a backend sent bytes that belong to no response, such as a duplicate response."""
+        self._duplicates_expected_until = environment.monotonic() + DUPLICATES_EXPECTED_SECONDS
+
+    def _duplicate_seconds(self) -> float:
+        """Return for how long after a response a duplicate of it may be due."""
+        are_expected = environment.monotonic() < self._duplicates_expected_until
+        return DUPLICATE_RESPONSE_SECONDS * (DELAYED_DUPLICATE_MULTIPLE if are_expected else 1)
+
     async def _wait_for_duplicates(self, connection: BackendConnection) -> bool:
         """Wait until no duplicate response can be due, and return whether the connection is still open with nothing to read.
 
@@ -95,7 +108,7 @@
         has_waited = False
         try:
             # The event loop rounds a timer to whole ms and counts it from the start of the iteration, so that it may be early.
-            while (seconds_left := connection.idle_since + DUPLICATE_RESPONSE_SECONDS - environment.monotonic()) > 0:
+            while (seconds_left := connection.idle_since + self._duplicate_seconds() - environment.monotonic()) > 0:
                 has_waited = True
                 await asyncio.sleep(seconds_left)
         except asyncio.CancelledError:
--- a/sloeferry/network/sockets.py
+++ b/sloeferry/network/sockets.py
@@ -38,6 +38,14 @@
     return False
 
 
+def has_unread_bytes(sock: socket.socket) -> bool:
+    """Return whether bytes have arrived that were not read."""
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
+
+
 def prepare_accepted(sock: socket.socket) -> bool:
     """Make an accepted socket non-blocking and disable Nagle's algorithm; close it and return False if it is broken.
 
--- a/tests/network/test_exchange.py
+++ b/tests/network/test_exchange.py
@@ -384,3 +384,21 @@
 
     begun = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n"
     run_scenario(scenario, InstrumentedHarness({"b": begun}))
+
+
+@pytest.mark.parametrize("has_surplus", [True, False], ids=["surplus", "none"])
+def test_surplus_bytes_prolong_the_wait_for_duplicates(has_surplus: bool):
+    """Guards against a delayed duplicate response: where one was seen, the wait is longer; elsewhere it stays as it is."""
+
+    async def scenario(harness: EndlessDuplicateWaitHarness) -> None:
+        await harness.request("safe", X_Call_Id="c1")
+        pool = harness.pool
+        [connection] = pool.idle["b"]
+        if has_surplus:
+            harness.backends.writers[-1].write(response("again"))
+            await wait_until(lambda: not sockets.is_open_and_idle(connection.sock))
+            await harness.request("safe", X_Call_Id="c2")
+        factor = connection_pool.DELAYED_DUPLICATE_MULTIPLE if has_surplus else 1
+        assert pool._duplicate_seconds() == NEVER_SECONDS * factor
+
+    run_scenario(scenario, EndlessDuplicateWaitHarness({"b": response()}))
