A poll that waits is an outage only after a reset watch or a failed dial

Cause: a poll that discovery ends after a wait counted as an outage and moved the list's deadline, poll after poll; a crowded discovery ends polls the same way.

Change: a waiting poll continues an outage only where a reset watch or a failed dial began one without a gap, at the start of a process, too. The log tells `reset` from `closed`. The stand-in discovery resets its watches, as it says; closing them in order is what a discovery that runs does.

--- a/sloeferry/dispatch/endpoint_events.py
+++ b/sloeferry/dispatch/endpoint_events.py
@@ -92,13 +92,17 @@
         """Report a poll that ended without a list; `tried` is when its last connect began or its request was written."""
         self.staleness.poll_failed(environment.monotonic_ms(), end, began, tried)
 
+    def dial_failed(self, began: float, tried: float) -> None:
+        """Report a poll whose connection attempt, begun at `tried`, has failed and is repeated."""
+        self.staleness.dial_failed(began, tried)
+
     def poll_waiting(self, began: float, tried: float) -> None:
-        """Report a poll that connects again after a failure, or whose response is later than discovery's time limit."""
+        """Report a poll whose request, written at `tried`, has waited for long."""
         self.staleness.poll_waiting(began, tried)
 
-    def watch_ended(self) -> None:
-        """Report the end of a watch that had delivered its list."""
-        self.staleness.watch_ended(environment.monotonic_ms())
+    def watch_ended(self, was_reset: bool) -> None:
+        """Report the end of a watch that had delivered its list; `was_reset`: its connection ended with an error."""
+        self.staleness.watch_ended(environment.monotonic_ms(), was_reset)
 
     def watch_silent(self, since: float) -> None:
         """Report a watch that is closed because it has been silent since then."""
--- a/sloeferry/network/discovery_client.py
+++ b/sloeferry/network/discovery_client.py
@@ -159,7 +159,7 @@
             self.events.watch_silent(watch.silent_since)
         elif watch.phase is PollPhase.WATCHING:
             if is_current or not self.is_watching:  # otherwise the watch that replaced it has already received the list
-                self.events.watch_ended()
+                self.events.watch_ended(watch.was_reset)
         elif is_current:
             self.events.poll_failed(watch.poll_end(now, self.poll_timeout_ms), watch.began_at, watch.tried_at)
 
--- a/sloeferry/network/discovery_watch.py
+++ b/sloeferry/network/discovery_watch.py
@@ -27,7 +27,7 @@
 OUTAGE_RATIO = 0.5
 MAX_LIST_CHARACTERS = 1 << 22
 MAX_QUOTED = 120  # characters of a truncated list in a log line
-SILENT_REASON = "silent"
+SILENT_REASON, RESET_REASON = "silent", "reset"
 
 
 class PollPhase(enum.IntEnum):
@@ -51,6 +51,7 @@
         self.began_at = environment.monotonic_ms()
         self.tried_at = self.began_at  # when the last dial began, or the request was written
         self.silent_since: float | None = None  # when the watch was last heard from, if it was given up as silent
+        self.was_reset = False  # the connection ended with an error, not with the end of the stream
         self._is_outage_check_done = False
         self._json_stream = JsonStream()
         self._documents: list[Any] = []  # received and not yet applied
@@ -97,7 +98,7 @@
             while not (sock := await self._dial_once()):
                 client.use_cached_list()
                 if self.phase is PollPhase.DIALED and client.is_current_task():
-                    client.events.poll_waiting(self.began_at, self.tried_at)
+                    client.events.dial_failed(self.began_at, self.tried_at)
                 if self._loop.time() >= ends_at and not client.events.is_watch_overdue():
                     return None
                 await asyncio.sleep(client.redial_pause_ms / 1000)
@@ -152,9 +153,12 @@
             # poll requests the complete list.
             if self.phase is not PollPhase.WATCHING and 200 <= stream.message.status < 500:
                 client.revision = None
+            self.was_reset = stream.was_reset
             stream.close()
         if self._json_stream.pending:
             warn("endpoint list", "cut short, ignored: {!r}", self._json_stream.pending[:MAX_QUOTED])
+        if stream.was_reset:
+            return RESET_REASON
         return stream.fault.value if stream.fault else f"answered {stream.message.status}, ended"
 
     async def _apply_until_end(self, stream: HttpStream, sock: socket.socket, silent_at: float) -> bool:
--- a/sloeferry/network/http1/stream.py
+++ b/sloeferry/network/http1/stream.py
@@ -33,6 +33,7 @@
         self._buffers = buffers
         self._reject_unparsed = reject_unparsed
         self._receiving: asyncio.Task | None = None  # a receive that outlasted its timeout
+        self.was_reset = False  # the connection ended with an error, not with the end of the stream
 
     def close(self) -> None:
         """Stop reading and release the parser."""
@@ -68,7 +69,7 @@
                 return StreamEnd.REJECTED_UNPARSED
             return self.feed(buffer, length)
         except OSError:
-            self.fault = StreamEnd.CLOSED
+            self.fault, self.was_reset = StreamEnd.CLOSED, True
         finally:
             self._buffers.release(buffer)
         return self.fault
--- a/sloeferry/policy/endpoint_staleness.py
+++ b/sloeferry/policy/endpoint_staleness.py
@@ -77,11 +77,12 @@
         self.is_watch_overdue = False  # a watch was closed as silent, and no list was received since
         self._is_polled = is_polled
         self._is_on_sockets = limits.notification_limit_ms < inf
-        # Start of a possible outage, and whether notifications may have stopped because discovery is out of reach.
+        # Start of a possible outage, whether notifications may have stopped because discovery is out of reach, and whether
+        # anything but an unanswered poll shows that: a crowded discovery leaves polls unanswered, too.
         self._outage_since = now
         self._may_be_outage = True
-        # Initially the whole notification limit: there has been no watch whose end could date the outage.
-        self._outage_gap_ms = limits.notification_limit_ms
+        self._has_outage_sign = False
+        self._outage_gap_ms = MAX_GAPLESS_MS
 
     def is_usable(self, now: float) -> bool:
         """Return whether requests may be sent by this list."""
@@ -95,6 +96,7 @@
         self.cause = StalenessCause.WATCHED
         self.usable_until = self.trusted_until + self.limits.notification_limit_ms
         self._may_be_outage, self._outage_gap_ms, self.is_watch_overdue = True, MAX_GAPLESS_MS, False
+        self._has_outage_sign = False
 
     def poll_began(self, now: float) -> None:
         """Record the start of a poll, from which the limit of the settings runs in the simulator, where it is the only one."""
@@ -115,9 +117,14 @@
             self.cause = StalenessCause.POLL_FAILED
             self.usable_until = now + FAILED_POLL_FACTOR * self.poll_within_ms
 
-    def watch_ended(self, now: float) -> None:
-        """Record the end of a watch that had sent its list.  It may have ended instead of sending a change made just before."""
+    def watch_ended(self, now: float, was_reset: bool) -> None:
+        """Record the end of a watch that had sent its list.  It may have ended instead of sending a change made just before.
+
+        `was_reset`: the connection was reset, which is what remains of a discovery that has gone down.  An orderly end is the
+        act of one that runs.
+        """
         if self.cause is StalenessCause.WATCHED:
+            self._has_outage_sign = was_reset
             self.trusted_until = max(self.trusted_until, now - WATCH_DELAY_MS)
         self._outage_since = now
         limit_ms = self.limits.ended_watch_notification_limit_ms if self._is_polled else self.limits.notification_limit_ms
@@ -138,13 +145,23 @@
         limit_ms = self.limits.notification_limit_ms if self._is_polled else self.limits.moved_notification_limit_ms
         self._limit(StalenessCause.DISCOVERY_MOVED, limit_ms)
 
+    def dial_failed(self, began_at: float, tried_at: float) -> bool:
+        """Record a poll that began at `began_at` and whose connection attempt of `tried_at` failed: discovery is out of reach.
+
+        Return whether it has been since the last message; otherwise a change may have been missed in between.
+        """
+        if not self._may_continue_outage(began_at):
+            return False
+        self._has_outage_sign = True
+        return self.poll_waiting(began_at, tried_at)
+
     def poll_waiting(self, began_at: float, tried_at: float) -> bool:
-        """Record a poll that is still waiting, and return whether that shows an outage of discovery.
+        """Record a poll that is still waiting, and return whether that belongs to an outage of discovery.
 
-        The poll began at `began_at`.  At `tried_at`, its connection attempt began and then failed, or its request was written and
-        has waited for longer than a reachable discovery lets a request wait.
+        The poll began at `began_at`, and its request, written at `tried_at`, has waited for long.  A discovery with too many
+        callers lets polls wait as well, and a change that it has counts as notified: without a sign of an outage, a wait is none.
         """
-        if not self._may_be_outage or began_at - self._outage_since > self._outage_gap_ms:
+        if not self._has_outage_sign or not self._may_continue_outage(began_at):
             return False
         # Notifications stopped because discovery has been out of reach since: no change was missed so far.
         self.trusted_until = max(self.trusted_until, tried_at)
@@ -152,9 +169,19 @@
         self.usable_until = self._allowed_until(self.trusted_until, began_at)
         return True
 
+    def _may_continue_outage(self, began_at: float) -> bool:
+        """Return whether discovery may have been out of reach without a gap up to a poll that began at `began_at`."""
+        return self._may_be_outage and began_at - self._outage_since <= self._outage_gap_ms
+
     def poll_failed(self, now: float, end: PollEnd, began_at: float, tried_at: float) -> None:
         """Record the end of a poll that returned no list; `began_at` and `tried_at` are those of `poll_waiting`."""
-        if end in (PollEnd.UNREACHABLE, PollEnd.UNANSWERED) and self.poll_waiting(began_at, tried_at):
+        is_outage = (
+            end is PollEnd.UNREACHABLE
+            and self.dial_failed(began_at, tried_at)
+            or end is PollEnd.UNANSWERED
+            and self.poll_waiting(began_at, tried_at)
+        )
+        if is_outage:
             self._outage_since, self._outage_gap_ms = now, self.limits.notification_limit_ms
             return
         self._may_be_outage = False
--- a/tests/network/test_discovery_watch.py
+++ b/tests/network/test_discovery_watch.py
@@ -4,10 +4,12 @@
 import contextlib
 import json
 import socket
+import struct
 from collections.abc import Iterator
 from typing import Any
 from unittest import mock
 
+import pytest
 from loguru import logger
 
 from sloeferry.network import sockets
@@ -15,7 +17,7 @@
 from tests.support.fake_backends import response
 from tests.support.fake_discovery import STREAM_HEAD
 from tests.support.instrumented_harness import InstrumentedHarness, wait_until
-from tests.support.proxy_harness import ScenarioChecker
+from tests.support.proxy_harness import ScenarioChecker, run_scenario
 
 BLANK_LINE = b"1\r\n\n\r\n"  # a chunk that contains a keep-alive line
 MAX_LIST_AGE_MS = 400_000  # so long that no poll is due because of the list's age
@@ -234,3 +236,23 @@
         harness.record(f"whichever a proxy met first: {zones['b']}, {zones['c']}")
 
     check_scenario(scenario, "watch_unknown_zones", InstrumentedHarness({"b": response(), "c": response()}))
+
+
+@pytest.mark.parametrize("is_reset", [True, False], ids=["reset", "orderly end"])
+def test_reset_of_a_watch_is_told_from_its_end(is_reset: bool):
+    """Guards against taking a crowded discovery for one that is down: only a watch that was reset is a sign of an outage."""
+
+    async def scenario(harness: InstrumentedHarness) -> None:
+        events = harness.dispatcher.endpoint_events
+        with mock.patch.object(events, "watch_ended", wraps=events.watch_ended) as ended:
+            writer = harness.discovery.watches[0]
+            if is_reset:
+                sock = writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                writer.transport.abort()
+            else:
+                writer.close()
+            await wait_until(lambda: ended.called)
+        ended.assert_called_once_with(is_reset)
+
+    run_scenario(scenario, InstrumentedHarness({"b": response()}, poll_within_ms=MAX_LIST_AGE_MS))
