--- a/sloeferry/fault_testing/link_relay.py
+++ b/sloeferry/fault_testing/link_relay.py
@@ -6,16 +6,14 @@
 
 import asyncio
 import enum
-import socket
-import struct
 from dataclasses import dataclass
 from typing import Any
 
 from sloeferry.fault_testing.recorded_events import Event, EventSink
 from sloeferry.stand_ins.http_messages import MessageReader
+from sloeferry.stand_ins.transports import reset
 from sloeferry.stand_ins.wire_protocol import REQUEST_ID
 
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, for 0 seconds
 BACKLOG = 1024
 RESET_DELAY_SECONDS = 0.005  # so that bytes forwarded before a break arrive before the reset
 
@@ -63,13 +61,6 @@
         return self.state is LinkState.HALF_OPEN
 
 
-def reset(transport: asyncio.Transport | None) -> None:
-    """Close a connection with a TCP reset instead of an orderly close."""
-    if transport and not transport.is_closing():
-        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        transport.abort()
-
-
 class Link:
     """A listening address that relays connections to a target address.
 
--- a/sloeferry/stand_ins/discovery.py
+++ b/sloeferry/stand_ins/discovery.py
@@ -5,8 +5,6 @@
 
 import asyncio
 import json
-import socket
-import struct
 from collections.abc import Collection, Mapping
 from random import Random
 from typing import TYPE_CHECKING
@@ -15,6 +13,7 @@
 from sloeferry.stand_ins.call_failures import CallFailure, inject_failure
 from sloeferry.stand_ins.http_messages import Message, MessageReader, make_response
 from sloeferry.stand_ins.run_observer import RunObserver
+from sloeferry.stand_ins.transports import reset
 from sloeferry.stand_ins.wire_protocol import ENDPOINTS_PATH, BackendState
 
 if TYPE_CHECKING:
@@ -22,7 +21,6 @@
     from sloeferry.stand_ins.backends import StandInBackend
 
 KEEP_ALIVE_INTERVAL_SECONDS = 2.0  # of the empty lines of a watch
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, for 0 seconds
 LISTEN_BACKLOG = 256
 WATCH_RESPONSE_HEAD = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
 EMPTY_LINE_CHUNK = b"1\r\n\n\r\n"
@@ -262,10 +260,8 @@
             self._send_document(self._sent_revision)
 
     def abort(self) -> None:
-        """Reset the connection, as the kernel does for a process that has died."""
-        if sock := self._transport.get_extra_info("socket"):  # a simulated transport has none, and resets by itself
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        self._transport.abort()
+        """Reset the connection."""
+        reset(self._transport)
 
     def _send_keep_alive(self) -> None:
         if not self._transport.is_closing():
