--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -480,9 +480,12 @@
         Without `StallAccounting._charge_stall` it counts as new, and is sent to a backend past its expiry.
         """
         scenario = scenarios.read_scenario(HERE / "paused_proxies.toml")
-        self.assertEqual(self.violations(scenario), ({}, []))
+        seeds = (2, 4)  # few draws have a request in the right moment
+        for seed in seeds:
+            self.assertEqual(self.violations(scenario, seed), ({}, []))
         with mock.patch.object(StallAccounting, "_charge_stall", lambda *_: None):
-            rules, texts = self.violations(scenario)
+            violations = [self.violations(scenario, seed) for seed in seeds]
+        rules, texts = next(each for each in violations if each[0])
         self.assertIn("1", rules, texts)
         self.assertIn("past its expiry", texts[0])
 
