--- a/sloeferry/network/connection_pool.py
+++ b/sloeferry/network/connection_pool.py
@@ -84,11 +84,15 @@
                 connection.mark_in_use()
                 if await self._wait_for_duplicates(connection):
                     return connection
-            if has_unread_bytes(connection.sock):
-                self.note_surplus_bytes()
-            connection.close()
+            self._close_unusable(connection)
         return None
 
+    def _close_unusable(self, connection: BackendConnection) -> None:
+        """Close a connection that was idle; bytes on it belong to no response."""
+        if has_unread_bytes(connection.sock):
+            self.note_surplus_bytes()
+        connection.close()
+
     def note_surplus_bytes(self) -> None:
         """Record that a backend sent bytes that belong to no response, such as a duplicate response."""
         self._duplicates_expected_until = environment.monotonic() + DUPLICATES_EXPECTED_SECONDS
@@ -152,7 +156,7 @@
             for connections in list(self.idle.values()):
                 for connection in list(connections):
                     if not connection.is_usable():
-                        connection.close()
+                        self._close_unusable(connection)
 
     def close(self) -> None:
         """Close all idle connections and forget all addresses."""
--- a/sloeferry/network/exchange.py
+++ b/sloeferry/network/exchange.py
@@ -187,7 +187,8 @@
                 await stream.receive()
             if stream.fault:
                 break
-            self._limit_response_time(stream)
+            if not stream.completed:
+                self._limit_response_time(stream)
         self._take_response()
 
     async def _receive_while_held_back(self, stream: HttpStream) -> bool:
--- a/tests/network/test_exchange.py
+++ b/tests/network/test_exchange.py
@@ -402,3 +402,40 @@
         assert pool._duplicate_seconds() == NEVER_SECONDS * factor
 
     run_scenario(scenario, EndlessDuplicateWaitHarness({"b": response()}))
+
+
+def test_connection_ends_while_catching_up():
+    """Guards against writing to a connection that its backend ended while the process caught up after a stall."""
+
+    async def scenario(harness: InstrumentedHarness) -> None:
+        exchanges = ExchangeMaker(harness)
+        assert (await exchanges.run(b"GET /x HTTP/1.1\r\n\r\n")).response is not None
+        [connection] = exchanges.pool.idle["b"]
+
+        async def catch_up() -> None:
+            exchanges._dispatcher.record_loop_iteration = lambda: None
+            harness.backends.writers[-1].close()
+            await wait_until(lambda: not sockets.is_open_and_idle(connection.sock))
+
+        exchanges._dispatcher.record_loop_iteration = lambda: asyncio.ensure_future(catch_up())
+        assert (await exchanges.run(b"GET /y HTTP/1.1\r\n\r\n")).response is not None
+
+    run_scenario(scenario, InstrumentedHarness({"b": response()}))
+
+
+def test_surplus_bytes_found_by_the_sweep_prolong_the_wait():
+    """Guards against a delayed duplicate response where the pool's sweep, and no request, finds the first one."""
+
+    async def scenario(harness: EndlessDuplicateWaitHarness) -> None:
+        await harness.request("safe", X_Call_Id="c1")
+        pool = harness.pool
+        [connection] = pool.idle["b"]
+        harness.backends.writers[-1].write(response("again"))
+        await wait_until(lambda: not sockets.is_open_and_idle(connection.sock))
+        pool.max_idle_seconds = 0.01
+        sweep = asyncio.ensure_future(pool.sweep())
+        await wait_until(lambda: not pool.idle["b"])
+        sweep.cancel()
+        assert pool._duplicate_seconds() == NEVER_SECONDS * connection_pool.DELAYED_DUPLICATE_MULTIPLE
+
+    run_scenario(scenario, EndlessDuplicateWaitHarness({"b": response()}))
