--- a/review/7/stand_ins.py
+++ b/review/7/stand_ins.py
@@ -10,6 +10,7 @@
 import pathlib
 import signal
 import socket
+import struct
 import tempfile
 import time
 import tomllib
@@ -145,6 +146,13 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection."""
+    with contextlib.suppress(OSError):
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 class Server:
     """A server on a free loopback port."""
 
@@ -166,7 +174,7 @@
     def reset_connections(self) -> None:
         """Reset all open connections."""
         for writer in list(self.streams):
-            writer.transport.abort()
+            reset(writer)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.streams[writer] = None
