Review case 7: an unreadable load report behind a hedge shifts a client's answers

Cause: an error in the task of an attempt whose request was handed over acts on a connection that another task serves. Nothing is mended.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,7 @@
-"""Bodies of 60,000 bytes in chunks of 4 bytes fill the proxy's memory; the platform kills it."""
+"""A hedged request whose slow answer brings an unreadable load report shifts all later answers on its client's connection."""
 
 import asyncio
+import random
 import sys
 import time
 
@@ -15,105 +16,96 @@
     read_body,
     read_head,
     request_class,
-    request_head,
+    response,
     run_case,
     settings,
 )
 
-MEMORY_MB, SOCKETS = 192, 1024  # the most that the deployment page gives on the days that are scored
-UPLOADS = 240  # clients hold a third of the descriptors at most
-BODY_BYTES = 60_000
-PIECE_BYTES, USUAL_PIECE_BYTES = 4, 4000
-BODY_BYTES_PER_SECOND = 64_000
+BACKENDS, CLIENTS = 4, 6
+BEFORE_SECONDS, TROUBLE_SECONDS = 3.0, 60.0
+STALL_SECONDS = 0.28  # the page: 80 to 290 ms
+PAUSE_SECONDS = 0.6  # between two stalls, each of one backend in turn: each stands still every 3.5 s
+AFTER_STALL_SECONDS = 0.02
 DEADLINE_MS = 800
-WATCH_SECONDS = 12.0  # from the first upload on
+UNREADABLE_REPORT = '{"inflight":%s,"queue":0,"util":0.5}' % ("9" * 400)
 
 
-async def upload(record: Record, proxy: Proxy, number: int, piece_bytes: int, counts: dict[str, int]) -> None:
-    """Send one request whose body comes in chunks of that size, at 64 kB a second, and count its answer by status."""
-    head = request_head(f"up{number}", "push", DEADLINE_MS, f"key{number}").replace(
-        b"Content-Length: 0\r\n", b"Transfer-Encoding: chunked\r\n"
-    )
-    chunks = b"%x\r\n%b\r\n" % (piece_bytes, b"m" * piece_bytes) * (BODY_BYTES // piece_bytes)
-    slices = 20
-    at_once = len(chunks) // slices + 1
-    status = "closed"
-    try:
-        reader, writer = await proxy.connect()
-        writer.write(head)
-        for at in range(0, len(chunks), at_once):
-            writer.write(chunks[at : at + at_once])
-            await writer.drain()
-            await asyncio.sleep(BODY_BYTES / BODY_BYTES_PER_SECOND / slices)
-        writer.write(b"0\r\n\r\n")
-        first, headers = await asyncio.wait_for(read_head(reader), 5.0)
-        await read_body(reader, headers)
-        status = first.split()[1]
-        writer.close()
-    except TimeoutError:
-        status = "none"
-    except (OSError, EOFError):
-        pass
-    counts[status] = counts.get(status, 0) + 1
+class Stalling(Backend):
+    """A backend that stands still at times, and then answers with a load report that can't be read."""
+
+    def __init__(self, record: Record, name: str):
+        super().__init__(record, name)
+        self._goes_on = asyncio.Event()
+        self._goes_on.set()
+        self._has_stalled = False
+
+    async def stall(self) -> None:
+        """Stand still; what was held meanwhile is answered with an unreadable load report."""
+        self.record.line(f"{self.name} stands still")
+        self._goes_on.clear()
+        self._has_stalled = True
+        await asyncio.sleep(STALL_SECONDS)
+        self._goes_on.set()
+        self.record.line(f"{self.name} goes on")
+        await asyncio.sleep(AFTER_STALL_SECONDS)
+        self._has_stalled = False
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve requests and probes until the connection ends."""
+        while True:
+            first, headers = await read_head(reader)
+            await read_body(reader, headers)
+            await self._goes_on.wait()
+            if first.split()[1] in ("/health", "/status/load"):
+                writer.write(response(200, self.report().encode()))
+                continue
+            request_id = headers.get("x-call-id", "")
+            self.inflight += 1
+            await asyncio.sleep(self.work_seconds)
+            await self._goes_on.wait()
+            self.inflight -= 1
+            self.record.line(f"{self.name} ran and answers {request_id}{', unreadable load report' if self._has_stalled else ''}")
+            report = UNREADABLE_REPORT if self._has_stalled else self.report()
+            writer.write(response(200, self.body_for(request_id), f"X-Load-Report: {report}"))
 
 
 async def ask_on(record: Record, proxy: Proxy, name: str, until: float, counts: dict[str, int]) -> None:
-    """Send small requests one after the other."""
+    """Send requests one after the other on one connection, and count the answers by status, and the wrong ones."""
     client, number = Client(record, proxy), 0
-    while time.monotonic() < until and proxy.process.returncode is None:
+    while time.monotonic() < until:
         number += 1
-        status, _ = await client.ask(f"{name}-{number}", "pull", DEADLINE_MS)
+        request_id = f"{name}-{number}"
+        status, answer = await client.ask(request_id, "pull", DEADLINE_MS)
+        if status == "200" and answer != f"made for {request_id}".encode():
+            status = "wrong"
+            record.line(f"WRONG: {request_id} got {answer!r}")
         counts[status] = counts.get(status, 0) + 1
-        await asyncio.sleep(0.2)
     client.close()
 
 
-async def watch_memory(record: Record, proxy: Proxy, until: float) -> bool:
-    """Do what the platform does: kill the proxy once it is over its memory limit; return whether that happened."""
-    most = 0.0
-    while time.monotonic() < until and proxy.process.returncode is None:
-        memory_mb = proxy.memory_mb()
-        if memory_mb > most + 10:
-            most = memory_mb
-            record.line(f"proxy holds {memory_mb:.0f} MB")
-        if memory_mb > MEMORY_MB:
-            record.line(f"platform kills the proxy: {memory_mb:.0f} MB, limit {MEMORY_MB} MB")
-            proxy.process.kill()
-            await proxy.process.wait()
-            return True
-        await asyncio.sleep(0.02)
-    record.line(f"most that the proxy held: {most:.0f} MB or up to 10 MB more")
-    return proxy.process.returncode is not None
-
-
 async def play(record: Record, has_trouble: bool) -> int:
     """Play the case."""
     discovery = Discovery(record)
     await discovery.start()
-    backends = [Backend(record, f"b{number}") for number in range(4)]
+    backends = [Stalling(record, f"b{number}") for number in range(BACKENDS)]
     for backend in backends:
         await backend.start()
         discovery.add(backend.name, backend.address)
-    classes = [request_class("pull", "retryable"), request_class("push", "dedup")]
-    limits = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS}
-    proxy = Proxy(record, discovery, settings(classes), limits=limits)
+    proxy = Proxy(record, discovery, settings([request_class("pull", "retryable"), request_class("push", "dedup")]))
+    counts: dict[str, int] = {}
     try:
         await proxy.start()
         await proxy.until_ready()
-        piece_bytes = PIECE_BYTES if has_trouble else USUAL_PIECE_BYTES
-        record.line(
-            f"{UPLOADS} clients send {BODY_BYTES} bytes each in chunks of {piece_bytes}, {BODY_BYTES_PER_SECOND} a second"
-        )
-        until = time.monotonic() + WATCH_SECONDS
-        uploads: dict[str, int] = {}
-        asked: dict[str, int] = {}
-        is_killed, *_ = await asyncio.gather(
-            watch_memory(record, proxy, until),
-            *[ask_on(record, proxy, f"c{number}", until, asked) for number in range(4)],
-            *[upload(record, proxy, number, piece_bytes, uploads) for number in range(UPLOADS)],
-        )
-        record.line(f"answers to uploads by status: {uploads}; to small requests: {asked}")
-        return BROKEN if is_killed else HELD
+        until = time.monotonic() + BEFORE_SECONDS + TROUBLE_SECONDS
+        clients = [asyncio.create_task(ask_on(record, proxy, f"c{number}", until, counts)) for number in range(CLIENTS)]
+        await asyncio.sleep(BEFORE_SECONDS)
+        turns = random.Random(3)
+        while has_trouble and time.monotonic() < until - 1.0:
+            await turns.choice(backends).stall()
+            await asyncio.sleep(PAUSE_SECONDS)
+        await asyncio.gather(*clients)
+        record.line(f"answers by status, and answers with what was made for another request ('wrong'): {counts}")
+        return BROKEN if counts.get("wrong") else HELD
     finally:
         await proxy.stop()
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,8 +1,6 @@
-"""A client that reads a long answer at 100 kB a second is cut off before its end."""
+"""Bodies of 60,000 bytes in chunks of 4 bytes fill the proxy's memory; the platform kills it."""
 
 import asyncio
-import contextlib
-import socket
 import sys
 import time
 
@@ -10,97 +8,112 @@
     BROKEN,
     HELD,
     Backend,
-    CouldNotRunError,
+    Client,
     Discovery,
-    Headers,
     Proxy,
     Record,
+    read_body,
+    read_head,
     request_class,
     request_head,
     run_case,
     settings,
 )
 
-ANSWER_BYTES = 5_000_000  # 32 MB at most by the page
-READ_BYTES_PER_SECOND = 100_000  # above the 64 kB a second of the page
-READS_PER_SECOND = 10
+MEMORY_MB, SOCKETS = 192, 1024  # the most that the deployment page gives on the days that are scored
+UPLOADS = 240  # clients hold a third of the descriptors at most
+BODY_BYTES = 60_000
+PIECE_BYTES, USUAL_PIECE_BYTES = 4, 4000
+BODY_BYTES_PER_SECOND = 64_000
 DEADLINE_MS = 800
-HEAD_END = b"\r\n\r\n"
+WATCH_SECONDS = 12.0  # from the first upload on
 
 
-class LongAnswers(Backend):
-    """A backend whose answers are long; it writes them as fast as they are taken."""
+async def upload(record: Record, proxy: Proxy, number: int, piece_bytes: int, counts: dict[str, int]) -> None:
+    """Send one request whose body comes in chunks of that size, at 64 kB a second, and count its answer by status."""
+    head = request_head(f"up{number}", "push", DEADLINE_MS, f"key{number}").replace(
+        b"Content-Length: 0\r\n", b"Transfer-Encoding: chunked\r\n"
+    )
+    chunks = b"%x\r\n%b\r\n" % (piece_bytes, b"m" * piece_bytes) * (BODY_BYTES // piece_bytes)
+    slices = 20
+    at_once = len(chunks) // slices + 1
+    status = "closed"
+    try:
+        reader, writer = await proxy.connect()
+        writer.write(head)
+        for at in range(0, len(chunks), at_once):
+            writer.write(chunks[at : at + at_once])
+            await writer.drain()
+            await asyncio.sleep(BODY_BYTES / BODY_BYTES_PER_SECOND / slices)
+        writer.write(b"0\r\n\r\n")
+        first, headers = await asyncio.wait_for(read_head(reader), 5.0)
+        await read_body(reader, headers)
+        status = first.split()[1]
+        writer.close()
+    except TimeoutError:
+        status = "none"
+    except (OSError, EOFError):
+        pass
+    counts[status] = counts.get(status, 0) + 1
 
-    def body_for(self, request_id: str) -> bytes:
-        """Return a body that depends on the request in all of its length."""
-        line = f"{request_id} layer\n".encode()
-        return line * (ANSWER_BYTES // len(line))
 
-    async def answer(self, request_id: str, headers: Headers, body: bytes, writer: asyncio.StreamWriter) -> None:
-        """Work, then write the whole answer."""
-        await asyncio.sleep(self.work_seconds)
-        answer = self.body_for(request_id)
-        self.record.line(f"{self.name} ran {request_id} and begins its answer of {len(answer)} bytes")
-        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(answer))
-        for at in range(0, len(answer), 65536):
-            writer.write(answer[at : at + 65536])
-            await writer.drain()
-        self.record.line(f"{self.name} has written all of the answer to {request_id}")
+async def ask_on(record: Record, proxy: Proxy, name: str, until: float, counts: dict[str, int]) -> None:
+    """Send small requests one after the other."""
+    client, number = Client(record, proxy), 0
+    while time.monotonic() < until and proxy.process.returncode is None:
+        number += 1
+        status, _ = await client.ask(f"{name}-{number}", "pull", DEADLINE_MS)
+        counts[status] = counts.get(status, 0) + 1
+        await asyncio.sleep(0.2)
+    client.close()
 
 
-async def fetch(record: Record, proxy: Proxy, request_id: str, bytes_per_second: float) -> bytes:
-    """Send a request, read its answer evenly at that rate, and return the body as far as it came."""
-    loop = asyncio.get_running_loop()
-    with socket.socket() as sock:
-        sock.setblocking(False)
-        await loop.sock_connect(sock, ("127.0.0.1", proxy.port))
-        await loop.sock_sendall(sock, request_head(request_id, "pull", DEADLINE_MS))
-        record.line(f"client sends {request_id}")
-        received, length, began, next_line = bytearray(), None, time.monotonic(), 500_000
-        with contextlib.suppress(OSError):
-            while length is None or len(received) < length:
-                data = await loop.sock_recv(sock, max(1, int(bytes_per_second / READS_PER_SECOND)))
-                if not data:
-                    record.line(f"client reads the end of the connection of {request_id}")
-                    break
-                received += data
-                if length is None and HEAD_END in received:
-                    head, _, _ = bytes(received).partition(HEAD_END)
-                    lengths = [
-                        int(line.split(b":")[1]) for line in head.split(b"\r\n") if line.lower().startswith(b"content-length")
-                    ]
-                    length = len(head) + len(HEAD_END) + (lengths[0] if lengths else 0)
-                    record.line(f"client has the head of {request_id}: {head.splitlines()[0]!r}, {lengths}")
-                if len(received) >= next_line:
-                    record.line(f"client has read {len(received)} bytes of {request_id}")
-                    next_line += 500_000
-                await asyncio.sleep(began + len(received) / bytes_per_second - time.monotonic())
-    record.line(f"client is done with {request_id}: {len(received)} of {length} bytes in {time.monotonic() - began:.1f} s")
-    return bytes(received).partition(HEAD_END)[2]
+async def watch_memory(record: Record, proxy: Proxy, until: float) -> bool:
+    """Do what the platform does: kill the proxy once it is over its memory limit; return whether that happened."""
+    most = 0.0
+    while time.monotonic() < until and proxy.process.returncode is None:
+        memory_mb = proxy.memory_mb()
+        if memory_mb > most + 10:
+            most = memory_mb
+            record.line(f"proxy holds {memory_mb:.0f} MB")
+        if memory_mb > MEMORY_MB:
+            record.line(f"platform kills the proxy: {memory_mb:.0f} MB, limit {MEMORY_MB} MB")
+            proxy.process.kill()
+            await proxy.process.wait()
+            return True
+        await asyncio.sleep(0.02)
+    record.line(f"most that the proxy held: {most:.0f} MB or up to 10 MB more")
+    return proxy.process.returncode is not None
 
 
 async def play(record: Record, has_trouble: bool) -> int:
     """Play the case."""
     discovery = Discovery(record)
     await discovery.start()
-    backends = [LongAnswers(record, f"b{number}") for number in range(2)]
+    backends = [Backend(record, f"b{number}") for number in range(4)]
     for backend in backends:
         await backend.start()
         discovery.add(backend.name, backend.address)
     classes = [request_class("pull", "retryable"), request_class("push", "dedup")]
-    proxy = Proxy(record, discovery, settings(classes))
+    limits = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS}
+    proxy = Proxy(record, discovery, settings(classes), limits=limits)
     try:
         await proxy.start()
         await proxy.until_ready()
-        quick = await fetch(record, proxy, "quick-1", 1e9)
-        if quick != backends[0].body_for("quick-1"):
-            raise CouldNotRunError("a client that reads at full speed does not get its answer")
-        body = await fetch(record, proxy, "slow-1", READ_BYTES_PER_SECOND if has_trouble else 1e9)
-        is_whole = body == backends[0].body_for("slow-1")
+        piece_bytes = PIECE_BYTES if has_trouble else USUAL_PIECE_BYTES
         record.line(
-            f"the answer to slow-1 is {'whole' if is_whole else 'not whole'}, the proxy's exit: {proxy.process.returncode}"
+            f"{UPLOADS} clients send {BODY_BYTES} bytes each in chunks of {piece_bytes}, {BODY_BYTES_PER_SECOND} a second"
+        )
+        until = time.monotonic() + WATCH_SECONDS
+        uploads: dict[str, int] = {}
+        asked: dict[str, int] = {}
+        is_killed, *_ = await asyncio.gather(
+            watch_memory(record, proxy, until),
+            *[ask_on(record, proxy, f"c{number}", until, asked) for number in range(4)],
+            *[upload(record, proxy, number, piece_bytes, uploads) for number in range(UPLOADS)],
         )
-        return HELD if is_whole else BROKEN
+        record.line(f"answers to uploads by status: {uploads}; to small requests: {asked}")
+        return BROKEN if is_killed else HELD
     finally:
         await proxy.stop()
 
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,6 +1,8 @@
-"""Discovery comes back after an outage and has too many callers; a drain that it has by then is not acted on."""
+"""A client that reads a long answer at 100 kB a second is cut off before its end."""
 
 import asyncio
+import contextlib
+import socket
 import sys
 import time
 
@@ -8,104 +10,97 @@
     BROKEN,
     HELD,
     Backend,
-    Client,
     CouldNotRunError,
     Discovery,
+    Headers,
     Proxy,
     Record,
     request_class,
-    response,
+    request_head,
     run_case,
     settings,
 )
 
-BEFORE_SECONDS = 3.0
-OUTAGE_SECONDS = 5.0  # the page: 8 s
-DRAIN_AFTER_SECONDS = 0.2  # from the return of discovery
-CALL_SECONDS = 1.0  # a call that has waited so long for its turn fails (`timeout_ms` of the site)
-CROWD_SECONDS = 10.0  # from the return of discovery; then the test ends
-TOLD_AFTER_SECONDS = 6.0  # at the latest, from when discovery has a change and can be reached
-GRACE_SECONDS = 0.25 + 0.05  # of a drain, and the slack on sockets
+ANSWER_BYTES = 5_000_000  # 32 MB at most by the page
+READ_BYTES_PER_SECOND = 100_000  # above the 64 kB a second of the page
+READS_PER_SECOND = 10
 DEADLINE_MS = 800
-CLIENTS = 4
+HEAD_END = b"\r\n\r\n"
 
 
-class CrowdedDiscovery(Discovery):
-    """Discovery that works through calls in turn; while it is crowded, calls fail as they have waited too long."""
+class LongAnswers(Backend):
+    """A backend whose answers are long; it writes them as fast as they are taken."""
 
-    is_crowded = False
+    def body_for(self, request_id: str) -> bytes:
+        """Return a body that depends on the request in all of its length."""
+        line = f"{request_id} layer\n".encode()
+        return line * (ANSWER_BYTES // len(line))
 
-    async def call(self, path: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Answer a call, unless too many others are before it."""
-        if not self.is_crowded:
-            await super().call(path, reader, writer)
-            return
-        self.record.line(f"discovery takes the call {path}, others are before it")
-        await asyncio.sleep(CALL_SECONDS)
-        if not self.is_crowded:
-            await super().call(path, reader, writer)
-            return
-        self.record.line(f"discovery ends the call {path}, which has waited {CALL_SECONDS} s, with 503")
-        writer.write(response(503))
+    async def answer(self, request_id: str, headers: Headers, body: bytes, writer: asyncio.StreamWriter) -> None:
+        """Work, then write the whole answer."""
+        await asyncio.sleep(self.work_seconds)
+        answer = self.body_for(request_id)
+        self.record.line(f"{self.name} ran {request_id} and begins its answer of {len(answer)} bytes")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(answer))
+        for at in range(0, len(answer), 65536):
+            writer.write(answer[at : at + 65536])
+            await writer.drain()
+        self.record.line(f"{self.name} has written all of the answer to {request_id}")
 
-    def go_down(self) -> None:
-        """End watches, refuse calls."""
-        self.record.line("discovery goes down")
-        self.stop_listening()
-        self.reset_connections()
 
-    async def come_back(self, is_crowded: bool) -> None:
-        """Take calls again at the same address."""
-        self.is_crowded = is_crowded
-        await self.start(int(self.address.rpartition(":")[2]))
-        self.record.line(f"discovery is back and takes calls{', with too many callers' if is_crowded else ''}")
-
-
-async def ask_on(client: Client, name: str, until: float) -> None:
-    """Send requests one after the other."""
-    number = 0
-    while time.monotonic() < until:
-        number += 1
-        await client.ask(f"{name}-{number}", "pull", DEADLINE_MS)
-        await asyncio.sleep(0.05)
-    client.close()
+async def fetch(record: Record, proxy: Proxy, request_id: str, bytes_per_second: float) -> bytes:
+    """Send a request, read its answer evenly at that rate, and return the body as far as it came."""
+    loop = asyncio.get_running_loop()
+    with socket.socket() as sock:
+        sock.setblocking(False)
+        await loop.sock_connect(sock, ("127.0.0.1", proxy.port))
+        await loop.sock_sendall(sock, request_head(request_id, "pull", DEADLINE_MS))
+        record.line(f"client sends {request_id}")
+        received, length, began, next_line = bytearray(), None, time.monotonic(), 500_000
+        with contextlib.suppress(OSError):
+            while length is None or len(received) < length:
+                data = await loop.sock_recv(sock, max(1, int(bytes_per_second / READS_PER_SECOND)))
+                if not data:
+                    record.line(f"client reads the end of the connection of {request_id}")
+                    break
+                received += data
+                if length is None and HEAD_END in received:
+                    head, _, _ = bytes(received).partition(HEAD_END)
+                    lengths = [
+                        int(line.split(b":")[1]) for line in head.split(b"\r\n") if line.lower().startswith(b"content-length")
+                    ]
+                    length = len(head) + len(HEAD_END) + (lengths[0] if lengths else 0)
+                    record.line(f"client has the head of {request_id}: {head.splitlines()[0]!r}, {lengths}")
+                if len(received) >= next_line:
+                    record.line(f"client has read {len(received)} bytes of {request_id}")
+                    next_line += 500_000
+                await asyncio.sleep(began + len(received) / bytes_per_second - time.monotonic())
+    record.line(f"client is done with {request_id}: {len(received)} of {length} bytes in {time.monotonic() - began:.1f} s")
+    return bytes(received).partition(HEAD_END)[2]
 
 
 async def play(record: Record, has_trouble: bool) -> int:
     """Play the case."""
-    discovery = CrowdedDiscovery(record)
+    discovery = Discovery(record)
     await discovery.start()
-    backends = [Backend(record, f"b{number}") for number in range(4)]
+    backends = [LongAnswers(record, f"b{number}") for number in range(2)]
     for backend in backends:
         await backend.start()
         discovery.add(backend.name, backend.address)
-    proxy = Proxy(record, discovery, settings([request_class("pull", "retryable"), request_class("push", "dedup")]))
-    leaving = backends[0]
+    classes = [request_class("pull", "retryable"), request_class("push", "dedup")]
+    proxy = Proxy(record, discovery, settings(classes))
     try:
         await proxy.start()
         await proxy.until_ready()
-        ends = time.monotonic() + BEFORE_SECONDS + OUTAGE_SECONDS + CROWD_SECONDS
-        clients = [asyncio.create_task(ask_on(Client(record, proxy), f"c{number}", ends)) for number in range(CLIENTS)]
-        await asyncio.sleep(BEFORE_SECONDS)
-        if not leaving.ran:
-            raise CouldNotRunError(f"{leaving.name} got no request before the outage")
-        if has_trouble:
-            discovery.go_down()
-        await asyncio.sleep(OUTAGE_SECONDS)
-        if has_trouble:
-            await discovery.come_back(is_crowded=True)
-        await asyncio.sleep(DRAIN_AFTER_SECONDS)
-        discovery.set_phase(leaving.name, "leaving")
-        told_at = time.monotonic() + TOLD_AFTER_SECONDS
-        await asyncio.gather(*clients)
-        last_at = told_at + GRACE_SECONDS
-        late = [request_id for at, request_id in leaving.ran if at > last_at]
-        last = max(at for at, _ in leaving.ran) - last_at
-        record.line(f"told {TOLD_AFTER_SECONDS} s after discovery had the drain; requests may begin {GRACE_SECONDS} s more")
+        quick = await fetch(record, proxy, "quick-1", 1e9)
+        if quick != backends[0].body_for("quick-1"):
+            raise CouldNotRunError("a client that reads at full speed does not get its answer")
+        body = await fetch(record, proxy, "slow-1", READ_BYTES_PER_SECOND if has_trouble else 1e9)
+        is_whole = body == backends[0].body_for("slow-1")
         record.line(
-            f"{leaving.name} got {len(late)} requests after that, the last one {last:+.2f} s from it: {' '.join(late[:40])}"
+            f"the answer to slow-1 is {'whole' if is_whole else 'not whole'}, the proxy's exit: {proxy.process.returncode}"
         )
-        return BROKEN if late else HELD
+        return HELD if is_whole else BROKEN
     finally:
         await proxy.stop()
 
