A task that handed its connection over can no longer act on it, however it ends

Cause: whether a task still serves its connection was told by the value that an attempt returns. An exception returns none: the former task of a hedged request dropped the request in flight, wrote a 504 and read on beside the new owner. A cancellation after the attempt dropped that request, too.

Change: one owner, ClientConnection.task, and one condition, is_owned_by_current_task, which reading on, replying, dropping and closing ask. AttemptRunner no longer tells of take-overs.

Test: test_former_task_leaves_the_connection_alone, with an exception and with a cancellation, failed before; its twin, a task that ends as usual, passed before.

--- a/sloeferry/network/attempt.py
+++ b/sloeferry/network/attempt.py
@@ -47,10 +47,10 @@
         self._timers = timers
         self._load_reports = load_reports
 
-    async def run(self, request: OutgoingRequest, command: SendAttempt, is_inline: bool = False) -> bool:
-        """Run one attempt, report its end, and return whether another task has taken over the request during it.
+    async def run(self, request: OutgoingRequest, command: SendAttempt, is_inline: bool = False) -> None:
+        """Run one attempt and report its end.
 
-        `is_inline`: the task of the client connection runs the attempt itself.  A takeover by another task clears
+        `is_inline`: the task of the client connection runs the attempt itself, so that commands which arrive during it go to
         `RequestContext.on_command`.
         """
         context, number = request.context, command.attempt_number
@@ -65,14 +65,12 @@
         if response:
             load_report = self._load_reports.read(response.header(protocol.LOAD_REPORT))
             end = _classify(response)
-        was_taken_over = is_inline and context.on_command is None
         if is_inline:
             context.on_command = None  # the task is free again and carries out the commands that follow from the report itself
         duration_ms = environment.monotonic_ms() - started_at
         is_used = self._report(context, number, result._replace(end=end), duration_ms, load_report)
         if response and response.body_stream and (not is_used or context.is_abandoned):
             response.body_stream.close()
-        return was_taken_over
 
     def _plan(self, request: OutgoingRequest, command: SendAttempt, started_at: float) -> ExchangePlan:
         context, number, endpoint_id = request.context, command.attempt_number, command.endpoint_id
--- a/sloeferry/network/client_connection.py
+++ b/sloeferry/network/client_connection.py
@@ -55,17 +55,26 @@
                 keep_alive = await self._reply(message, await self.request_runner.run(request, message))
             while keep_alive:
                 keep_alive = await self._serve_next()
-            if keep_alive is False and self.stream.fault is not StreamEnd.CLOSED and not is_open_and_idle(self.sock):
+            if self.is_owned_by_current_task() and self._has_unread_input():
                 await self.reply_writer.lingering_close()  # unread bytes would reset the connection
         except OSError:  # the client has disconnected, or a write failed
-            keep_alive = False
+            pass
         except Exception as error:  # an error ends this connection only
             logger.opt(exception=True).error("connection failed: {!r}", error)
-            keep_alive = False
         finally:
-            if keep_alive is not None:  # None: another task owns the connection now
+            if self.is_owned_by_current_task():
                 self.close()
 
+    def is_owned_by_current_task(self) -> bool:
+        """Return whether the current task serves this connection: it alone reads requests, writes replies and closes.
+
+        A task loses the connection to the one that `hand_over` starts, and when the connection is closed.
+        """
+        return not self.is_closed and asyncio.current_task() is self.task
+
+    def _has_unread_input(self) -> bool:
+        return self.stream.fault is not StreamEnd.CLOSED and not is_open_and_idle(self.sock)
+
     def hand_over(self, request: OutgoingRequest, message: Message) -> None:
         """Let a new task execute a command that arrived while this connection's task runs an attempt."""
         self.server.tasks.adopt(self.task)
--- a/sloeferry/network/request_runner.py
+++ b/sloeferry/network/request_runner.py
@@ -6,8 +6,8 @@
    `ClientConnection.hand_over`.
 2. A command that arrives during the attempt (a hedge, a rejection) calls it once: a new task takes over the request and the
    connection, and the previous task is kept until its attempt has ended.
-3. When the inline attempt ends, a cleared `on_command` shows `AttemptRunner.run` that the request was handed over. It reports
-   the end of the attempt, and the previous task returns without a reply (`None` up to `ClientConnection.serve`).
+3. When the inline attempt has ended, in whatever way, the previous task finds that it no longer owns the connection
+   (`ClientConnection.is_owned_by_current_task`), and returns without a reply (`None` up to `ClientConnection.serve`).
 """
 
 import asyncio
@@ -81,7 +81,8 @@
         except Exception as error:
             return self._fail(error)
         except BaseException:  # the connection is closing, which also ends its request
-            self.drop()
+            if self._connection.is_owned_by_current_task():
+                self.drop()
             raise
         if reply is not None:
             self._release()
@@ -116,14 +117,18 @@
             return False
         attempts[command.attempt_number] = self._connection.task
         context.on_command = functools.partial(self._connection.hand_over, request, message)
-        if await runner.run(request, command, is_inline=True):
+        await runner.run(request, command, is_inline=True)
+        if not self._connection.is_owned_by_current_task():
             return True
         attempts.clear()
         return False
 
-    def _fail(self, error: Exception) -> Reply:
+    def _fail(self, error: Exception) -> Reply | None:
+        """End the request with a failure; without effect on the connection if another task has taken it over."""
         # Logged without the stack trace: a stall can make many requests fail at once, and traces would prolong it.
         warn("request failed", "id={!r} error={!r}", self._request_id, error)
+        if not self._connection.is_owned_by_current_task():
+            return None
         self.drop()
         return client_replies.FAILED
 
