--- a/sloeferry/config/settings_reader.py
+++ b/sloeferry/config/settings_reader.py
@@ -6,6 +6,7 @@
 """
 
 import math
+import sys
 from collections.abc import Iterator, Mapping
 from typing import Any
 
@@ -94,7 +95,7 @@
 
 
 def decode_value(key: str, text: Any) -> Any:
-    """Return a setting as a number, bool or text, with times in milliseconds."""
+    """Return a setting as a number, bool or text, with times in milliseconds; numbers that no float can hold as infinity."""
     if isinstance(text, str):
         if text in ("true", "false"):
             return text == "true"
@@ -104,6 +105,8 @@
             return text
     if isinstance(text, bool) or text is None:
         return text
+    if abs(text) > sys.float_info.max:  # an integer of JSON may have any number of digits
+        text = math.inf if text > 0 else -math.inf
     return text / MICROSECONDS_PER_MS if key.rpartition(".")[2] in TIME_KEYS else text
 
 
@@ -164,9 +167,12 @@
 def _quota_weight(flat: Mapping[str, Any], at: int) -> float:
     given = flat.get(f"tenants.{at}.share") or 1.0
     try:
-        return float(given)
+        share = float(given)
     except (TypeError, ValueError):
-        raise ConfigError(f"settings.tenants.{at}.share", f"{given!r} is not a number") from None
+        share = math.nan
+    if not math.isfinite(share):
+        raise ConfigError(f"settings.tenants.{at}.share", f"{given!r} is not a number")
+    return share
 
 
 def _request_classes(flat: Mapping[str, Any]) -> Iterator[RequestClassSettings]:
--- a/sloeferry/network/attempt.py
+++ b/sloeferry/network/attempt.py
@@ -61,12 +61,12 @@
             body.release(number)  # all of it is still buffered: another attempt may send it
         elif body and body.last_byte_at_ms:
             started_at = body.last_byte_at_ms  # the time before that was spent by the client, not by the backend
+        if is_inline:
+            context.on_command = None  # the task is free again and carries out the commands that follow from the report itself
         end, load_report, response = result.end, NO_REPORT, result.response
         if response:
-            load_report = self._load_reports.read(response.header(protocol.LOAD_REPORT))
             end = _classify(response)
-        if is_inline:
-            context.on_command = None  # the task is free again and carries out the commands that follow from the report itself
+            load_report = self._load_reports.read(response.header(protocol.LOAD_REPORT))
         duration_ms = environment.monotonic_ms() - started_at
         is_used = self._report(context, number, result._replace(end=end), duration_ms, load_report)
         if response and response.body_stream and (not is_used or context.is_abandoned):
--- a/sloeferry/network/json_stream.py
+++ b/sloeferry/network/json_stream.py
@@ -41,7 +41,7 @@
                 except json.JSONDecodeError as error:
                     if self._may_be_incomplete(error):
                         break
-                except RecursionError:
+                except (RecursionError, ValueError):  # nested too deeply, or a number with too many digits
                     pass
             _, newline, rest = self.pending.partition("\n")
             if not newline:
--- a/tests/config/test_instance.py
+++ b/tests/config/test_instance.py
@@ -6,6 +6,8 @@
 import tempfile
 from typing import Any
 
+import pytest
+
 from sloeferry.config.errors import ConfigError
 from sloeferry.config.instance import InstanceConfig, read_instance_config
 from sloeferry.stand_ins.processes import free_ports
@@ -117,3 +119,14 @@
                 process.kill()
     assert "listens on" in first["record"]["message"]
     assert first["record"]["level"]["name"] == "INFO"
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [("settings.step", 10**400), ("settings.limits", {"most_postings": 10**400}), ("settings.tenants.0.share", 10**400)],
+    ids=["time", "count", "share"],
+)
+def test_number_that_no_float_holds_is_a_config_error(path: str, value: Any):
+    """Guards against an OverflowError in place of the one line that names the key: JSON's integers have any number of digits."""
+    error = read(changed(path, value))
+    assert error.startswith(path) and "is not a number" in error
--- a/tests/network/test_json_stream.py
+++ b/tests/network/test_json_stream.py
@@ -12,7 +12,7 @@
     "nested": {"a": {"b": {}}},
     "text": {"id": 'a "}\\" { b', "umlaut": "ü}{", "n": None},
 }
-UNREADABLE = ["nonsense", "3", "{ no", '{"a": [']
+UNREADABLE = ["nonsense", "3", "{ no", '{"a": [', '{"a": %s}' % ("9" * 5000)]
 INDENTS = [None, 0, 1, 4, "\t"]
 ENDS = ["\n", "\r\n", "\n\n", " \n"]
 PIECES = st.tuples(st.sampled_from([*OBJECTS, *UNREADABLE]), st.sampled_from(INDENTS), st.sampled_from(ENDS))
