A slow reader is cut off only if it has stopped reading, not if one write lasts

Cause: a write of 16 KiB that lasted over 5 s (10 s to a backend) was taken for a peer that has stopped. A write waits until a third of the send buffer is free (it grows to 4 MB), and the peer's kernel makes room in steps: measured on loopback, 0.5 s to 1.7 s between acknowledgements at 64 to 100 kB/s, 10 and 11 s after a quick beginning of 30 MB.

Change: WriteProgress asks the kernel what the peer has taken (TIOCOUTQ). It has stopped if that has not changed for 5 s (10 s), and the writes have waited longer than that and what was taken at 32 KiB/s. Both are needed, so nobody is cut off who was not before. Where the system does not tell, what is written counts as taken.

--- a/sloeferry/environment.py
+++ b/sloeferry/environment.py
@@ -4,14 +4,18 @@
 clock and network (`sloeferry/rehearsal/`), and tests inject failing system calls.
 """
 
+import fcntl
 import select
 import socket
+import struct
+import termios
 import time
 from typing import Any
 
 monotonic = time.monotonic  # seconds
 unix_time = time.time  # seconds
 epoll = select.epoll
+_C_INT = struct.Struct("i")
 
 
 def monotonic_ms() -> float:
@@ -31,6 +35,14 @@
     return bool(poll.poll(0))
 
 
+def unacknowledged_bytes(sock: socket.socket) -> int | None:
+    """Return how many written bytes the peer's kernel has not acknowledged; None if the system does not tell."""
+    try:
+        return int(_C_INT.unpack(fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(_C_INT.size)))[0])
+    except OSError:
+        return None
+
+
 def tcp_socket() -> socket.socket:
     """Return a new non-blocking TCP socket."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -49,7 +61,7 @@
     return sock
 
 
-REPLACEABLE = {"monotonic", "unix_time", "epoll", "tcp_socket", "inherited_socket", "has_peer_ended"}
+REPLACEABLE = {"monotonic", "unix_time", "epoll", "tcp_socket", "inherited_socket", "has_peer_ended", "unacknowledged_bytes"}
 
 
 def replace(**functions: Any) -> dict[str, Any]:
--- a/sloeferry/network/body_stream.py
+++ b/sloeferry/network/body_stream.py
@@ -4,27 +4,36 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING
+import contextlib
+from collections.abc import Awaitable, Callable, Iterator
+from typing import TYPE_CHECKING, NamedTuple
 
 from sloeferry import environment
 from sloeferry.dispatch.dispatcher import Dispatcher
 from sloeferry.dispatch.request_context import RequestContext
 from sloeferry.network.http1 import writer
 from sloeferry.network.http1.message import Message
+from sloeferry.network.write_progress import WriteProgress
 
 if TYPE_CHECKING:
     from sloeferry.network.backend_connection import BackendConnection
     from sloeferry.network.client_connection import ClientConnection
 
 SLICE_BYTES = 16384  # per write; the write timeout applies to each slice
-MAX_BACKEND_PAUSE_SECONDS = 10.0  # between two reads of a response body
+MAX_BACKEND_PAUSE_SECONDS = 10.0  # of a backend that sends a response body or is sent a request body
 
 
 class BodyInterruptedError(Exception):
     """Raised when the rest of a body cannot be received; its text gives the reason."""
 
 
+class BackendWrites(NamedTuple):
+    """The writes of a request body to a backend, and the task that runs them."""
+
+    progress: WriteProgress
+    task: asyncio.Task
+
+
 class RequestBodyStream:
     """A request body that is streamed to one backend.
 
@@ -44,6 +53,7 @@
         self.last_byte_at_ms: float | None = None
         self.task: asyncio.Task | None = None  # the task that writes it
         self.is_complete = False  # the last byte has been received
+        self._backend_writes: BackendWrites | None = None  # while they last
         message.is_streamed = True
 
     def claim(self, attempt_number: int) -> bool:
@@ -70,6 +80,21 @@
         self._buffered, self.is_bound, self.task = b"", True, task
         self._dispatcher.body_outgrew_buffer(self.context, attempt_number)
 
+    @contextlib.contextmanager
+    def writing_to(self, backend: "BackendConnection", task: asyncio.Task) -> Iterator[WriteProgress]:
+        """Return a context manager for the writes of the rest of the body; `task` is cancelled if the backend stops reading."""
+        progress = WriteProgress(self._connection.server.loop, backend.sock, MAX_BACKEND_PAUSE_SECONDS)
+        self._backend_writes = BackendWrites(progress, task)
+        try:
+            yield progress
+        finally:
+            self._backend_writes = None
+
+    def cancel_stalled_write(self, now: float) -> None:
+        """Cancel the task that writes to the backend if the backend has stopped reading; to be called repeatedly."""
+        if self._backend_writes and self._backend_writes.progress.has_stalled(now):
+            self._backend_writes.task.cancel()
+
     async def next_part(self) -> bytes:
         """Return the next part, framed; the last part includes the end of the framing and sets `is_complete`.
 
--- a/sloeferry/network/client_connection.py
+++ b/sloeferry/network/client_connection.py
@@ -18,10 +18,13 @@
 from sloeferry.network.request_reader import ReadOutcome, RequestReader
 from sloeferry.network.request_runner import RequestRunner
 from sloeferry.network.sockets import is_open_and_idle
+from sloeferry.network.write_progress import WriteProgress
 
 if TYPE_CHECKING:
     from sloeferry.network.client_server import ClientServer
 
+MAX_READ_PAUSE_SECONDS = 5.0  # of a client that is sent a response
+
 
 class ClientConnection:
     """A client connection and the task that serves its requests one at a time.
@@ -42,7 +45,7 @@
         self.is_in_queue_epoll = False  # the admission queue's
         # Seconds, monotonic: the time of connecting, of the last reply, or of the first byte of the next request.
         self.waiting_since = environment.monotonic()
-        self.sending_since: float | None = None  # seconds; the sweeper checks the write timeout against it
+        self.write_progress = WriteProgress(server.loop, sock, MAX_READ_PAUSE_SECONDS)  # the sweeper looks at it
         server.connections[self] = None  # a dict keeps the order of arrival; that of a set is not reproducible
         self.task = server.loop.create_task(self.serve())
 
@@ -125,12 +128,15 @@
     def mark_idle(self) -> None:
         """Record that the request was answered and the connection waits for the next."""
         self.is_busy, self.waiting_since = False, environment.monotonic()
+        self.write_progress.restart()
 
     async def send(self, data: bytes) -> None:
-        """Send data; the sweeper enforces the write timeout, because a timer for each write costs more than the write."""
-        self.sending_since = environment.monotonic()
-        await self.server.loop.sock_sendall(self.sock, data)
-        self.sending_since = None
+        """Send data; the sweeper ends a write that stalls, because a timer for each write costs more than the write."""
+        await self.write_progress.send(data)
+
+    def is_sending(self) -> bool:
+        """Return whether a write has begun and not ended."""
+        return self.write_progress.waiting_since is not None
 
     def has_client_left(self) -> bool:
         """Return whether the client has disconnected, according to the current state of the socket."""
@@ -144,7 +150,7 @@
         A partial request is answered with 408: its last byte may be in transit, and without a reply the request would be lost
         (safety rule 1).
         """
-        if self.stream.has_begun and not self.sending_since and not self.reply_writer.response_body:
+        if self.stream.has_begun and not self.is_sending() and not self.reply_writer.response_body:
             with contextlib.suppress(OSError):
                 self.sock.send(writer.response(client_replies.REQUEST_TIMEOUT, keep_alive=False))
         self.close()
--- a/sloeferry/network/connection_sweeper.py
+++ b/sloeferry/network/connection_sweeper.py
@@ -17,7 +17,6 @@
 SHORT_IDLE_TIMEOUT_RATIO = 1 / 8  # of the descriptor budget
 READ_TIMEOUT_SECONDS = 3.0  # for a head; for the first one, counted from connecting
 MIN_BODY_BYTES_PER_SECOND = 32768  # averaged over the whole body
-WRITE_TIMEOUT_SECONDS = 5.0  # for one slice of a response
 SWEEPS_PER_READ_TIMEOUT = 10
 # Idle connections above the ratio of the descriptor budget are closed after this time.
 EXCESS_IDLE_SECONDS = 0.2
@@ -47,13 +46,15 @@
 
     def _sweep_connection(self, connection: ClientConnection, idle_timeout_seconds: float) -> None:
         now, stream = environment.monotonic(), connection.stream
-        if connection.sending_since and now > connection.sending_since + WRITE_TIMEOUT_SECONDS:
+        if connection.request_runner.body_stream:
+            connection.request_runner.body_stream.cancel_stalled_write(now)
+        if connection.write_progress.has_stalled(now):
             connection.close()
         elif connection.reader.receiving_body_since and now > connection.reader.receiving_body_since + READ_TIMEOUT_SECONDS:
             connection.evict()
         elif (
             connection.reply_writer.response_body
-            and not connection.sending_since
+            and not connection.is_sending()
             and connection.reply_writer.response_body.has_stalled(now)
         ):
             connection.close()
--- a/sloeferry/network/exchange.py
+++ b/sloeferry/network/exchange.py
@@ -10,7 +10,6 @@
 from sloeferry.dispatch.dispatcher import Dispatcher
 from sloeferry.network.backend_connection import BackendConnection
 from sloeferry.network.body_stream import (
-    MAX_BACKEND_PAUSE_SECONDS,
     BodyInterruptedError,
     RequestBodyStream,
     ResponseBodyStream,
@@ -159,17 +158,13 @@
         In that case the backend does not need the rest, and it is not written.
         """
         body.bind(self._plan.attempt_number, self._task)
-        sock = self._connection.sock
         try:
-            while not body.is_complete:
-                part = await body.next_part()
-                if not is_open_and_idle(sock):
-                    return True
-                timer = self._timers.set(self._loop.time() + MAX_BACKEND_PAUSE_SECONDS, self._task)
-                try:
-                    await self._loop.sock_sendall(sock, part)
-                finally:
-                    timer.cancel()
+            with body.writing_to(self._connection, self._task) as writes:
+                while not body.is_complete:
+                    part = await body.next_part()
+                    if not is_open_and_idle(self._connection.sock):
+                        return True
+                    await writes.send(part)
         except BodyInterruptedError:
             self._dispatcher.client_left(body.context)
             self._end = AttemptEnd.ABORTED_LOCALLY
--- a/sloeferry/rehearsal/simulated_socket.py
+++ b/sloeferry/rehearsal/simulated_socket.py
@@ -201,6 +201,10 @@
         """Return whether the peer has shut down its sending side or the connection; see `environment.has_peer_ended`."""
         return self.is_closed or self._has_received_end or bool(self.error_number)
 
+    def unacknowledged_bytes(self) -> int:
+        """Return how many sent bytes the peer has not read; see `environment.unacknowledged_bytes`."""
+        return self.bytes_unread_by_peer
+
     def check_open(self) -> None:
         """Raise OSError if the socket has been closed."""
         if self.is_closed:
