The time of requests and half requests runs from their last byte, also in the backlog

Cause: times were counted from when a connection is accepted and read. A half request stood still only from then on, so that a full budget freed 240 descriptors every 0.4 s; a request's wait in the backlog was guessed, at half of its time at most, and at nothing if it was read in pieces or by a process that had just begun to listen. A crowd that drips bytes never stood still.

Change: the kernel tells when the last bytes arrived (TCP_INFO); what it says is taken within what the proxy's own clock allows. The stillest connection gives way first. Where the system does not tell, it is as before.

--- a/sloeferry/environment.py
+++ b/sloeferry/environment.py
@@ -16,6 +16,7 @@
 unix_time = time.time  # seconds
 epoll = select.epoll
 _C_INT = struct.Struct("i")
+_TCP_INFO = struct.Struct("=B51xI")  # of struct tcp_info (linux/tcp.h): tcpi_state and tcpi_last_data_recv
 
 
 def monotonic_ms() -> float:
@@ -35,6 +36,18 @@
     return bool(poll.poll(0))
 
 
+def ms_since_arrival(sock: socket.socket) -> float | None:
+    """Return how long ago the last bytes arrived on a connection, read or not; before any, how long ago it was established.
+
+    The kernel tells to some ms; None if it does not.
+    """
+    try:
+        state, ms_since_data = _TCP_INFO.unpack(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size))
+    except (OSError, struct.error):
+        return None
+    return float(ms_since_data) if state else None
+
+
 def unacknowledged_bytes(sock: socket.socket) -> int | None:
     """Return how many written bytes the peer's kernel has not acknowledged; None if the system does not tell."""
     try:
@@ -61,7 +74,16 @@
     return sock
 
 
-REPLACEABLE = {"monotonic", "unix_time", "epoll", "tcp_socket", "inherited_socket", "has_peer_ended", "unacknowledged_bytes"}
+REPLACEABLE = {
+    "monotonic",
+    "unix_time",
+    "epoll",
+    "tcp_socket",
+    "inherited_socket",
+    "has_peer_ended",
+    "ms_since_arrival",
+    "unacknowledged_bytes",
+}
 
 
 def replace(**functions: Any) -> dict[str, Any]:
--- a/sloeferry/network/descriptor_budget.py
+++ b/sloeferry/network/descriptor_budget.py
@@ -14,7 +14,12 @@
     sock: socket
 
 
-_Waiting = dict[Connection, tuple[float, Callable[[], None]]]  # start time in seconds, function that closes it; oldest first
+_Waiting = dict[Connection, tuple[float, Callable[[], None]]]  # start time in seconds, function that closes it
+
+
+def _waiting_since(item: tuple[Connection, tuple[float, Callable[[], None]]]) -> float:
+    _, (since, _) = item
+    return since
 
 
 class DescriptorBudget:
@@ -36,17 +41,22 @@
         self._new: _Waiting = {}
         self.partial: _Waiting = {}
 
-    def acquire(self) -> bool:
-        """Acquire a descriptor, closing a waiting connection if necessary; return False if none is available."""
-        if self.in_use >= self.limit and not (
-            self._close_oldest(self.idle, self.MIN_IDLE_SECONDS)
-            or self._close_oldest(self._new, self.MIN_NEW_SECONDS)
-            or self._close_oldest(self.partial, self.MIN_PARTIAL_SECONDS)
-        ):
+    def acquire(self, is_urgent: bool = False) -> bool:
+        """Acquire a descriptor, closing a waiting connection if necessary; return False if none is available.
+
+        `is_urgent`: others have waited for a descriptor for too long, so that also a connection that has not waited for its
+        shortest time is closed for one.
+        """
+        if self.in_use >= self.limit and not self._close_one() and not (is_urgent and self._close_one(ignores_min_times=True)):
             return False
         self.in_use += 1
         return True
 
+    def _close_one(self, ignores_min_times: bool = False) -> bool:
+        """Close one waiting connection, of the first group that has one to be closed; return whether one was closed."""
+        groups = ((self.idle, self.MIN_IDLE_SECONDS), (self._new, self.MIN_NEW_SECONDS), (self.partial, self.MIN_PARTIAL_SECONDS))
+        return any(self._close_oldest(waiting, 0.0 if ignores_min_times else seconds) for waiting, seconds in groups)
+
     def release(self) -> None:
         """Release a descriptor."""
         self.in_use -= 1
@@ -54,7 +64,7 @@
     def _close_oldest(self, waiting: _Waiting, min_seconds: float) -> bool:
         """Close the connection that has waited longest, if it has waited `min_seconds`; return whether one was closed."""
         for _ in range(len(waiting)):
-            connection, (since, close) = next(iter(waiting.items()))
+            connection, (since, close) = min(waiting.items(), key=_waiting_since)
             # Under many new connections, the request of a recent one may still be in transit and would be lost.
             if environment.monotonic() - since < min_seconds:
                 return False
@@ -70,11 +80,19 @@
         self.limit = self._full_limit // processes
 
     def mark_waiting(
-        self, connection: Connection, close: Callable[[], None], is_new: bool = False, is_partial: bool = False
+        self,
+        connection: Connection,
+        close: Callable[[], None],
+        is_new: bool = False,
+        is_partial: bool = False,
+        since: float | None = None,
     ) -> None:
-        """Mark the connection as waiting: for its first request (new), the rest of a message (partial) or the next message."""
+        """Mark the connection as waiting: for its first request (new), the rest of a message (partial) or the next message.
+
+        `since` (seconds, monotonic): from when on, if not from now.
+        """
         waiting = self.partial if is_partial else self._new if is_new else self.idle
-        waiting[connection] = environment.monotonic(), close
+        waiting[connection] = environment.monotonic() if since is None else since, close
 
     def mark_active(self, connection: Connection) -> None:
         """Mark the connection as no longer waiting."""
--- a/sloeferry/network/listener.py
+++ b/sloeferry/network/listener.py
@@ -1,5 +1,6 @@
 """Listens for client connections and accepts them within the descriptor budget."""
 
+import math
 import socket
 from typing import TYPE_CHECKING
 
@@ -15,6 +16,9 @@
 BACKLOG = 1024  # connections that wait to be accepted
 MAX_ACCEPTS_PER_EVENT = 16
 RETRY_DELAY_SECONDS = 0.01  # before accepting again after a full budget or an error
+# If connections may have waited longer in the backlog, they get descriptors of any waiting connections: a request whose answer
+# comes this long after its deadline counts as lost.
+MAX_BACKLOG_WAIT_MS = 500.0
 
 
 class Listener:
@@ -26,6 +30,7 @@
         self._is_listening = False
         self.sock: socket.socket | None = None
         self.backlogged_since_ms: float | None = None  # since when the backlog has not been empty
+        self._is_backlog_unknown = False  # what is accepted first may have waited since before this process listened
         self.stalled_backlog_count = 0  # of the next accepted connections, how many may have arrived during a stall
 
     def bind(self, address: Address) -> OSError | None:
@@ -48,7 +53,7 @@
         if not is_open or self._is_listening or self._server.shutdown.is_grace_over:
             return
         if self._server.lifecycle.accepts_connections():
-            self._is_listening = True
+            self._is_listening = self._is_backlog_unknown = True
             self._server.loop.add_reader(self.sock, self.accept)
 
     def update(self) -> None:
@@ -76,10 +81,10 @@
         """Accept connections from the backlog within the budget; return whether the backlog is empty.
 
         A client in a long backlog may have sent its request long before it is accepted, and its time left runs from then (safety
-        rule 1). A request that arrives with its connection therefore counts as waiting since the backlog began to build up.
+        rule 1). Its connection therefore notes since when it may have waited.
         """
         for _ in range(limit):
-            if not self._server.budget.acquire():
+            if not self._server.budget.acquire(is_urgent=self._has_backlog_waited()):
                 self.backlogged_since_ms = self.backlogged_since_ms or environment.monotonic_ms()
                 self._pause_briefly()
                 return False
@@ -95,9 +100,14 @@
         self.backlogged_since_ms = self.backlogged_since_ms or environment.monotonic_ms()
         return False
 
+    def _has_backlog_waited(self) -> bool:
+        """Return whether connections may have waited in the backlog for too long."""
+        since_ms = self.backlogged_since_ms
+        return since_ms is not None and environment.monotonic_ms() - since_ms > MAX_BACKLOG_WAIT_MS
+
     def _handle_accept_error(self, error: OSError) -> bool:
         if isinstance(error, BlockingIOError):
-            self.backlogged_since_ms, self.stalled_backlog_count = None, 0
+            self.backlogged_since_ms, self.stalled_backlog_count, self._is_backlog_unknown = None, 0, False
             return True
         if not isinstance(error, ConnectionAbortedError):
             warn("accept failed", "error={!r}", error)
@@ -107,7 +117,8 @@
     def _set_waiting_time(self, connection: ClientConnection) -> None:
         """Record on the connection how long it may have waited in the backlog."""
         if not self.stalled_backlog_count:
-            connection.reader.queued_since_ms = self.backlogged_since_ms
+            is_unknown = self._is_backlog_unknown and self.backlogged_since_ms is None
+            connection.reader.queued_since_ms = -math.inf if is_unknown else self.backlogged_since_ms
             return
         connection.reader.unread_ms = environment.monotonic_ms() - self.backlogged_since_ms
         self.stalled_backlog_count -= 1
--- a/sloeferry/rehearsal/simulated_socket.py
+++ b/sloeferry/rehearsal/simulated_socket.py
@@ -50,6 +50,7 @@
         self.is_closed = False
         self.error_number = 0
         self.waiters = SocketWaiters(self)
+        self._received_at = network.scheduler.monotonic()  # of the last bytes; before any, of the connection
         self._has_received_end = False
         self._has_sent_end = False
         self._backlog: deque[SimulatedSocket] | None = None  # of a listening socket
@@ -201,6 +202,10 @@
         """Return whether the peer has shut down its sending side or the connection; see `environment.has_peer_ended`."""
         return self.is_closed or self._has_received_end or bool(self.error_number)
 
+    def ms_since_arrival(self) -> float:
+        """Return how long ago the last bytes arrived; see `environment.ms_since_arrival`."""
+        return (self.network.scheduler.monotonic() - self._received_at) * 1000
+
     def unacknowledged_bytes(self) -> int:
         """Return how many sent bytes the peer has not read; see `environment.unacknowledged_bytes`."""
         return self.bytes_unread_by_peer
@@ -276,6 +281,7 @@
             return
         if segment is Segment.DATA:
             self.inbox.append(data)
+            self._received_at = self.network.scheduler.monotonic()
         else:
             self._has_received_end = True
         self.waiters.notify_readable()
