UnreadTime: how long a client's bytes have waited, apart from reading them

Cause: RequestReader had grown by the times of the backlog and of stalls. Change: network/unread_time.py owns them; nothing else changes.

--- a/sloeferry/network/body_stream.py
+++ b/sloeferry/network/body_stream.py
@@ -19,7 +19,7 @@
     from sloeferry.network.backend_connection import BackendConnection
     from sloeferry.network.client_connection import ClientConnection
 
-SLICE_BYTES = 16384  # per write; the write timeout applies to each slice
+SLICE_BYTES = 16384  # per write
 MAX_BACKEND_PAUSE_SECONDS = 10.0  # of a backend that sends a response body or is sent a request body
 
 
--- a/sloeferry/network/client_connection.py
+++ b/sloeferry/network/client_connection.py
@@ -44,7 +44,7 @@
         self.is_closed = False
         self.is_in_queue_epoll = False  # the admission queue's
         # Seconds, monotonic: the time of connecting, of the last reply, or of the first byte of the next request.
-        self.waiting_since = self.accepted_at = environment.monotonic()
+        self.waiting_since = environment.monotonic()
         self.write_progress = WriteProgress(server.loop, sock, MAX_READ_PAUSE_SECONDS)  # the sweeper looks at it
         server.connections[self] = None  # a dict keeps the order of arrival; that of a set is not reproducible
         self.task = server.loop.create_task(self.serve())
--- a/sloeferry/network/listener.py
+++ b/sloeferry/network/listener.py
@@ -1,6 +1,5 @@
 """Listens for client connections and accepts them within the descriptor budget."""
 
-import math
 import socket
 from typing import TYPE_CHECKING
 
@@ -9,6 +8,7 @@
 from sloeferry.network.client_connection import ClientConnection
 from sloeferry.network.limited_log import warn
 from sloeferry.network.sockets import prepare_accepted
+from sloeferry.network.unread_time import NOT_KNOWN
 
 if TYPE_CHECKING:
     from sloeferry.network.client_server import ClientServer
@@ -116,11 +116,12 @@
 
     def _set_waiting_time(self, connection: ClientConnection) -> None:
         """Record on the connection how long it may have waited in the backlog."""
+        unread_time = connection.reader.unread_time
         if not self.stalled_backlog_count:
             is_unknown = self._is_backlog_unknown and self.backlogged_since_ms is None
-            connection.reader.queued_since_ms = -math.inf if is_unknown else self.backlogged_since_ms
+            unread_time.queued_since_ms = NOT_KNOWN if is_unknown else self.backlogged_since_ms
             return
-        connection.reader.unread_ms = environment.monotonic_ms() - self.backlogged_since_ms
+        unread_time.stalled_ms = environment.monotonic_ms() - self.backlogged_since_ms
         self.stalled_backlog_count -= 1
         if not self.stalled_backlog_count:  # all that were in the backlog then are accepted
             self.backlogged_since_ms = environment.monotonic_ms()
--- a/sloeferry/network/request_reader.py
+++ b/sloeferry/network/request_reader.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import enum
-import math
 from typing import TYPE_CHECKING
 
 from sloeferry import environment
@@ -10,6 +9,7 @@
 from sloeferry.network.http1.framing import StreamEnd
 from sloeferry.network.http1.message import Message
 from sloeferry.network.http1.stream import HttpStream
+from sloeferry.network.unread_time import UnreadTime
 
 if TYPE_CHECKING:
     from sloeferry.network.client_connection import ClientConnection
@@ -41,10 +41,7 @@
         self.is_reading = False
         self._is_overdue = False
         self.retry_after_if_rejected_ms = 0.0  # of the last request that was rejected unparsed
-        # Of a connection that may have waited to be accepted: since when at most; infinity if that is not known.
-        self.queued_since_ms: float | None = None
-        self._came_in_pieces = False  # its first request
-        self.unread_ms = 0.0  # how long its bytes were unread while the event loop was stalled
+        self.unread_time = UnreadTime(connection.sock)
         self.receiving_body_since: float | None = None  # seconds; the sweeper checks the read timeout against it
 
     async def read(self) -> ReadOutcome:
@@ -57,7 +54,8 @@
             if server.shutdown.may_close(connection):
                 return ReadOutcome.CLOSING
             had_begun = stream.has_begun
-            server.budget.mark_waiting(connection, connection.evict, connection.is_new, had_begun, self._waiting_since(had_begun))
+            silent_since = self.unread_time.silent_since(is_partial=had_begun)
+            server.budget.mark_waiting(connection, connection.evict, connection.is_new, had_begun, silent_since)
             if not had_begun and server.dispatcher.overload.is_shedding() and not server.lifecycle.is_stopping:
                 await server.admission_queue.park(connection)
                 if stream.completed or stream.fault or stream.has_begun:  # the admission queue has read from it
@@ -65,7 +63,8 @@
                     continue
             end = await self._receive()
             server.budget.mark_active(connection)  # it received bytes, even if the request is not complete yet
-            self._came_in_pieces = self._came_in_pieces or not stream.completed
+            if not stream.completed:
+                self.unread_time.note_partial_request()
             if end is StreamEnd.REJECTED_UNPARSED:
                 return ReadOutcome.REJECTED
             if stream.has_begun and not had_begun and not connection.is_new:
@@ -74,23 +73,6 @@
             await self._send_continue()
         return ReadOutcome.REQUEST
 
-    def _waiting_since(self, is_partial: bool) -> float | None:
-        """Return since when the client has sent nothing (seconds, monotonic); None for now.
-
-        Bytes and connections may have arrived long before this process read or accepted them.
-        """
-        if not is_partial and self.queued_since_ms is None:
-            return None
-        silent_ms = environment.ms_since_arrival(self._connection.sock)
-        if silent_ms is None:
-            return None
-        return environment.monotonic() - min(silent_ms, self._max_queued_ms()) / 1000
-
-    def _max_queued_ms(self) -> float:
-        """Return how long the connection may have waited to be accepted, as far as this process can tell."""
-        since_ms = self._connection.accepted_at * 1000 if self.queued_since_ms is None else self.queued_since_ms
-        return environment.monotonic_ms() - since_ms
-
     async def _receive(self) -> StreamEnd | None:
         """Receive once; if `time_out` cancels the task meanwhile, mark the request as overdue and keep the task running."""
         connection = self._connection
@@ -128,21 +110,8 @@
 
     def take_unread_ms(self, message: Message) -> float:
         """Return how long the request waited unread, either during a stall or in the listen backlog."""
-        unread_ms, self.unread_ms = max(self.unread_ms, self._server.stalls.note_loop_iteration()), 0.0
-        if self.queued_since_ms is not None:
-            unread_ms, self.queued_since_ms = max(unread_ms, self._queued_ms(message)), None
-        return unread_ms
-
-    def _queued_ms(self, message: Message) -> float:
-        """Return how long ago the last byte of the first request arrived."""
-        max_queued_ms = self._max_queued_ms()
-        arrived_ms_ago = environment.ms_since_arrival(self._connection.sock)
-        if arrived_ms_ago is not None:
-            return min(arrived_ms_ago, max_queued_ms)
-        if self._came_in_pieces or max_queued_ms == math.inf or not message.attributes:
-            return 0.0
-        # An upper bound only. Limited to half of the time left, or a long backlog would cause all requests to be rejected.
-        return min(message.attributes.time_left_ms / 2, max_queued_ms)
+        time_left_ms = message.attributes.time_left_ms if message.attributes else 0.0
+        return self.unread_time.take_ms(time_left_ms, self._server.stalls.note_loop_iteration())
 
     def reject_unparsed(self, buffer: bytearray, length: int, has_waited: bool = False) -> bool:
         """Return whether unparsed bytes are a plain request that is rejected during load shedding.
--- a/sloeferry/network/stall_accounting.py
+++ b/sloeferry/network/stall_accounting.py
@@ -49,14 +49,14 @@
         server, listener = self._server, self._server.listener
         for connection in server.connections:
             has_nothing_unread = connection.is_busy or is_open_and_idle(connection.sock)
-            connection.reader.unread_ms = 0.0 if has_nothing_unread else stalled_ms
+            connection.reader.unread_time.stalled_ms = 0.0 if has_nothing_unread else stalled_ms
         if server.lifecycle.is_stopping:
             return
         connections_before = dict(server.connections)  # not just their number: accepting a connection may evict an idle one
         listener.accept(BACKLOG)  # connections that arrived during the stall
         for connection in server.connections:
             if connection not in connections_before:
-                connection.reader.unread_ms = stalled_ms
+                connection.reader.unread_time.stalled_ms = stalled_ms
         if listener.backlogged_since_ms is not None:  # some are left in the backlog: they have waited for the stall as well
             listener.backlogged_since_ms -= stalled_ms
             listener.stalled_backlog_count = BACKLOG
--- /dev/null
+++ b/sloeferry/network/unread_time.py
@@ -0,0 +1,66 @@
+"""Measures how long a client has waited for this process to read what it sent.
+
+Bytes may arrive long before they are read: their connection waits in the listen backlog, or the event loop has stalled.  The time
+left of a request runs from its last byte (safety rule 1).
+"""
+
+import math
+import socket
+
+from sloeferry import environment
+
+NOT_KNOWN = -math.inf  # time from which a connection may have waited in the backlog, if this process did not see it
+
+
+class UnreadTime:
+    """The unread time of one client connection; times in ms, monotonic."""
+
+    def __init__(self, sock: socket.socket):
+        self._sock = sock
+        self._accepted_at_ms = environment.monotonic_ms()
+        # Of a connection that may have waited in the backlog: from when on at the earliest.  Cleared with its first request.
+        self.queued_since_ms: float | None = None
+        self.stalled_ms = 0.0  # how long bytes have been unread while the event loop was stalled
+        self._came_in_pieces = False  # the first request
+
+    def note_partial_request(self) -> None:
+        """Record that a receive did not complete a request."""
+        self._came_in_pieces = True
+
+    def silent_since(self, is_partial: bool) -> float | None:
+        """Return from when on the client has sent nothing (seconds, monotonic); None for now.
+
+        `is_partial`: it has sent a part of a request.
+        """
+        if not is_partial and self.queued_since_ms is None:
+            return None
+        silent_ms = environment.ms_since_arrival(self._sock)
+        if silent_ms is None:
+            return None
+        return environment.monotonic() - min(silent_ms, self._max_ms()) / 1000
+
+    def take_ms(self, time_left_ms: float, recent_stall_ms: float) -> float:
+        """Return how long a request that has just been read was unread, and begin anew.
+
+        `time_left_ms`: its time left as the client stated it.  `recent_stall_ms`: of a stall of the event loop just ended.
+        """
+        unread_ms, self.stalled_ms = max(self.stalled_ms, recent_stall_ms), 0.0
+        if self.queued_since_ms is not None:
+            unread_ms, self.queued_since_ms = max(unread_ms, self._queued_ms(time_left_ms)), None
+        return unread_ms
+
+    def _queued_ms(self, time_left_ms: float) -> float:
+        """Return how long ago the last byte of the first request arrived."""
+        max_ms = self._max_ms()
+        arrived_ms_ago = environment.ms_since_arrival(self._sock)
+        if arrived_ms_ago is not None:
+            return min(arrived_ms_ago, max_ms)
+        if self._came_in_pieces or max_ms == math.inf:
+            return 0.0
+        # An upper bound only. Limited to half of the time left, or a long backlog would cause all requests to be rejected.
+        return min(time_left_ms / 2, max_ms)
+
+    def _max_ms(self) -> float:
+        """Return how long unread bytes may have waited, as far as this process can tell."""
+        since_ms = self._accepted_at_ms if self.queued_since_ms is None else self.queued_since_ms
+        return environment.monotonic_ms() - since_ms
