A backend connection is reused only once its request's last byte was written

Cause: the connection was kept if the body's last byte had been read from the client. The part in hand is not written once the backend has answered, so that the last one could be missing.

Change: BackendConnection records that a request begins and that it was written whole; finish, the one way into the pool, asks that record.

--- a/sloeferry/network/backend_connection.py
+++ b/sloeferry/network/backend_connection.py
@@ -22,6 +22,7 @@
         self.sock = sock
         self.stream = HttpStream(pool.loop, sock, pool.buffers, is_response=True)
         self.idle_since = environment.monotonic()
+        self._is_request_incomplete = False  # bytes of a request were written, and not its last one
 
     def is_usable(self) -> bool:
         """Return whether the connection is open and not close to its backend's idle timeout."""
@@ -44,15 +45,25 @@
         self._pool.idle[self.endpoint_id].remove(self)
         self._pool.budget.mark_active(self)
 
+    def request_begins(self) -> None:
+        """Record that the first byte of a request is about to be written."""
+        self._is_request_incomplete = True
+
+    def request_written(self) -> None:
+        """Record that the last byte of the request was written: only now may another one follow."""
+        self._is_request_incomplete = False
+
     def finish(self, keep_alive: bool) -> None:
         """Return the connection to the pool after use, or close it if it cannot be reused.
 
+        After an incomplete request the backend would read the next one as its rest (request smuggling).
         Surplus bytes belong to no attempt: the next one would read them as its response, so the connection is closed.
         """
         has_surplus_bytes = self.stream.completed or self.stream.has_begun
         if has_surplus_bytes:
             self._pool.note_surplus_bytes()
-        if keep_alive and not has_surplus_bytes and self.has_current_address():
+        is_reusable = keep_alive and not self._is_request_incomplete and not has_surplus_bytes
+        if is_reusable and self.has_current_address():
             self.mark_idle()
         else:
             self.close()
--- a/sloeferry/network/exchange.py
+++ b/sloeferry/network/exchange.py
@@ -141,16 +141,21 @@
         request = plan.make_request()
         if plan.on_first_byte:
             plan.on_first_byte()
+        self._connection.request_begins()
         await self._loop.sock_sendall(self._connection.sock, request)
         if plan.body is None:
-            self._progress = AttemptProgress.COMPLETELY_WRITTEN
+            self._request_written()
             return
         self._timer.cancel()
         is_answered_early = await self._write_body(plan.body)
         self._read_by = self._loop.time() + plan.body.time_left_ms / 1000
         self._timer = self._timers.set(self._read_by, self._task)
         if not is_answered_early and self._end is not AttemptEnd.ABORTED_LOCALLY:
-            self._progress = AttemptProgress.COMPLETELY_WRITTEN
+            self._request_written()
+
+    def _request_written(self) -> None:
+        self._progress = AttemptProgress.COMPLETELY_WRITTEN
+        self._connection.request_written()
 
     async def _write_body(self, body: RequestBodyStream) -> bool:
         """Write the rest of a streamed body, and return whether the backend responded or closed before its end.
@@ -235,10 +240,7 @@
         return AttemptEnd.TIMED_OUT
 
     def _release_connection(self) -> None:
-        connection, response, body = self._connection, self._response, self._plan.body
-        if response and body and not body.is_complete:
-            # The request was not written completely, so the connection cannot carry another one.
-            response.keep_alive = False
+        connection, response = self._connection, self._response
         if response and not response.is_complete:
             # The stream owns the connection from here on; it is released when the response is forwarded or closed.
             response.body_stream = ResponseBodyStream(connection, response)
