Interim responses before the end of an upload are read and dropped

Callers saw: 503 when their time was up, for uploads over 64 KiB to backends that write 100, 102, 103 or another 1xx before they have all of it.

Cause: whatever could be read from a backend before an upload's end was taken for its answer, and the rest of the body was not written.

Change: what can be read is read; a final status, a fault or an end stops the upload as before, interim responses do not. Bytes of interim responses are bounded as those of a head.

--- a/sloeferry/network/exchange.py
+++ b/sloeferry/network/exchange.py
@@ -22,6 +22,7 @@
 from sloeferry.network.limited_log import warn
 from sloeferry.network.sockets import is_open_and_idle
 
+FIRST_FINAL_STATUS = 200  # lower ones are those of interim responses
 MAX_HOLD_BACK_SECONDS = 1.0  # a long response of which the backend's bytes are held back for 2 s counts as lost
 # The policy gives a request up two ticks before its deadline; a tick lasts up to 12.5 ms.
 FORWARD_BEFORE_DEADLINE_SECONDS = 0.025
@@ -167,7 +168,7 @@
             with body.writing_to(self._connection, self._task) as writes:
                 while not body.is_complete:
                     part = await body.next_part()
-                    if not is_open_and_idle(self._connection.sock):
+                    if await self._is_answered():
                         return True
                     await writes.send(part)
         except BodyInterruptedError:
@@ -175,10 +176,23 @@
             self._end = AttemptEnd.ABORTED_LOCALLY
         return False
 
+    async def _is_answered(self) -> bool:
+        """Return whether the backend has begun its final response, or ended the connection.
+
+        Interim responses (1xx) are read and dropped: the backend still wants the rest of the request (RFC 9110, 15.2).
+        """
+        stream = self._connection.stream
+        while not is_open_and_idle(self._connection.sock):
+            await stream.receive()
+            has_final_status = stream.has_begun and stream.message.status >= FIRST_FINAL_STATUS
+            if stream.completed or stream.fault or has_final_status:
+                return True
+        return False
+
     async def _read(self) -> None:
         """Read the whole response, or its beginning if it is to be streamed to the client."""
         stream = self._connection.stream
-        while not stream.completed and not stream.oversized_message():
+        while not stream.completed and not stream.fault and not stream.oversized_message():
             if stream.has_unknown_length() and stream.message.body_bytes:
                 if not await self._receive_while_held_back(stream):
                     self._response = stream.message
--- a/tests/network/test_early_response.py
+++ b/tests/network/test_early_response.py
@@ -15,6 +15,19 @@
 BODY_BYTES = len(FIRST_PIECE) + len(LAST_PIECE)
 
 
+INTERIM_RESPONSES = {
+    "100": b"HTTP/1.1 100 Continue\r\n\r\n",
+    "102": b"HTTP/1.1 102 Processing\r\n\r\n",
+    "103": b"HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n",
+    "unknown": b"HTTP/1.1 199 What\r\n\r\n",
+    "several": b"HTTP/1.1 103 Early Hints\r\n\r\n" * 20,
+    "begun": b"HTTP/1.1 103 Early Hints\r\nLink: </sty",
+}
+REST_OF_BEGUN = {"begun": b"le.css>\r\n\r\n"}
+SWITCHING_PROTOCOLS = b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"
+MANY_INTERIM_RESPONSES = b"HTTP/1.1 103 Early Hints\r\n\r\n" * 1000  # more than the bytes that a head may have
+
+
 class EarlyBackends(FakeBackends):
     """Backends that send some bytes as soon as they have the head of an upload, and read its body by its framing."""
 
@@ -62,6 +75,21 @@
     return head + first, last + b"0\r\n\r\n"
 
 
+async def upload_after_early_bytes(harness: InstrumentedHarness, backends: EarlyBackends, is_chunked: bool) -> bytes:
+    """Send an upload whose last piece follows the backend's early bytes, and return the bytes that the client receives."""
+    first, last = upload_pieces(harness, is_chunked)
+    client = await harness.send_raw(first)
+    await wait_until(lambda: backends.has_responded)
+    connection = client.connection()
+    assert connection is not None
+    await wait_until(lambda: connection.reader.receiving_body_since)
+    with contextlib.suppress(OSError):
+        await client.send(last)
+    received = await asyncio.get_running_loop().sock_recv(client.sock, 9999)
+    client.close()
+    return received
+
+
 @pytest.mark.parametrize("is_chunked", [False, True], ids=["length", "chunks"])
 @pytest.mark.parametrize("status", [200, 503])
 @pytest.mark.parametrize("is_early", [True, False], ids=["early", "in time"])
@@ -73,22 +101,44 @@
     backends = EarlyBackends(answer if is_early else b"", b"" if is_early else answer)
 
     async def scenario(harness: InstrumentedHarness) -> None:
-        first, last = upload_pieces(harness, is_chunked)
-        client = await harness.send_raw(first)
-        await wait_until(lambda: backends.has_responded)
-        connection = client.connection()
-        assert connection is not None
-        await wait_until(lambda: connection.reader.receiving_body_since)  # all but the last piece is written
-        await client.send(last)
-        received = await asyncio.get_running_loop().sock_recv(client.sock, 9999)
+        received = await upload_after_early_bytes(harness, backends, is_chunked)
         assert received.startswith(b"HTTP/1.1 %d" % status)
         assert len(harness.pool.idle.get("b", ())) == (0 if is_early else 1)
         if status == 200:  # a backend that has rejected a request gets no other one at once
             assert await harness.request("safe", X_Call_Id="c1") == "200 next"
-        client.close()
 
     run_scenario(scenario, InstrumentedHarness(backends, most_postings=1))
     assert not any("hidden" in first_line for first_line, _ in backends.messages)
     if status == 200:
         assert backends.messages[-1] == ("get /api?q=1 http/1.1", 0)
         assert backends.connection_counts == {"b": 2 if is_early else 1}
+
+
+@pytest.mark.parametrize("is_chunked", [False, True], ids=["length", "chunks"])
+@pytest.mark.parametrize("kind", INTERIM_RESPONSES)
+def test_interim_response_does_not_end_an_upload(kind: str, is_chunked: bool):
+    """Guards against uploads that fail at their deadline, because an interim response was taken for the answer."""
+    backends = EarlyBackends(INTERIM_RESPONSES[kind], REST_OF_BEGUN.get(kind, b"") + response("upload"))
+
+    async def scenario(harness: InstrumentedHarness) -> None:
+        received = await upload_after_early_bytes(harness, backends, is_chunked)
+        assert received.startswith(b"HTTP/1.1 200 ") and received.endswith(b"upload")
+        assert await harness.request("safe", X_Call_Id="c1") == "200 next"
+
+    run_scenario(scenario, InstrumentedHarness(backends, most_postings=1))
+    assert backends.messages == [("post /api http/1.1", BODY_BYTES), ("get /api?q=1 http/1.1", 0)]
+    assert backends.connection_counts == {"b": 1}
+
+
+@pytest.mark.parametrize("early", [MANY_INTERIM_RESPONSES, SWITCHING_PROTOCOLS], ids=["without end", "switching"])
+def test_malformed_interim_responses_end_the_attempt(early: bytes):
+    """Interim responses beyond the bytes of a head, and a change of protocols that nobody asked for, end the attempt, and its
+    connection is not used again."""
+    backends = EarlyBackends(early)
+
+    async def scenario(harness: InstrumentedHarness) -> None:
+        received = await upload_after_early_bytes(harness, backends, is_chunked=False)
+        assert received.startswith((b"HTTP/1.1 503 ", b"HTTP/1.1 504 "))
+        assert not harness.pool.idle.get("b")
+
+    run_scenario(scenario, InstrumentedHarness(backends, most_postings=1))
