A backlog from before this process listened is unknown to its end, not for 16 accepts

Cause: on reading the change again: of a backlog that another process left, only the connections of the first accept event counted as waiting since then; the others since that event. Under urgency a silent new connection, whose request may be in transit, gave way before a half request.

Change: the mark stays until the backlog was empty; new connections give way last. Where the system does not tell arrivals, the guess of before stays as it was.

--- a/sloeferry/network/descriptor_budget.py
+++ b/sloeferry/network/descriptor_budget.py
@@ -47,15 +47,22 @@
         `is_urgent`: others have waited for a descriptor for too long, so that also a connection that has not waited for its
         shortest time is closed for one.
         """
-        if self.in_use >= self.limit and not self._close_one() and not (is_urgent and self._close_one(ignores_min_times=True)):
+        if self.in_use >= self.limit and not self._close_waiting() and not (is_urgent and self._close_any()):
             return False
         self.in_use += 1
         return True
 
-    def _close_one(self, ignores_min_times: bool = False) -> bool:
-        """Close one waiting connection, of the first group that has one to be closed; return whether one was closed."""
-        groups = ((self.idle, self.MIN_IDLE_SECONDS), (self._new, self.MIN_NEW_SECONDS), (self.partial, self.MIN_PARTIAL_SECONDS))
-        return any(self._close_oldest(waiting, 0.0 if ignores_min_times else seconds) for waiting, seconds in groups)
+    def _close_waiting(self) -> bool:
+        """Close one connection that has waited for the shortest time of its group; return whether one was closed."""
+        return (
+            self._close_oldest(self.idle, self.MIN_IDLE_SECONDS)
+            or self._close_oldest(self._new, self.MIN_NEW_SECONDS)
+            or self._close_oldest(self.partial, self.MIN_PARTIAL_SECONDS)
+        )
+
+    def _close_any(self) -> bool:
+        """Close one waiting connection, new ones last: their first request may be in transit.  Return whether one was closed."""
+        return any(self._close_oldest(waiting, 0.0) for waiting in (self.idle, self.partial, self._new))
 
     def release(self) -> None:
         """Release a descriptor."""
--- a/sloeferry/network/listener.py
+++ b/sloeferry/network/listener.py
@@ -8,7 +8,6 @@
 from sloeferry.network.client_connection import ClientConnection
 from sloeferry.network.limited_log import warn
 from sloeferry.network.sockets import prepare_accepted
-from sloeferry.network.unread_time import NOT_KNOWN
 
 if TYPE_CHECKING:
     from sloeferry.network.client_server import ClientServer
@@ -30,7 +29,7 @@
         self._is_listening = False
         self.sock: socket.socket | None = None
         self.backlogged_since_ms: float | None = None  # since when the backlog has not been empty
-        self._is_backlog_unknown = False  # what is accepted first may have waited since before this process listened
+        self._is_backlog_unknown = False  # connections may have waited since before this process listened
         self.stalled_backlog_count = 0  # of the next accepted connections, how many may have arrived during a stall
 
     def bind(self, address: Address) -> OSError | None:
@@ -53,7 +52,8 @@
         if not is_open or self._is_listening or self._server.shutdown.is_grace_over:
             return
         if self._server.lifecycle.accepts_connections():
-            self._is_listening = self._is_backlog_unknown = True
+            self._is_listening = True
+            self._is_backlog_unknown = self._is_backlog_unknown or self.backlogged_since_ms is None
             self._server.loop.add_reader(self.sock, self.accept)
 
     def update(self) -> None:
@@ -118,8 +118,8 @@
         """Record on the connection how long it may have waited in the backlog."""
         unread_time = connection.reader.unread_time
         if not self.stalled_backlog_count:
-            is_unknown = self._is_backlog_unknown and self.backlogged_since_ms is None
-            unread_time.queued_since_ms = NOT_KNOWN if is_unknown else self.backlogged_since_ms
+            unread_time.queued_since_ms = self.backlogged_since_ms
+            unread_time.may_have_waited_longer = self._is_backlog_unknown
             return
         unread_time.stalled_ms = environment.monotonic_ms() - self.backlogged_since_ms
         self.stalled_backlog_count -= 1
--- a/sloeferry/network/unread_time.py
+++ b/sloeferry/network/unread_time.py
@@ -9,8 +9,6 @@
 
 from sloeferry import environment
 
-NOT_KNOWN = -math.inf  # time from which a connection may have waited in the backlog, if this process did not see it
-
 
 class UnreadTime:
     """The unread time of one client connection; times in ms, monotonic."""
@@ -18,8 +16,10 @@
     def __init__(self, sock: socket.socket):
         self._sock = sock
         self._accepted_at_ms = environment.monotonic_ms()
-        # Of a connection that may have waited in the backlog: from when on at the earliest.  Cleared with its first request.
+        # Of a connection that may have waited in the backlog, until its first request: from when on at the earliest, and whether
+        # the backlog was there before this process listened.
         self.queued_since_ms: float | None = None
+        self.may_have_waited_longer = False
         self.stalled_ms = 0.0  # how long bytes have been unread while the event loop was stalled
         self._came_in_pieces = False  # the first request
 
@@ -32,7 +32,7 @@
 
         `is_partial`: it has sent a part of a request.
         """
-        if not is_partial and self.queued_since_ms is None:
+        if not is_partial and not self._may_have_queued():
             return None
         silent_ms = environment.ms_since_arrival(self._sock)
         if silent_ms is None:
@@ -45,22 +45,27 @@
         `time_left_ms`: its time left as the client stated it.  `recent_stall_ms`: of a stall of the event loop just ended.
         """
         unread_ms, self.stalled_ms = max(self.stalled_ms, recent_stall_ms), 0.0
-        if self.queued_since_ms is not None:
-            unread_ms, self.queued_since_ms = max(unread_ms, self._queued_ms(time_left_ms)), None
+        if self._may_have_queued():
+            unread_ms = max(unread_ms, self._queued_ms(time_left_ms))
+            self.queued_since_ms, self.may_have_waited_longer = None, False
         return unread_ms
 
+    def _may_have_queued(self) -> bool:
+        return self.queued_since_ms is not None or self.may_have_waited_longer
+
     def _queued_ms(self, time_left_ms: float) -> float:
         """Return how long ago the last byte of the first request arrived."""
-        max_ms = self._max_ms()
         arrived_ms_ago = environment.ms_since_arrival(self._sock)
         if arrived_ms_ago is not None:
-            return min(arrived_ms_ago, max_ms)
-        if self._came_in_pieces or max_ms == math.inf:
+            return min(arrived_ms_ago, self._max_ms())
+        if self._came_in_pieces or self.queued_since_ms is None:
             return 0.0
         # An upper bound only. Limited to half of the time left, or a long backlog would cause all requests to be rejected.
-        return min(time_left_ms / 2, max_ms)
+        return min(time_left_ms / 2, environment.monotonic_ms() - self.queued_since_ms)
 
     def _max_ms(self) -> float:
         """Return how long unread bytes may have waited, as far as this process can tell."""
+        if self.may_have_waited_longer:
+            return math.inf
         since_ms = self._accepted_at_ms if self.queued_since_ms is None else self.queued_since_ms
         return environment.monotonic_ms() - since_ms
--- a/tests/network/test_listen_backlog.py
+++ b/tests/network/test_listen_backlog.py
@@ -6,7 +6,7 @@
 
 from sloeferry import environment
 from sloeferry.network.descriptor_budget import DescriptorBudget
-from sloeferry.network.listener import MAX_BACKLOG_WAIT_MS
+from sloeferry.network.listener import MAX_ACCEPTS_PER_EVENT, MAX_BACKLOG_WAIT_MS
 from tests.support.fake_backends import response
 from tests.support.instrumented_harness import InstrumentedHarness, RawClient, wait_until
 from tests.support.proxy_harness import run_scenario
@@ -58,12 +58,15 @@
     """Guards against requests that count as new because this process did not see them wait: it has just begun to listen."""
 
     async def scenario(harness: InstrumentedHarness) -> None:
-        (client,) = await hold_in_backlog(harness, request(harness, 0))
+        requests = [request(harness, 0).replace(b"c0", b"c%d" % number) for number in range(2 * MAX_ACCEPTS_PER_EVENT)]
+        clients = await hold_in_backlog(harness, *requests)
         harness.clients.listener.backlogged_since_ms = None  # as in a new process
         await asyncio.sleep(BACKLOG_SECONDS)
         harness.clients.listener.open()
-        assert (await receive_status(client), harness.backends.requests_received) == ("503", 0)
-        client.close()
+        assert {await receive_status(client) for client in clients} == {"503"}
+        assert harness.backends.requests_received == 0
+        for client in clients:
+            client.close()
 
     run_scenario(scenario, InstrumentedHarness({"b": response()}, deadline_ms=DEADLINE_MS))
 
