The planted fault of a backlog after a pause switches off its second guard, too

Since UnreadTime, the kernel's word of when a request arrived keeps the rule without it (no violation with the plant), so that the test convicted nothing.

Change: as for has_client_left there, the plant switches the second guard off; the assertions are as they were.

--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -38,7 +38,7 @@
 from sloeferry.rehearsal.scenario_faults import ScenarioFault
 from sloeferry.rehearsal.simulated_epoll import SimulatedEpoll
 from sloeferry.rehearsal.simulated_process import SimulatedProcess
-from sloeferry.rehearsal.simulated_socket import WINDOW_BYTES
+from sloeferry.rehearsal.simulated_socket import WINDOW_BYTES, SimulatedSocket
 from sloeferry.rehearsal.virtual_time import START_SECONDS, Scheduler
 from tests.support import golden
 
@@ -517,10 +517,14 @@
             accept(listener, *limit)
 
         self.assertEqual(self.violations(scenario), ({}, []))
+        with mock.patch.object(SimulatedSocket, "ms_since_arrival", lambda sock: None):  # a system that does not tell
+            self.assertEqual(self.violations(scenario), ({}, []))
         # These clients disconnect at their expiry, and `has_client_left`, which is checked before each first byte, also holds
-        # the requests back.  It is disabled too, so that the test depends on `stalled_backlog_count` alone.
+        # the requests back, as does the kernel's word of when they arrived.  Both are disabled too, so that the test depends on
+        # `stalled_backlog_count` alone.
         with (
             mock.patch.object(Listener, "accept", accept_as_new),
+            mock.patch.object(SimulatedSocket, "ms_since_arrival", lambda sock: None),
             mock.patch.object(ClientConnection, "has_client_left", lambda connection: connection.is_closed),
         ):
             rules, texts = self.violations(scenario)
