A slow reader's progress counts also where it belongs to the bodies before

Cause: on reading the change again: WriteProgress begins anew with each response and cut its count of taken bytes at 0. The rate of 32 KiB/s stood twice.

Change: the count may be below 0, any change of it is progress; one constant for both directions. Beside it, a hole in a test: on a system that does not tell arrivals the guess of the backlog was played in virtual time no more; the tests of the backlog play both, with the plant and without.

Tests: test_client_that_reads_many_short_bodies_steadily_is_not_cut_off failed before; its twin, a client that reads nothing, is cut off before and after.

--- a/sloeferry/network/connection_sweeper.py
+++ b/sloeferry/network/connection_sweeper.py
@@ -8,6 +8,7 @@
 from sloeferry.network.client_connection import ClientConnection
 from sloeferry.network.limited_log import warn
 from sloeferry.network.sockets import is_open_and_idle
+from sloeferry.network.write_progress import MIN_BYTES_PER_SECOND
 
 if TYPE_CHECKING:
     from sloeferry.network.client_server import ClientServer
@@ -16,7 +17,6 @@
 SHORT_IDLE_TIMEOUT_SECONDS = 2.0  # while the connections exceed the ratio below
 SHORT_IDLE_TIMEOUT_RATIO = 1 / 8  # of the descriptor budget
 READ_TIMEOUT_SECONDS = 3.0  # for a head; for the first one, counted from connecting
-MIN_BODY_BYTES_PER_SECOND = 32768  # averaged over the whole body
 SWEEPS_PER_READ_TIMEOUT = 10
 # Idle connections above the ratio of the descriptor budget are closed after this time.
 EXCESS_IDLE_SECONDS = 0.2
@@ -61,7 +61,7 @@
         elif not connection.is_busy and not stream.completed:
             allowed_seconds = idle_timeout_seconds
             if connection.is_new or stream.has_begun:
-                allowed_seconds = READ_TIMEOUT_SECONDS + stream.message.body_bytes / MIN_BODY_BYTES_PER_SECOND * stream.has_begun
+                allowed_seconds = READ_TIMEOUT_SECONDS + stream.message.body_bytes / MIN_BYTES_PER_SECOND * stream.has_begun
             if environment.monotonic() > connection.waiting_since + allowed_seconds:
                 if stream.has_begun:
                     connection.reader.time_out()
--- a/sloeferry/network/write_progress.py
+++ b/sloeferry/network/write_progress.py
@@ -5,7 +5,7 @@
 
 from sloeferry import environment
 
-# A peer that takes this much on the average of its body has not stopped, however long its kernel lets a write wait.
+# A peer that sends or takes this much on the average of its body has not stopped, however long a single read or write waits.
 MIN_BYTES_PER_SECOND = 32768
 
 
@@ -47,10 +47,11 @@
         """
         if self.waiting_since is None:
             return False
-        taken_bytes = max(0, self._sent_bytes - (environment.unacknowledged_bytes(self._sock) or 0))
+        # Below 0 while bytes of the body before, which a client that pipelines requests has not read, are out.
+        taken_bytes = self._sent_bytes - (environment.unacknowledged_bytes(self._sock) or 0)
         if taken_bytes != self._taken_bytes:
             self._taken_bytes, self._taken_at = taken_bytes, now
         self._waited_seconds += now - max(self._looked_at, self.waiting_since)
         self._looked_at = now
         has_paused = now > max(self._taken_at, self.waiting_since) + self._max_pause_seconds
-        return has_paused and self._waited_seconds > self._max_pause_seconds + taken_bytes / MIN_BYTES_PER_SECOND
+        return has_paused and self._waited_seconds > self._max_pause_seconds + max(0, taken_bytes) / MIN_BYTES_PER_SECOND
--- a/tests/network/test_write_progress.py
+++ b/tests/network/test_write_progress.py
@@ -8,13 +8,16 @@
 import pytest
 
 from sloeferry import environment
+from sloeferry.network.client_connection import MAX_READ_PAUSE_SECONDS
 from sloeferry.network.http1.framing import MAX_BUFFERED_BODY_BYTES
+from sloeferry.network.write_progress import WriteProgress
 from tests.support.fake_backends import FakeBackends, Script, response
 from tests.support.instrumented_harness import InstrumentedHarness, RawClient, wait_until
-from tests.support.proxy_harness import run_scenario
+from tests.support.proxy_harness import run_coroutine, run_scenario
 
 BODY_BYTES = 24_000_000  # more than the buffers of both kernels hold
 READ_BYTES_PER_SECOND = 64_000  # the slowest body that the operators' pages name
+SHORT_BODY_BYTES = 60_000
 SECONDS_BETWEEN_LOOKS = 1
 STEADY_LOOKS = 90
 # A client that never reads has taken what its kernel holds, some hundred KB, which it might read in this time at the slowest.
@@ -105,6 +108,46 @@
         run_scenario(scenario, InstrumentedHarness({"b": response("m" * BODY_BYTES)}))
 
 
+async def send_short_bodies(progress: WriteProgress) -> None:
+    """Send one short body after the other, as to a client that pipelines its requests."""
+    while True:
+        await progress.send(b"m" * SHORT_BODY_BYTES)
+        progress.restart()
+
+
+@pytest.mark.parametrize(("rate", "is_ended"), [(READ_BYTES_PER_SECOND, False), (0, True)], ids=["steady", "stopped"])
+def test_client_that_reads_many_short_bodies_steadily_is_not_cut_off(rate: int, is_ended: bool):
+    """Guards against a client that is cut off although it reads, because what it reads belongs to bodies before the one that
+    waits. One that reads nothing is cut off."""
+    seconds = SimulatedSeconds()
+
+    async def scenario() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            client = socket.create_connection(listener.getsockname())
+            sock, _ = listener.accept()
+        client.setblocking(False)
+        sock.setblocking(False)
+        progress = WriteProgress(asyncio.get_running_loop(), sock, MAX_READ_PAUSE_SECONDS)
+        sending = asyncio.create_task(send_short_bodies(progress))
+        reader, before = SlowReader(client, rate), -1
+        while before != (before := environment.unacknowledged_bytes(sock)):
+            await asyncio.sleep(0.05)  # until the buffers are full
+        has_stalled = False
+        for _ in range(STEADY_LOOKS if rate else LOOKS_UNTIL_STALLED):
+            await reader.read_for_one_second()
+            await asyncio.sleep(0.001)
+            seconds.added += SECONDS_BETWEEN_LOOKS
+            has_stalled = has_stalled or progress.has_stalled(environment.monotonic())
+        sending.cancel()
+        await asyncio.wait([sending])
+        sock.close()
+        client.close()
+        assert has_stalled is is_ended
+
+    with seconds.applied():
+        run_coroutine(scenario())
+
+
 class SlowBackends(FakeBackends):
     """Backends that read only the head of an upload; the test reads the rest."""
 
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -504,6 +504,11 @@
         with mock.patch.object(Listener, "accept", accept_as_new):
             rules, texts = self.violations(scenario)
         self.assertIn("1", rules, texts)
+        with mock.patch.object(SimulatedSocket, "ms_since_arrival", lambda sock: None):  # a system that does not tell
+            self.assertEqual(self.violations(scenario), ({}, []))
+            with mock.patch.object(Listener, "accept", accept_as_new):
+                rules, texts = self.violations(scenario)
+            self.assertIn("1", rules, texts)
 
     def test_connection_left_in_the_backlog_after_a_pause_has_waited_since(self):
         """A connection that is still in the backlog after a pause has waited as long as those accepted first.
