--- a/tests/lifecycle/test_takeover.py
+++ b/tests/lifecycle/test_takeover.py
@@ -12,7 +12,7 @@
 from tests.support.fake_backends import response
 from tests.support.golden import GoldenFiles
 from tests.support.policy_recorder import PolicyRecorder
-from tests.support.proxy_harness import READY_REQUEST, ProxyHarness, run_scenario
+from tests.support.proxy_harness import READY_REQUEST, Connection, ProxyHarness, run_scenario
 
 POLL_SECONDS = 0.02  # interval between health checks of a process
 
@@ -129,3 +129,42 @@
     # The connection number at the backend depends on the process that sends the request.
     lines = [re.sub(r"backend 1, connection \d+", "backend", line) for line in harness.lines]
     golden.check(lines, "takeover_two_processes")
+
+
+async def repeat_ids_across_a_takeover(harness: ProxyHarness, processes: ProxyProcesses) -> None:
+    """Send an id that the first process has had to the second one, beside it and after its end, and one that it never read."""
+    first, first_process = await processes.start()
+    await harness.request("safe", X_Call_Id="before")
+    kept = await harness.connect()
+    await harness.request("safe", X_Call_Id="kept", connection=kept)
+    _, second_process = await processes.start()
+    first_process.terminate()
+    await processes.until(first, lambda health: "200 OK" not in health)
+    try:
+        await repeat_ids(harness, kept, first_process)
+    finally:
+        second_process.terminate()
+        await second_process.wait()
+
+
+async def repeat_ids(harness: ProxyHarness, kept: Connection, first_process: asyncio.subprocess.Process) -> None:
+    """Send ids again while the first process ends, and after its end."""
+    assert await harness.request("safe", X_Call_Id="before") == "409  Connection: close"
+    assert await kept[0].read() == b""
+    assert await harness.request("safe", X_Call_Id="crossed", connection=kept) in ("closed without a word", "reset")
+    assert await harness.request("safe", X_Call_Id="crossed") == "200 done"
+    await first_process.wait()
+    assert await harness.request("safe", X_Call_Id="kept") == "409  Connection: close"
+    assert await harness.request("safe", X_Call_Id="new") == "200 done"
+
+
+def test_id_that_the_other_process_has_had_is_refused(tmp_path: Path):
+    """Guards against a request that runs twice across an upgrade, as its id comes again after its client has left. A client whose
+    kept connection ended before its request was read sends it once more, and is served."""
+
+    async def scenario(harness: ProxyHarness) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            harness.port = listener.getsockname()[1]
+            await repeat_ids_across_a_takeover(harness, ProxyProcesses(harness, listener, tmp_path))
+
+    run_scenario(scenario, ProxyHarness({"b": response()}))
--- a/tests/network/test_body_stream.py
+++ b/tests/network/test_body_stream.py
@@ -138,10 +138,11 @@
 async def record_response(harness: ProxyHarness, http_version: str) -> None:
     """Send one request with the given HTTP version and record the whole response."""
     reader, writer = await harness.connect()
-    writer.write(
+    request = (
         f"GET /api HTTP/{http_version}\r\nHost: x\r\nX-Call-Id: c1\r\nX-Call-Class: safe\r\nX-Caller: acme\r\n"
-        "X-Budget-Ms: 3000\r\nConnection: close\r\n\r\n".encode()
+        "X-Budget-Ms: 3000\r\nConnection: close\r\n\r\n"
     )
+    writer.write(harness.with_new_ids(request.encode()))
     received = ReceivedResponse()
     await received.receive(reader)
     writer.close()
@@ -287,7 +288,8 @@
         await harness.send(KEYED_HEAD + "Transfer-Encoding: chunked\r\n\r\n" + chunks + "0\r\n\r\n")
         harness.record("-- the client breaks off")
         _, writer = await harness.connect()
-        writer.write((KEYED_HEAD + f"Content-Length: {len(body)}\r\n\r\n" + body[: 2 * MAX_BUFFERED_BODY_BYTES]).encode())
+        upload = KEYED_HEAD + f"Content-Length: {len(body)}\r\n\r\n" + body[: 2 * MAX_BUFFERED_BODY_BYTES]
+        writer.write(harness.with_new_ids(upload.encode()))
         await writer.drain()
         await wait_until(lambda: backends.requests_begun >= 5)
         writer.transport.abort()
--- a/tests/network/test_client_disconnect.py
+++ b/tests/network/test_client_disconnect.py
@@ -206,9 +206,9 @@
     play_leaving(scenario, "client_leaves_no_retry", UnnamedBackendsHarness({"b": script, "c": script}))
 
 
-def test_request_id_is_reusable_after_client_left(play_leaving: ScenarioChecker):
-    """A client whose disconnect was not noticed yet sends the same request id again and is served. While the first client is
-    still connected, the id is refused."""
+def test_request_id_is_refused_after_client_left(play_leaving: ScenarioChecker):
+    """An id that comes again is refused while its first client is there, when it has left unnoticed, and when its attempt has
+    ended: the request would run twice."""
     release = asyncio.Event()
 
     async def scenario(harness: InstrumentedHarness) -> None:
@@ -218,9 +218,9 @@
         await client.disconnect()
         await harness.request("safe", X_Call_Id="c0")
         release.set()
+        await wait_until(lambda: not harness.dispatcher.requests)
+        await harness.request("safe", X_Call_Id="c0")
 
-    play_leaving(
-        scenario,
-        "client_leaves_request_id_reused",
-        InstrumentedHarness({"b": lambda number: release if number == 2 else response()}),
-    )
+    harness = InstrumentedHarness({"b": lambda number: release if number == 2 else response()})
+    harness.keeps_request_ids = True
+    play_leaving(scenario, "client_leaves_request_id_repeated", harness)
--- a/tests/network/test_forwarding.py
+++ b/tests/network/test_forwarding.py
@@ -128,19 +128,22 @@
 
     async def scenario(harness: ProxyHarness) -> None:
         pipelining = await harness.connect()
-        pipelining[1].write((REQUEST_HEAD + "Content-Length: 3\r\n\r\none").encode())  # with the next one, both at once
+        first = (REQUEST_HEAD + "Content-Length: 3\r\n\r\none").encode()
+        pipelining[1].write(harness.with_new_ids(first))  # with the next one, both at once
         await harness.send(REQUEST_HEAD + "Content-Length: 3\r\n\r\ntwo", pipelining)
         await harness.send(b"", pipelining)
         await harness.send(REQUEST_HEAD + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
         await harness.send(REQUEST_HEAD.replace("1.1", "1.0", 1) + "Content-Length: 0\r\n\r\n")
         await harness.send(REQUEST_HEAD + "Connection: close\r\nContent-Length: 0\r\n\r\n")
         expecting = await harness.connect()
-        expecting[1].write((REQUEST_HEAD + "Expect: 100-continue\r\nContent-Length: 4\r\n\r\n").encode())
+        head = REQUEST_HEAD + "Expect: 100-continue\r\nContent-Length: 4\r\n\r\n"
+        expecting[1].write(harness.with_new_ids(head.encode()))
         harness.record((await expecting[0].readuntil(b"\r\n\r\n")).decode().strip())
         await harness.send("body", expecting)
         slow = await harness.connect()
-        for part in re.findall(r"(?s).{1,40}", REQUEST_HEAD + "Content-Length: 4\r\n\r\n"):
-            slow[1].write(part.encode())
+        head = REQUEST_HEAD + "Content-Length: 4\r\n\r\n"
+        for part in re.findall(rb"(?s).{1,40}", harness.with_new_ids(head.encode())):
+            slow[1].write(part)
             await asyncio.sleep(0.001)
         await harness.send("drip", slow)
 
--- a/tests/network/test_request_intake.py
+++ b/tests/network/test_request_intake.py
@@ -60,8 +60,8 @@
     check_scenario(scenario, "bad_requests", ProxyHarness({"b": response()}))
 
 
-def test_open_request_id_is_refused(check_scenario: ScenarioChecker):
-    """A request id that is in flight is refused a second time; once answered, it may be used again."""
+def test_repeated_request_id_is_refused(check_scenario: ScenarioChecker):
+    """A request id is refused a second time, while it is in flight and once it is answered; a new one is served."""
     release = asyncio.Event()
 
     async def scenario(harness: ProxyHarness) -> None:
@@ -72,8 +72,11 @@
         release.set()
         await first
         await harness.request("safe")
+        await harness.request("safe", X_Call_Id="c2")
 
-    check_scenario(scenario, "open_request_id", ProxyHarness({"b": lambda number: release if number == 1 else response()}))
+    harness = ProxyHarness({"b": lambda number: release if number == 1 else response()})
+    harness.keeps_request_ids = True
+    check_scenario(scenario, "open_request_id", harness)
 
 
 def test_disconnect_affects_no_other_client(check_scenario: ScenarioChecker):
--- a/tests/support/fake_backends.py
+++ b/tests/support/fake_backends.py
@@ -9,6 +9,7 @@
 
 RECORDED_HEADERS = ("x-call-id", "idempotency")
 VARYING_HEADER = "x-budget"
+NUMBERED_ID = re.compile(r"(?i)^(x-call-id: \w+)\.\d+$")  # `ProxyHarness.with_new_ids`
 
 # Response of a backend: its bytes; b"" closes the connection; None sends nothing; an event delays the response until it is
 # set; or a function of the request's number, counted over all backends, that returns one of these.
@@ -82,4 +83,4 @@
             is_shown = self.records_all_headers and header != "" and not name.startswith(VARYING_HEADER)
             return is_shown or name.startswith(RECORDED_HEADERS)
 
-        return sorted(filter(is_recorded, headers))
+        return sorted(NUMBERED_ID.sub(r"\1", header) for header in headers if is_recorded(header))
--- a/tests/support/instrumented_harness.py
+++ b/tests/support/instrumented_harness.py
@@ -68,7 +68,7 @@
 
     async def send(self, data: bytes) -> None:
         """Send the data."""
-        await asyncio.get_running_loop().sock_sendall(self.sock, data)
+        await asyncio.get_running_loop().sock_sendall(self.sock, self._harness.with_new_ids(data))
 
     async def record_received(self, byte_count: int) -> None:
         """Record the first `byte_count` bytes of the next data received."""
--- a/tests/support/proxy_harness.py
+++ b/tests/support/proxy_harness.py
@@ -1,6 +1,7 @@
 """Harness that runs a real proxy on loopback between fake clients, backends and discovery."""
 
 import asyncio
+import itertools
 import json
 import os
 import re
@@ -19,6 +20,7 @@
 DEFAULT_DUPLICATE_RESPONSE_SECONDS = connection_pool.DUPLICATE_RESPONSE_SECONDS  # value outside the tests
 SCENARIO_TIMEOUT_SECONDS = 60  # a scenario that takes longer fails
 MAX_RECORDED_BODY_CHARACTERS = 40  # longer bodies are cut in records
+REQUEST_ID = re.compile(rb"X-Call-Id: (c\d+)\r")
 READY_REQUEST = "GET /ready HTTP/1.1\r\n\r\n"
 
 Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
@@ -59,6 +61,9 @@
     REQUEST_CLASSES = [("safe", "retryable"), ("keyed", "dedup"), ("once", "fragile")]  # name, idempotency
     DUPLICATE_WAIT_SECONDS = 0.0  # the choice of a connection must not depend on the duration of the last request
     has_pending_reload = False  # a SIGHUP arrived before the proxy handled signals
+    # Whether an id is sent as the test has it, so that it may come twice.  Otherwise an id such as c1 gets a number, which backends do not
+    # record: an id is new with every request.
+    keeps_request_ids = False
 
     def __init__(
         self,
@@ -87,11 +92,18 @@
         self._has_admin = has_admin
         self._limits = limits
         self._servers: list[asyncio.Server] = []
+        self._id_numbers = itertools.count(1)
 
     def record(self, text: str) -> None:
         """Record a line."""
         self.lines.append(text)
 
+    def with_new_ids(self, data: bytes) -> bytes:
+        """Return the data with a number behind each request id, unless the ids are kept."""
+        if self.keeps_request_ids:
+            return data
+        return REQUEST_ID.sub(lambda match: b"X-Call-Id: %b.%d\r" % (match[1], next(self._id_numbers)), data)
+
     async def __aenter__(self) -> Self:
         await self.backends.start(self.listen, self.record)
         discovery_port = await self.listen(self.discovery.serve)
@@ -112,12 +124,15 @@
             self.discovery.is_down = True
             members = self.discovery.endpoint_entries(*self._cached_endpoints)
             self.config["known"] = {"revision": 0, "complete": True, "members": members}
-        environment = {**os.environ, **self.environment} if self.environment else os.environ
-        process = serve(self._instance_config(), environment, has_pending_reload=lambda: self.has_pending_reload)
-        self.proxy_task = asyncio.get_running_loop().create_task(process)
+        self.proxy_task = asyncio.get_running_loop().create_task(self._run_proxy())
         await self._until_ready()
         return self
 
+    async def _run_proxy(self) -> None:
+        """Run the proxy in this process until cancelled."""
+        environment = {**os.environ, **self.environment} if self.environment else os.environ
+        await serve(self._instance_config(), environment, has_pending_reload=lambda: self.has_pending_reload)
+
     async def __aexit__(self, *_: object) -> None:
         self.proxy_task.cancel()
         await asyncio.wait([self.proxy_task])
@@ -198,7 +213,7 @@
         """Send data and return the response in a line; opens a new connection unless one is given."""
         try:
             reader, writer = connection or await self.connect()
-            writer.write(text if isinstance(text, bytes) else text.encode())
+            writer.write(self.with_new_ids(text if isinstance(text, bytes) else text.encode()))
             head = (await reader.readuntil(b"\r\n\r\n")).decode()
             body = (await reader.readexactly(content_length(head))).decode()
             headers = re.findall(r"(?i)connection: close|retry-after.*\d", head)
