Closed connections and ended requests are freed at once, not by the collector

Cause: a client connection and its reader, runner and writer refer to each other, as do a request and its attempts, and a cancelled task to its frames. What they held, bodies among it, waited for the garbage collector, whose thresholds are high and whose oldest generation is rare.

--- a/sloeferry/network/client_connection.py
+++ b/sloeferry/network/client_connection.py
@@ -47,7 +47,26 @@
         self.waiting_since = environment.monotonic()
         self.write_progress = WriteProgress(server.loop, sock, MAX_READ_PAUSE_SECONDS)  # the sweeper looks at it
         server.connections[self] = None  # a dict keeps the order of arrival; that of a set is not reproducible
-        self.task = server.loop.create_task(self.serve())
+        self._running_task_count = 0
+        self.task = self._start_task()
+
+    def _start_task(self, in_flight: tuple[OutgoingRequest, Message] | None = None) -> asyncio.Task:
+        task = self.server.loop.create_task(self.serve(in_flight))
+        self._running_task_count += 1
+        task.add_done_callback(self._task_ended)
+        return task
+
+    def _task_ended(self, task: asyncio.Task) -> None:
+        """Free the closed connection once its last task has ended, rather than when the garbage collector runs.
+
+        Its parts refer to it, and a cancelled task does through its traceback.
+        """
+        self._running_task_count -= 1
+        if self._running_task_count == 0:
+            self.reader.detach()
+            self.request_runner.detach()
+            self.reply_writer.detach()
+            del self.task
 
     async def serve(self, in_flight: tuple[OutgoingRequest, Message] | None = None) -> None:
         """Serve all requests of this connection; `in_flight` is a request taken over from another task."""
@@ -81,7 +100,7 @@
     def hand_over(self, request: OutgoingRequest, message: Message) -> None:
         """Let a new task execute a command that arrived while this connection's task runs an attempt."""
         self.server.tasks.adopt(self.task)
-        self.task = self.server.loop.create_task(self.serve((request, message)))
+        self.task = self._start_task((request, message))
 
     async def _serve_next(self) -> bool | None:
         """Serve the next request; return whether another may follow, or None if another task has taken over."""
--- a/sloeferry/network/connection_sweeper.py
+++ b/sloeferry/network/connection_sweeper.py
@@ -35,15 +35,19 @@
         """Close connections that have been idle, or have not completed a message, for too long."""
         while True:
             await asyncio.sleep(READ_TIMEOUT_SECONDS / SWEEPS_PER_READ_TIMEOUT)
+            self._sweep_connections()
             server = self._server
-            has_many_connections = len(server.connections) > server.budget.limit * SHORT_IDLE_TIMEOUT_RATIO
-            idle_timeout_seconds = SHORT_IDLE_TIMEOUT_SECONDS if has_many_connections else IDLE_TIMEOUT_SECONDS
-            for connection in list(server.connections):
-                self._sweep_connection(connection, idle_timeout_seconds)
             if server.lifecycle.may_close_idle(environment.monotonic_ms()):
                 server.shutdown.close_idle()
             self._close_excess_idle()
 
+    def _sweep_connections(self) -> None:
+        server = self._server
+        has_many_connections = len(server.connections) > server.budget.limit * SHORT_IDLE_TIMEOUT_RATIO
+        idle_timeout_seconds = SHORT_IDLE_TIMEOUT_SECONDS if has_many_connections else IDLE_TIMEOUT_SECONDS
+        for connection in list(server.connections):
+            self._sweep_connection(connection, idle_timeout_seconds)
+
     def _sweep_connection(self, connection: ClientConnection, idle_timeout_seconds: float) -> None:
         now, stream = environment.monotonic(), connection.stream
         if connection.request_runner.body_stream:
@@ -86,9 +90,12 @@
             await asyncio.sleep(stall_accounting.LOOP_CHECK_INTERVAL_SECONDS)
             self._server.dispatcher.record_loop_iteration()
             self._server.stalls.note_loop_iteration()
-            now_ms = environment.monotonic_ms()
-            for connection in list(self._server.connections):
-                self._check_request(connection, now_ms)
+            self._check_requests()
+
+    def _check_requests(self) -> None:
+        now_ms = environment.monotonic_ms()
+        for connection in list(self._server.connections):
+            self._check_request(connection, now_ms)
 
     def _check_request(self, connection: ClientConnection, now_ms: float) -> None:
         context = connection.request_runner.context
--- a/sloeferry/network/http1/framing.py
+++ b/sloeferry/network/http1/framing.py
@@ -197,8 +197,9 @@
         return (self.message.content_length or 0) > MAX_BUFFERED_BODY_BYTES
 
     def close(self) -> None:
-        """Break the reference cycle between the parser and this object.
+        """Break the reference cycles through the parser and the callbacks.
 
         Otherwise the objects of closed connections accumulate until the garbage collector runs.
         """
         self._parser = None
+        self._on_body = self._accepts_head = None
--- a/sloeferry/network/http1/stream.py
+++ b/sloeferry/network/http1/stream.py
@@ -43,6 +43,7 @@
             self._receiving = None
 
     async def receive(self) -> StreamEnd | None:
+        self._reject_unparsed = None
         """Receive once; return why no more can be read, or None."""
         if self._receiving:
             receiving, self._receiving = self._receiving, None
--- a/sloeferry/network/reply_writer.py
+++ b/sloeferry/network/reply_writer.py
@@ -112,3 +112,7 @@
         finally:
             server.lingering_close_count -= 1
             server.buffers.release(buffer)
+
+    def detach(self) -> None:
+        """Drop the reference to the connection, after its end."""
+        del self._connection
--- a/sloeferry/network/request_reader.py
+++ b/sloeferry/network/request_reader.py
@@ -133,3 +133,7 @@
         if self.is_reading and not self._is_overdue:
             self._is_overdue = True
             self._connection.task.cancel()
+
+    def detach(self) -> None:
+        """Drop the reference to the connection, after its end."""
+        del self._connection
--- a/sloeferry/network/request_runner.py
+++ b/sloeferry/network/request_runner.py
@@ -149,5 +149,10 @@
                 for response in self._server.dispatcher.abandon(context):
                     if response.body_stream:
                         response.body_stream.close()
+
+    def detach(self) -> None:
+        """Drop the references to the connection, after its end."""
+        del self._connection
+        self.body_stream = None
             except Exception as error:  # a failing decision must not prevent the connection from closing
                 warn("request dropped", "request={} error={!r}", context.request_id, error)
--- a/sloeferry/policy/requests.py
+++ b/sloeferry/policy/requests.py
@@ -98,6 +98,7 @@
         path_in_time = is_answered if outcome is not AttemptOutcome.REJECTED else None
         for tracker in self.endpoint.path_trackers:
             tracker.attempt_ended(now, self, path_in_time)
+        del self.request  # which refers to its attempts: the two would wait for the garbage collector
 
 
 class Request:
--- a/tests/support/proxy_harness.py
+++ b/tests/support/proxy_harness.py
@@ -61,8 +61,8 @@
     REQUEST_CLASSES = [("safe", "retryable"), ("keyed", "dedup"), ("once", "fragile")]  # name, idempotency
     DUPLICATE_WAIT_SECONDS = 0.0  # the choice of a connection must not depend on the duration of the last request
     has_pending_reload = False  # a SIGHUP arrived before the proxy handled signals
-    # Whether an id is sent as the test has it, so that it may come twice.  Otherwise an id such as c1 gets a number, which backends do not
-    # record: an id is new with every request.
+    # Whether an id is sent as the test has it, so that it may come twice.  Otherwise an id such as c1 gets a number, which
+    # backends do not record: an id is new with every request.
     keeps_request_ids = False
 
     def __init__(
