Timers of answered requests are freed before they are due

Cause: the timers of a request, with the request, its attempts and the task of each deadline, stayed in two heaps until they were due, so that the heaps held all requests of a whole deadline, most of them long answered. Both heaps drop what is obsolete whenever they have doubled since the last time.

--- a/sloeferry/dispatch/command_host.py
+++ b/sloeferry/dispatch/command_host.py
@@ -1,7 +1,7 @@
 """Implements the policy's host on sockets: queues its commands and keeps its timers in a heap, without decisions of its own."""
 
 from collections.abc import Callable
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 
 from sloeferry import environment
 from sloeferry.dispatch.request_context import CommandQueue, RequestContext
@@ -17,6 +17,8 @@
 )
 from sloeferry.policy.policy import Policy
 
+MIN_TIMERS_TO_COMPACT = 256
+
 
 class CommandHost:
     """Implements `PolicyHost`: queues the policy's commands for the tasks that execute them."""
@@ -25,6 +27,7 @@
         """Set up empty queues; `request_wakeup` receives the time (ms) by which `run_due_timers` has to be called."""
         self._request_wakeup = request_wakeup
         self._timers: list[tuple[float, int]] = []  # (due, token), a heap
+        self._compact_at_count = MIN_TIMERS_TO_COMPACT
         self.next_timer_at: float | None = None
         self.requests: dict[int, RequestContext] = {}  # unanswered, or with an attempt in flight
         self.health_check_commands = CommandQueue()
@@ -87,6 +90,17 @@
             self.next_timer_at = at
             self._request_wakeup(at)
 
+    def _drop_obsolete(self, policy: Policy) -> None:
+        """Free the timers of answered requests before they are due; at a high rate of requests they hold megabytes."""
+        timers = policy.timers
+        obsolete = [token for _, token in self._timers if timers.is_obsolete(token)]
+        for token in obsolete:
+            timers.discard(token)
+        dropped = set(obsolete)
+        self._timers = [each for each in self._timers if each[1] not in dropped]
+        heapify(self._timers)
+        self._compact_at_count = max(MIN_TIMERS_TO_COMPACT, 2 * len(self._timers))
+
     def run_due_timers(self, policy: Policy) -> None:
         """Fire all timers that are due."""
         now, timers = environment.monotonic_ms(), policy.timers
@@ -98,6 +112,8 @@
                 else:
                     policy.timer_fired(now, token)
         finally:
+            if len(self._timers) > self._compact_at_count:
+                self._drop_obsolete(policy)
             # Timers of requests answered since are dropped without a wake-up; they are the majority of all timers.
             while self._timers and timers.is_obsolete(self._timers[0][1]):
                 timers.discard(heappop(self._timers)[1])
--- a/sloeferry/network/deadline_timers.py
+++ b/sloeferry/network/deadline_timers.py
@@ -4,7 +4,9 @@
 """
 
 import asyncio
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
+
+MIN_TIMERS_TO_COMPACT = 256
 
 
 class DeadlineTimer:
@@ -30,18 +32,27 @@
         self._loop = loop
         self._heap: list[tuple[float, int, DeadlineTimer]] = []  # the sequence number breaks ties
         self._count = 0
+        self._compact_at_count = MIN_TIMERS_TO_COMPACT
         self._handle: asyncio.TimerHandle | None = None
         self._due_at = 0.0
 
     def set(self, at: float, task: asyncio.Task) -> DeadlineTimer:
         """Cancel the task at time `at` of the event loop unless the returned timer is cancelled before."""
         self._count += 1
+        if len(self._heap) > self._compact_at_count:
+            self._drop_cancelled()
         timer = DeadlineTimer(task)
         heappush(self._heap, (at, self._count, timer))
         if self._handle is None or at < self._due_at - self.RESOLUTION_SECONDS:
             self._arm(at)
         return timer
 
+    def _drop_cancelled(self) -> None:
+        """Free the cancelled timers before they are due."""
+        self._heap = [each for each in self._heap if each[2].task is not None]
+        heapify(self._heap)
+        self._compact_at_count = max(MIN_TIMERS_TO_COMPACT, 2 * len(self._heap))
+
     def _arm(self, at: float) -> None:
         if self._handle is not None:
             self._handle.cancel()
