--- a/sloeferry/dispatch/attempt_end.py
+++ b/sloeferry/dispatch/attempt_end.py
@@ -28,6 +28,8 @@
     ABORTED_LOCALLY = "aborted locally"
     MALFORMED = "malformed response"  # unparsable or unterminated, on a connection that is still open
 
+    NO_MEMORY = "no memory for the response"
+
 
 _OUTCOME_WHEN_WRITTEN = {
     AttemptEnd.SERVED: AttemptOutcome.SERVED,
@@ -37,16 +39,20 @@
     AttemptEnd.TIMED_OUT: AttemptOutcome.TIMED_OUT,
     AttemptEnd.CANCELLED: AttemptOutcome.CANCELLED,
     AttemptEnd.MALFORMED: AttemptOutcome.UNKNOWN,
+    AttemptEnd.NO_MEMORY: AttemptOutcome.UNKNOWN,
 }
 
 
+LOCAL_ENDS = (AttemptEnd.CANCELLED, AttemptEnd.NO_MEMORY)
+
+
 def attempt_outcome(progress: AttemptProgress, end: AttemptEnd) -> AttemptOutcome:
     """Return the outcome of an attempt by its written bytes: only a completely written request may have run (safety rule 2).
 
     A connection that was not established in time counts against the endpoint; an attempt aborted locally does not.
     """
     is_written = progress >= AttemptProgress.COMPLETELY_WRITTEN
-    if end is AttemptEnd.ABORTED_LOCALLY or end is AttemptEnd.CANCELLED and not is_written:
+    if end is AttemptEnd.ABORTED_LOCALLY or end in LOCAL_ENDS and not is_written:
         return AttemptOutcome.NEVER_SENT
     if not is_written:
         return AttemptOutcome.UNREACHABLE
--- a/sloeferry/environment.py
+++ b/sloeferry/environment.py
@@ -5,6 +5,7 @@
 """
 
 import fcntl
+import resource
 import select
 import socket
 import struct
@@ -56,6 +57,15 @@
         return None
 
 
+def resident_bytes() -> int | None:
+    """Return the resident memory of this process; None if the system does not tell."""
+    try:
+        with open("/proc/self/statm", encoding="ascii") as file:
+            return int(file.read().split()[1]) * resource.getpagesize()
+    except (OSError, ValueError, IndexError):
+        return None
+
+
 def tcp_socket() -> socket.socket:
     """Return a new non-blocking TCP socket."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/sloeferry/lifecycle/proxy_process.py
+++ b/sloeferry/lifecycle/proxy_process.py
@@ -65,14 +65,18 @@
 class ProxyProcess:
     """Holds the parts of one proxy process."""
 
-    def __init__(self, config: InstanceConfig, environ: Mapping[str, str]):
+    def __init__(self, config: InstanceConfig, environ: Mapping[str, str], resident_bytes: int = RESIDENT_AT_REST_BYTES):
+        """Build the parts; `resident_bytes`: memory that the process has before the first connection."""
         loop = self._loop = asyncio.get_running_loop()
         timer = PolicyTimer(loop)
         self.dispatcher = timer.dispatcher = Dispatcher(config.seed, config.settings, timer.wake_at)
         # Clients and backends get separate budgets of half the descriptors, since a request needs one of each: a flood of client
         # connections must not use up the backends' descriptors, nor the reverse.
         limit = (config.max_descriptors - RESERVED_DESCRIPTORS) // 2
-        client_budget, backend_budget, buffers = DescriptorBudget(limit), DescriptorBudget(limit), BufferPool()
+        memory = MemoryBudget(config.memory_limit_bytes, resident_bytes)
+        limit = min(limit, memory.max_connections)
+        memory.set_connections(limit)
+        client_budget, backend_budget, buffers = DescriptorBudget(limit), DescriptorBudget(limit), BufferPool(memory.limit // 8)
         self.lifecycle = Lifecycle()
         self._takeover = _create_takeover(loop, config, environ)
         if self._takeover and self._takeover.snapshot:
@@ -82,7 +86,7 @@
         self._environ = environ
         tasks, timers = TaskSet(loop), DeadlineTimers(loop)
         load_reports = LoadReportReader(config.settings)
-        self.pool = ConnectionPool(loop, config.settings, backend_budget, buffers)
+        self.pool = ConnectionPool(loop, config.settings, backend_budget, buffers, memory)
         self.attempts = AttemptRunner(self.dispatcher, self.pool, timers, load_reports)
         self.health_checker = HealthChecker(self.dispatcher, self.pool, timers, load_reports, tasks)
         is_another_serving = bool(self._takeover and self._takeover.store.find_peers().ready)
@@ -218,5 +222,6 @@
     on_built: Callable[[Dispatcher], None] = lambda dispatcher: None,
     has_pending_reload: Callable[[], bool] = lambda: False,
 ) -> None:
-    """Run one proxy process until it has shut down."""
-    await ProxyProcess(config, environ).run(has_pending_reload, on_built)
+    """Run one proxy process until it has shut down; `resident_bytes`: the memory that it has at its start."""
+    await ProxyProcess(config, environ, resident_bytes).run(has_pending_reload, on_built)
+    resident_bytes: int = RESIDENT_AT_REST_BYTES,
--- a/sloeferry/lifecycle/startup.py
+++ b/sloeferry/lifecycle/startup.py
@@ -9,10 +9,12 @@
 import uvloop
 from loguru import logger
 
+from sloeferry import environment
 from sloeferry.config.errors import ConfigError
 from sloeferry.config.instance import read_instance_config, read_log_options
 from sloeferry.dispatch.dispatcher import Dispatcher
 from sloeferry.lifecycle.proxy_process import serve
+from sloeferry.network.memory_budget import RESIDENT_AT_REST_BYTES
 
 LOG_FORMAT = "{time:HH:mm:ss.SSS} {level} {message}"
 GC_THRESHOLDS = (20000, 20, 50)  # above Python's defaults: each collection stalls the event loop
@@ -36,7 +38,14 @@
         logger.add(sys.stderr, level=level, diagnose=False, serialize=is_json, format=LOG_FORMAT)
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             config = read_instance_config(os.environ)
-            runner.run(serve(config, on_built=freeze_startup_objects, has_pending_reload=lambda: bool(early_reloads)))
+            runner.run(
+                serve(
+                    config,
+                    on_built=freeze_startup_objects,
+                    has_pending_reload=lambda: bool(early_reloads),
+                    resident_bytes=environment.resident_bytes() or RESIDENT_AT_REST_BYTES,
+                )
+            )
     except ConfigError as error:
         print(f"sloeferry: {error}", file=sys.stderr)
         sys.exit(CONFIG_ERROR_EXIT_STATUS)
--- a/sloeferry/network/backend_connection.py
+++ b/sloeferry/network/backend_connection.py
@@ -59,6 +59,7 @@
         After an incomplete request the backend would read the next one as its rest (request smuggling).
         Surplus bytes belong to no attempt: the next one would read them as its response, so the connection is closed.
         """
+        self.stream.forget_message()
         has_surplus_bytes = self.stream.completed or self.stream.has_begun
         if has_surplus_bytes:
             self._pool.note_surplus_bytes()
--- a/sloeferry/network/body_stream.py
+++ b/sloeferry/network/body_stream.py
@@ -13,6 +13,7 @@
 from sloeferry.dispatch.request_context import RequestContext
 from sloeferry.network.http1 import writer
 from sloeferry.network.http1.message import Message
+from sloeferry.network.memory_budget import STREAMED_BODY_BYTES
 from sloeferry.network.write_progress import WriteProgress
 
 if TYPE_CHECKING:
@@ -78,6 +79,8 @@
     def bind(self, attempt_number: int, task: asyncio.Task) -> None:
         """Bind the body to an attempt, because all of the buffered part has been sent."""
         self._buffered, self.is_bound, self.task = b"", True, task
+        if self._message.reservation:
+            self._message.reservation.shrink(STREAMED_BODY_BYTES)
         self._dispatcher.body_outgrew_buffer(self.context, attempt_number)
 
     @contextlib.contextmanager
@@ -126,6 +129,8 @@
         self._message = message
         self._waiting_since = environment.monotonic()
         message.is_streamed = True
+        if message.reservation:
+            message.reservation.shrink(STREAMED_BODY_BYTES)
 
     def framing(self, is_http10: bool) -> list[bytes]:
         """Return the header lines for its framing; none for HTTP/1.0 clients if the length is unknown (end of connection)."""
--- a/sloeferry/network/client_connection.py
+++ b/sloeferry/network/client_connection.py
@@ -13,6 +13,7 @@
 from sloeferry.network.http1 import writer
 from sloeferry.network.http1.framing import StreamEnd
 from sloeferry.network.http1.message import Message
+from sloeferry.network.memory_budget import MAX_WAIT_SECONDS
 from sloeferry.network.reply_writer import ReplyWriter
 from sloeferry.network.request_intake import METHODS
 from sloeferry.network.request_reader import ReadOutcome, RequestReader
@@ -114,6 +115,8 @@
             return await self.reply_writer.refuse(self._refusal_status())
         self.is_busy, self.is_new = True, False
         unread_ms = self.reader.take_unread_ms(message)
+        if outcome is ReadOutcome.NO_MEMORY:
+            return await self.reply_writer.reject(self.server.intake.retry_after_ms(MAX_WAIT_SECONDS * 1000), keep_alive=False)
         if unread_ms and message.attributes and message.attributes.time_left_ms <= unread_ms:
             # Its deadline passed while the event loop was stalled: reject it, regardless of free capacity.
             message.retry_after_if_rejected_ms = self.server.intake.retry_after_if_rejected_ms(message, has_waited=True)
@@ -165,6 +168,7 @@
 
     def evict(self) -> None:
         """Close the connection because its descriptor is needed or its request body has stalled.
+        self.stream.forget_message()
 
         A partial request is answered with 408: its last byte may be in transit, and without a reply the request would be lost
         (safety rule 1).
--- a/sloeferry/network/client_replies.py
+++ b/sloeferry/network/client_replies.py
@@ -7,6 +7,7 @@
 from sloeferry.network.body_stream import ResponseBodyStream
 from sloeferry.network.http1.framing import StreamEnd
 from sloeferry.network.http1.message import HOP_BY_HOP_HEADERS, Header, Message
+from sloeferry.network.memory_budget import Reservation
 
 OK, BAD_REQUEST, METHOD_NOT_ALLOWED, REQUEST_TIMEOUT = 200, 400, 405, 408
 CONFLICT, CONTENT_TOO_LARGE, SERVICE_UNAVAILABLE, GATEWAY_TIMEOUT = 409, 413, 503, 504
@@ -27,6 +28,7 @@
     status: int
     body: bytes | ResponseBodyStream = b""
     headers: Sequence[Header] = ()
+    reservation: Reservation | None = None  # of the memory for the body, until it is written
 
 
 FAILED = Reply(GATEWAY_TIMEOUT)
@@ -44,4 +46,4 @@
 
 def backend_reply(response: Message) -> Reply:
     """Return the reply that forwards a backend's response."""
-    return Reply(OK, response.body_stream or response.body(), response.forwarded_headers(WITHHELD_HEADERS))
+    return Reply(OK, response.body_stream or response.body(), response.forwarded_headers(WITHHELD_HEADERS), response.reservation)
--- a/sloeferry/network/connection_pool.py
+++ b/sloeferry/network/connection_pool.py
@@ -12,6 +12,7 @@
 from sloeferry.network.buffers import BufferPool
 from sloeferry.network.descriptor_budget import DescriptorBudget
 from sloeferry.network.limited_log import warn
+from sloeferry.network.memory_budget import MemoryBudget
 from sloeferry.network.sockets import has_unread_bytes, is_open_and_idle
 
 # A backend may send a duplicate response, to a request or a health check, up to this long after the first (the protocol says
@@ -29,10 +30,18 @@
 class ConnectionPool:
     """Holds the idle connections to all endpoints and dials new ones."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, settings: Settings, budget: DescriptorBudget, buffers: BufferPool):
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        settings: Settings,
+        budget: DescriptorBudget,
+        buffers: BufferPool,
+        memory: MemoryBudget,
+    ):
         self.loop = loop
         self.budget = budget
         self.buffers = buffers
+        self.memory = memory
         self.addresses: dict[str, Address] = {}  # by endpoint id
         self.idle: dict[str, list[BackendConnection]] = {}  # by endpoint id, the most recently used last
         self._duplicates_expected_until = 0.0  # seconds, monotonic
--- a/sloeferry/network/discovery_watch.py
+++ b/sloeferry/network/discovery_watch.py
@@ -134,7 +134,9 @@
     async def _follow(self, sock: socket.socket) -> str:
         """Request the list, apply lists and changes until the response ends, and return the reason for the end."""
         client = self._client
-        stream = HttpStream(self._loop, sock, client.buffers, is_response=True, on_body=self._receive_body)
+        stream = HttpStream(
+            self._loop, sock, client.buffers, is_response=True, on_body=self._receive_body, reads_large_bodies=True
+        )
         try:
             # Before the list arrives the poll timeout applies, since the poll may wait in discovery's queue; after that the
             # silence limit of a watch applies.
--- a/sloeferry/network/exchange.py
+++ b/sloeferry/network/exchange.py
@@ -20,6 +20,7 @@
 from sloeferry.network.http1.message import Message
 from sloeferry.network.http1.stream import HttpStream
 from sloeferry.network.limited_log import warn
+from sloeferry.network.memory_budget import SMALL_MESSAGE_BYTES, STREAMED_BODY_BYTES, buffered_response_bytes
 from sloeferry.network.sockets import is_open_and_idle
 
 FIRST_FINAL_STATUS = 200  # lower ones are those of interim responses
@@ -193,6 +194,9 @@
         """Read the whole response, or its beginning if it is to be streamed to the client."""
         stream = self._connection.stream
         while not stream.completed and not stream.fault and not stream.oversized_message():
+            if not self._may_be_buffered(stream.message):
+                self._response = stream.message
+                break
             if stream.has_unknown_length() and stream.message.body_bytes:
                 if not await self._receive_while_held_back(stream):
                     self._response = stream.message
@@ -205,6 +209,21 @@
                 self._limit_response_time(stream)
         self._take_response()
 
+    def _may_be_buffered(self, response: Message) -> bool:
+        """Reserve memory for a response that may be large; return False if there is none, so that it has to be streamed."""
+        known_bytes = response.body_bytes if response.content_length is None else response.content_length
+        is_small = not response.is_head_complete or known_bytes <= SMALL_MESSAGE_BYTES
+        if is_small or response.reservation or not response.body_bytes:
+            return True
+        response.reservation = self._pool.memory.try_reserve(buffered_response_bytes(response.content_length))
+        return response.reservation is not None
+
+    def _reserve_streaming(self, response: Message) -> bool:
+        """Reserve memory for a response that is forwarded in parts; return whether there was enough."""
+        if response.reservation is None:
+            response.reservation = self._pool.memory.try_reserve(STREAMED_BODY_BYTES)
+        return response.reservation is not None
+
     async def _receive_while_held_back(self, stream: HttpStream) -> bool:
         """Receive more of a response of unknown length; return False once it is to be streamed to the client.
 
@@ -236,6 +255,9 @@
         # lengths has no defined end; the parser rejects its head, so it never counts as complete.
         stream = self._connection.stream
         self._response = self._response or stream.oversized_message()
+        if self._response and not self._reserve_streaming(self._response):
+            self._response, self._end = None, AttemptEnd.NO_MEMORY
+            return
         if self._response is None and stream.completed:
             self._response = stream.completed.pop(0)
         if self._response:
--- a/sloeferry/network/http1/framing.py
+++ b/sloeferry/network/http1/framing.py
@@ -18,6 +18,7 @@
 MAX_LENGTH_DIGITS = 9
 CHUNK_LINE_ALLOWANCE = 9  # bytes of chunk lines for each byte of a body
 BODILESS_STATUSES = (204, 304)  # responses without a body, regardless of their headers
+NO_MESSAGE = Message()  # `MessageFraming.message` between two messages
 
 
 class StreamEnd(enum.Enum):
@@ -57,7 +58,7 @@
         self._non_body_bytes = 0
         parser = httptools.HttpResponseParser if is_response else httptools.HttpRequestParser
         self._parser = parser(self)
-        self.message = Message()
+        self.message = NO_MESSAGE
         self.completed: list[Message] = []
         self.fault: StreamEnd | None = None
         self.has_begun = False
@@ -196,6 +197,15 @@
         """Return whether the message being received is stated to exceed the buffer limit."""
         return (self.message.content_length or 0) > MAX_BUFFERED_BODY_BYTES
 
+    def head_bytes(self) -> int:
+        """Return how many bytes of an incomplete head have been received; 0 once it is complete."""
+        return 0 if self.message.is_head_complete or not self.has_begun else self._non_body_bytes
+
+    def forget_message(self) -> None:
+        """Drop the last complete message, whose body would be held until the next one begins."""
+        if not self.has_begun:
+            self.message = NO_MESSAGE
+
     def close(self) -> None:
         """Break the reference cycles through the parser and the callbacks.
 
--- a/sloeferry/network/http1/message.py
+++ b/sloeferry/network/http1/message.py
@@ -7,6 +7,7 @@
 
 if TYPE_CHECKING:
     from sloeferry.network.body_stream import ResponseBodyStream
+    from sloeferry.network.memory_budget import Reservation
 
 Header = tuple[bytes, bytes]  # name in lower case, value
 
@@ -59,6 +60,7 @@
         "attributes",
         "retry_after_if_rejected_ms",
         "body_stream",
+        "reservation",
     )
 
     def __init__(self):
@@ -83,6 +85,7 @@
         # Retry-After if the request is rejected before acceptance (0.0: none is sent); None if it is not rejected.
         self.retry_after_if_rejected_ms: float | None = None
         self.body_stream: ResponseBodyStream | None = None  # of a response whose body is incomplete
+        self.reservation: Reservation | None = None  # of memory, for a large head or body
 
     def append_header(self, name: bytes, value: bytes) -> None:
         """Add a received header; `name` is in lower case."""
--- a/sloeferry/network/http1/stream.py
+++ b/sloeferry/network/http1/stream.py
@@ -7,7 +7,7 @@
 import socket
 from collections.abc import Callable
 
-from sloeferry.network.buffers import BufferPool
+from sloeferry.network.buffers import BUFFER_BYTES, SMALL_BUFFER_BYTES, BufferPool
 from sloeferry.network.http1.framing import MAX_BODY_BYTES, MessageFraming, StreamEnd
 from sloeferry.network.http1.message import Message
 
@@ -25,13 +25,18 @@
         accepts_head: Callable[[Message], bool] | None = None,
         max_body_bytes: int = MAX_BODY_BYTES,
         reject_unparsed: Callable[[bytearray, int], bool] | None = None,
+        reads_large_bodies: bool = False,
     ):
-        """Create a stream; `reject_unparsed` gets the first bytes of a message and returns True if it has handled them."""
+        """Create a stream; `reject_unparsed` gets the first bytes of a message and returns True if it has handled them.
+
+        Large buffers are used for a message with a reservation of memory, or if it `reads_large_bodies` all the time.
+        """
         super().__init__(is_response, on_body, accepts_head, max_body_bytes)
         self._loop = loop
         self._sock = sock
         self._buffers = buffers
         self._reject_unparsed = reject_unparsed
+        self._reads_large_bodies = reads_large_bodies
         self._receiving: asyncio.Task | None = None  # a receive that outlasted its timeout
         self.was_reset = False  # the connection ended with an error, not with the end of the stream
 
@@ -63,7 +68,8 @@
         return bool(done)
 
     async def _receive(self) -> StreamEnd | None:
-        buffer = self._buffers.acquire()
+        is_large = self._reads_large_bodies or self.message.reservation
+        buffer = self._buffers.acquire(BUFFER_BYTES if is_large else SMALL_BUFFER_BYTES)
         try:
             length = await self._loop.sock_recv_into(self._sock, buffer)
             if length and self._reject_unparsed and not self.has_begun and self._reject_unparsed(buffer, length):
--- a/sloeferry/network/listener.py
+++ b/sloeferry/network/listener.py
@@ -103,7 +103,7 @@
     def _has_backlog_waited(self) -> bool:
         """Return whether connections may have waited in the backlog for too long."""
         since_ms = self.backlogged_since_ms
-        return since_ms is not None and environment.monotonic_ms() - since_ms > MAX_BACKLOG_WAIT_MS
+        return since_ms is not None and environment.monotonic_ms() - since_ms > wait_ms
 
     def _handle_accept_error(self, error: OSError) -> bool:
         if isinstance(error, BlockingIOError):
--- a/sloeferry/network/request_intake.py
+++ b/sloeferry/network/request_intake.py
@@ -71,6 +71,10 @@
         """Return the longest deadline of all request classes."""
         return max(self._deadline_ms.values())
 
+    def retry_after_ms(self, delay_ms: float) -> float:
+        """Return a Retry-After with which a request is rejected; 0.0 where the settings have none."""
+        return delay_ms if self._sends_retry_after else 0.0
+
     def recheck(self, message: Message) -> None:
         """Validate a head again that was read under previous settings and is not accepted yet.
 
@@ -78,7 +82,7 @@
         rejected without having been sent, so the client may retry it (safety rule 2).
         """
         if message.attributes and not self.accepts_head(message):
-            message.retry_after_if_rejected_ms = message.attributes.time_left_ms if self._sends_retry_after else 0.0
+            message.retry_after_if_rejected_ms = self.retry_after_ms(message.attributes.time_left_ms)
 
     # Heads
 
--- a/sloeferry/network/request_reader.py
+++ b/sloeferry/network/request_reader.py
@@ -9,6 +9,7 @@
 from sloeferry.network.http1.framing import StreamEnd
 from sloeferry.network.http1.message import Message
 from sloeferry.network.http1.stream import HttpStream
+from sloeferry.network.memory_budget import LARGE_HEAD_BYTES, SMALL_MESSAGE_BYTES, buffered_request_bytes
 from sloeferry.network.unread_time import UnreadTime
 
 if TYPE_CHECKING:
@@ -21,6 +22,7 @@
     REQUEST = "a request or invalid input"
     REJECTED = "rejected unparsed"
     CLOSING = "no further request is read"
+    NO_MEMORY = "there is no memory for the rest of the request"
 
 
 class RequestReader:
@@ -70,9 +72,36 @@
             if stream.has_begun and not had_begun and not connection.is_new:
                 # Set once per request, so that a client that sends slowly cannot extend its timeout.
                 connection.waiting_since = environment.monotonic()
+            if not await self._reserve_memory():
+                return ReadOutcome.NO_MEMORY
             await self._send_continue()
         return ReadOutcome.REQUEST
 
+    async def _reserve_memory(self) -> bool:
+        """Reserve memory for the rest of an incomplete request that may be large; return False if there is none in time."""
+        message = self.stream.message
+        missing_bytes = self._needed_bytes() - (message.reservation.size if message.reservation else 0)
+        if missing_bytes <= 0:
+            return True
+        reservation = await self._server.memory.reserve(missing_bytes)
+        if reservation and message.reservation:
+            message.reservation.merge(reservation)
+        elif reservation:
+            message.reservation = reservation
+        return reservation is not None
+
+    def _needed_bytes(self) -> int:
+        """Return what the request being received has to reserve, as far as it is known."""
+        stream, message = self.stream, self.stream.message
+        if not stream.has_begun or stream.fault:
+            return 0
+        if not message.is_head_complete:
+            return LARGE_HEAD_BYTES if stream.head_bytes() > SMALL_MESSAGE_BYTES else 0
+        known_bytes = message.body_bytes if message.content_length is None else message.content_length
+        if known_bytes <= SMALL_MESSAGE_BYTES:
+            return 0
+        return buffered_request_bytes(message.content_length)
+
     async def _receive(self) -> StreamEnd | None:
         """Receive once; if `time_out` cancels the task meanwhile, mark the request as overdue and keep the task running."""
         connection = self._connection
--- a/sloeferry/network/request_runner.py
+++ b/sloeferry/network/request_runner.py
@@ -147,6 +147,8 @@
         if context := self._release():
             try:
                 for response in self._server.dispatcher.abandon(context):
+            except Exception as error:  # a failing decision must not prevent the connection from closing
+                warn("request dropped", "request={} error={!r}", context.request_id, error)
                     if response.body_stream:
                         response.body_stream.close()
 
@@ -154,5 +156,3 @@
         """Drop the references to the connection, after its end."""
         del self._connection
         self.body_stream = None
-            except Exception as error:  # a failing decision must not prevent the connection from closing
-                warn("request dropped", "request={} error={!r}", context.request_id, error)
