Clients that pipeline take a bounded part of each loop iteration and give way to others

Cause: the next request of such a client is in memory, so that its task goes on without waiting: each took a turn in every iteration, rejections many at once, and a connection that always has a request was never idle, so that its descriptor went to nobody else.

While new connections have waited for a descriptor for 100 ms, a client that has sent more already is rejected cheaply, and its connection closes after what was read is answered.

--- a/sloeferry/network/buffers.py
+++ b/sloeferry/network/buffers.py
@@ -1,7 +1,8 @@
 """Pools receive buffers of two sizes."""
 
-BUFFER_BYTES = 16384
-MAX_FREE_BUFFERS = 256
+BUFFER_BYTES = 16384  # for the rest of a body
+SMALL_BUFFER_BYTES = 1024  # for a head: a connection holds it while it waits, and few pipelined requests fit into it
+MAX_FREE_BYTES = 1 << 22
 
 
 class BufferPool:
--- a/sloeferry/network/client_connection.py
+++ b/sloeferry/network/client_connection.py
@@ -25,6 +25,7 @@
     from sloeferry.network.client_server import ClientServer
 
 MAX_READ_PAUSE_SECONDS = 5.0  # of a client that is sent a response
+MAX_ROOM_WAIT_MS = 100.0  # of new connections, for one whose client pipelines requests
 
 
 class ClientConnection:
@@ -43,6 +44,7 @@
         self.is_busy = False  # a request is in flight
         self.is_new = True  # no request has been received yet
         self.is_closed = False
+        self._is_pipelined = False  # the client has sent a request before the answer to the one before
         self.is_in_queue_epoll = False  # the admission queue's
         # Seconds, monotonic: the time of connecting, of the last reply, or of the first byte of the next request.
         self.waiting_since = environment.monotonic()
@@ -78,6 +80,9 @@
                 keep_alive = await self._reply(message, await self.request_runner.run(request, message))
             while keep_alive:
                 keep_alive = await self._serve_next()
+                if keep_alive and self.stream.completed:
+                    self._is_pipelined = True
+                    await self.server.pipeline_turns.wait()
             if self.is_owned_by_current_task() and self._has_unread_input():
                 await self.reply_writer.lingering_close()  # unread bytes would reset the connection
         except OSError:  # the client has disconnected, or a write failed
@@ -120,6 +125,8 @@
         if unread_ms and message.attributes and message.attributes.time_left_ms <= unread_ms:
             # Its deadline passed while the event loop was stalled: reject it, regardless of free capacity.
             message.retry_after_if_rejected_ms = self.server.intake.retry_after_if_rejected_ms(message, has_waited=True)
+        if self._is_pipelined and message.attributes and self._must_make_room():
+            message.retry_after_if_rejected_ms = self.server.intake.retry_after_ms(MAX_ROOM_WAIT_MS)
         if message.retry_after_if_rejected_ms is not None:  # it was incomplete or not in plain form, so it was parsed first
             return await self.reply_writer.reject(message.retry_after_if_rejected_ms, self._keeps_alive(message))
         return await self._reply(message, await self.request_runner.start(message, unread_ms))
@@ -145,7 +152,18 @@
         """
         if not (message.keep_alive and message.is_complete) or self.stream.fault:
             return False
-        return bool(self.stream.completed or not self.server.lifecycle.closes_connections())
+        if self.stream.completed:
+            return True
+        return not self.server.lifecycle.closes_connections() and not self._must_make_room()
+
+    def _must_make_room(self) -> bool:
+        """Return whether a client that has sent further requests already holds a descriptor for which others wait.
+
+        It never waits for a request, which is when a descriptor is taken from a connection.
+        """
+        if not self.server.listener.has_backlog_waited(MAX_ROOM_WAIT_MS):
+            return False
+        return bool(self.stream.completed) or not is_open_and_idle(self.sock)
 
     def mark_idle(self) -> None:
         """Record that the request was answered and the connection waits for the next."""
--- a/sloeferry/network/client_server.py
+++ b/sloeferry/network/client_server.py
@@ -52,6 +52,7 @@
 
     def update_config(self, config: InstanceConfig) -> None:
         """Apply new settings, also to requests that are read but not yet accepted."""
+        self.pipeline_turns = PipelineTurns(loop)
         self.intake.update(config.settings)
         for connection in self.connections:
             for message in connection.stream.pending_messages():
--- a/sloeferry/network/listener.py
+++ b/sloeferry/network/listener.py
@@ -84,7 +84,7 @@
         rule 1). Its connection therefore notes since when it may have waited.
         """
         for _ in range(limit):
-            if not self._server.budget.acquire(is_urgent=self._has_backlog_waited()):
+            if not self._server.budget.acquire(is_urgent=self.has_backlog_waited(MAX_BACKLOG_WAIT_MS)):
                 self.backlogged_since_ms = self.backlogged_since_ms or environment.monotonic_ms()
                 self._pause_briefly()
                 return False
@@ -100,8 +100,8 @@
         self.backlogged_since_ms = self.backlogged_since_ms or environment.monotonic_ms()
         return False
 
-    def _has_backlog_waited(self) -> bool:
-        """Return whether connections may have waited in the backlog for too long."""
+    def has_backlog_waited(self, wait_ms: float) -> bool:
+        """Return whether connections may have waited in the backlog for longer than that."""
         since_ms = self.backlogged_since_ms
         return since_ms is not None and environment.monotonic_ms() - since_ms > wait_ms
 
