A request id that comes again is refused, also by the other process of an upgrade

Cause: only an id whose client was still there was refused; one that came after its client had left was taken for a new request, keyed or not, and the other process of an upgrade knew nothing of it.

The ids of requests that were taken on are kept as digests in two tables of fixed size, a 256th of the memory limit, for a minute or as long as there is room. Where processes share a folder, each writes its tables to a file and looks up the others', also of one that has ended; a folder that fails leaves each with its own. An id that was never read is not known: a client whose kept connection ended before its request was read sends it once more and is served, by the other process too.

--- a/sloeferry/lifecycle/proxy_process.py
+++ b/sloeferry/lifecycle/proxy_process.py
@@ -27,6 +27,8 @@
 from sloeferry.network.discovery_client import DiscoveryClient
 from sloeferry.network.health_checker import HealthChecker
 from sloeferry.network.load_reports import LoadReportReader
+from sloeferry.network.memory_budget import RESIDENT_AT_REST_BYTES, MemoryBudget
+from sloeferry.network.request_ids import RequestIds, slot_count
 from sloeferry.network.task_set import TaskSet
 
 RESERVED_DESCRIPTORS = 32  # for files and sockets other than client and backend connections
@@ -101,7 +103,18 @@
             is_another_serving,
         )
         self.dispatcher.loop_monitor.catch_up = self.discovery.catch_up
-        self.clients = ClientServer(loop, self.dispatcher, config, client_budget, buffers, self.attempts, tasks, self.lifecycle)
+        self.clients = ClientServer(
+            loop,
+            self.dispatcher,
+            config,
+            client_budget,
+            buffers,
+            memory,
+            RequestIds(slot_count(config.memory_limit_bytes)),
+            self.attempts,
+            tasks,
+            self.lifecycle,
+        )
         self.admin = AdminServer(loop, self.lifecycle, buffers, self.clients.connection_counts, self.dispatcher.guard_counters)
         self.reload = ConfigReload(
             config,
--- a/sloeferry/lifecycle/snapshot_store.py
+++ b/sloeferry/lifecycle/snapshot_store.py
@@ -64,11 +64,11 @@
         self._name = name
         self._indexed_names_digest = indexed_names_digest
         os.makedirs(self.path, exist_ok=True)
-        self._process_id = secrets.token_hex(8)  # not the pid, which another container may use as well
+        self.process_id = secrets.token_hex(8)  # not the pid, which another container may use as well
         self.last_error: Exception | None = None  # of the last write; None if it succeeded
         # Processes of the same boot share the monotonic clock; it restarts with the machine.
         self._boot_id = boot_id()
-        self._process_path = os.path.join(self.path, PROCESS_FILE + self._process_id)
+        self._process_path = os.path.join(self.path, PROCESS_FILE + self.process_id)
         self._is_shown_ready: bool | None = None
         self._lock_fd = self._lock()
 
@@ -113,11 +113,15 @@
                 os.close(fd)
         return PeerProcesses(alive, ready)
 
+    def has_process(self, process_id: str) -> bool:
+        """Return whether a process is alive, as far as the last call of `find_peers` has shown."""
+        return os.path.exists(os.path.join(self.path, PROCESS_FILE + process_id))
+
     # Snapshots
 
     def write(self, now: float, endpoints: dict[str, Any], learned: dict[str, Any]) -> bool:
         """Write a snapshot atomically and return whether it succeeded; `now` in ms of the machine's monotonic clock."""
-        path = f"{self.path}/{SNAPSHOT_FILE}-{self._process_id}"
+        path = f"{self.path}/{SNAPSHOT_FILE}-{self.process_id}"
         try:
             text = json.dumps(
                 {
--- a/sloeferry/lifecycle/takeover.py
+++ b/sloeferry/lifecycle/takeover.py
@@ -15,10 +15,12 @@
 from sloeferry.config.instance import InstanceConfig
 from sloeferry.config.settings import Settings
 from sloeferry.dispatch.dispatcher import Dispatcher
+from sloeferry.lifecycle.request_id_files import RequestIdFolder
 from sloeferry.lifecycle.snapshot import restore_snapshot, take_snapshot
 from sloeferry.lifecycle.snapshot_store import Snapshot, SnapshotError, SnapshotStore
 from sloeferry.lifecycle.state import Lifecycle
 from sloeferry.network.limited_log import warn
+from sloeferry.network.request_ids import RequestIds
 
 if TYPE_CHECKING:
     from sloeferry.network.client_server import ClientServer
@@ -45,6 +47,7 @@
         self.store = SnapshotStore(folder, config.name, indexed_names_digest(config.settings))
         self._budget_window_seconds = config.settings.obligations.warm_up_window_ms / 1000
         self._peer_count = 0  # live peers
+        self._id_folder: RequestIdFolder | None = None
         self.snapshot: Snapshot | None = None
         try:
             self.snapshot = self.store.read(environment.monotonic_ms())
@@ -65,6 +68,7 @@
         self._discovery = discovery
         self._clients = clients
         self._budgets = (clients.budget, pool.budget)
+        self._share_request_ids(clients.request_ids)
         lifecycle.change_callbacks.append(self.update_peers)
         if self.snapshot:
             try:
@@ -77,11 +81,23 @@
         if lifecycle.other_ready_processes:
             self._loop.call_later(LIST_TIMEOUT_SECONDS, discovery.use_cached_list)
 
+    def _share_request_ids(self, request_ids: RequestIds) -> None:
+        try:
+            self._id_folder = RequestIdFolder(
+                self.store.path, self.store.process_id, request_ids.total_bytes(), self.store.has_process
+            )
+        except OSError as error:  # each process knows its own ids only
+            logger.warning("request ids are not shared: error={!r}", error)
+            return
+        request_ids.share(self._id_folder)
+
     def update_peers(self) -> None:
         """Publish this process's readiness, count its peers, and apply changes."""
         try:
             self.store.publish_ready(self._lifecycle.is_ready())
             alive, ready = self.store.find_peers()
+            if self._id_folder:
+                self._id_folder.refresh()
         except OSError as error:
             warn("takeover folder failed", "error={!r}", error)
             return
@@ -124,4 +140,6 @@
 
     def close(self) -> None:
         """Remove this process from the shared folder."""
+        if self._id_folder:
+            self._id_folder.close()
         self.store.close()
--- a/sloeferry/network/client_server.py
+++ b/sloeferry/network/client_server.py
@@ -14,6 +14,9 @@
 from sloeferry.network.connection_sweeper import ConnectionSweeper
 from sloeferry.network.descriptor_budget import DescriptorBudget
 from sloeferry.network.listener import Listener
+from sloeferry.network.memory_budget import MemoryBudget
+from sloeferry.network.pipelining import PipelineTurns
+from sloeferry.network.request_ids import RequestIds
 from sloeferry.network.request_intake import RequestIntake
 from sloeferry.network.stall_accounting import StallAccounting
 from sloeferry.network.task_set import TaskSet
@@ -29,6 +32,8 @@
         config: InstanceConfig,
         budget: DescriptorBudget,
         buffers: BufferPool,
+        memory: MemoryBudget,
+        request_ids: RequestIds,
         attempts: AttemptRunner,
         tasks: TaskSet,
         lifecycle: Lifecycle,
@@ -37,6 +42,8 @@
         self.dispatcher = dispatcher
         self.budget = budget
         self.buffers = buffers
+        self.memory = memory
+        self.request_ids = request_ids
         self.attempts = attempts
         self.tasks = tasks
         self.lifecycle = lifecycle
--- a/sloeferry/network/request_runner.py
+++ b/sloeferry/network/request_runner.py
@@ -51,11 +51,9 @@
             return Reply(client_replies.OK if is_ready else client_replies.SERVICE_UNAVAILABLE)
         request_id = message.header(protocol.REQUEST_ID) or b""
         open_requests = self._server.open_requests
-        if other := open_requests.get(request_id):
-            if not other.has_client_left():  # backends and clients would confuse two requests with the same id
-                return Reply(client_replies.CONFLICT)
-            # The client has reconnected before its disconnect was noticed.
-            self._server.dispatcher.client_left(other.request_runner.context)
+        # Whether its client is still there or not: backends and clients would confuse two requests with the same id.
+        if not self._server.request_ids.add(request_id) or request_id in open_requests:
+            return Reply(client_replies.CONFLICT)
         open_requests[request_id], self._request_id = self._connection, request_id
         try:
             context = self.context = self._server.intake.accept(message, unread_ms)
