--- a/sloeferry/lifecycle/proxy_process.py
+++ b/sloeferry/lifecycle/proxy_process.py
@@ -234,7 +234,7 @@
     environ: Mapping[str, str] = os.environ,
     on_built: Callable[[Dispatcher], None] = lambda dispatcher: None,
     has_pending_reload: Callable[[], bool] = lambda: False,
+    resident_bytes: int = RESIDENT_AT_REST_BYTES,
 ) -> None:
     """Run one proxy process until it has shut down; `resident_bytes`: the memory that it has at its start."""
     await ProxyProcess(config, environ, resident_bytes).run(has_pending_reload, on_built)
-    resident_bytes: int = RESIDENT_AT_REST_BYTES,
--- a/sloeferry/network/client_connection.py
+++ b/sloeferry/network/client_connection.py
@@ -115,13 +115,13 @@
             return False
         if outcome is ReadOutcome.REJECTED:
             return await self.reply_writer.reject(self.reader.retry_after_if_rejected_ms)
+        if outcome is ReadOutcome.NO_MEMORY:
+            return await self.reply_writer.reject(self.server.intake.retry_after_ms(MAX_WAIT_SECONDS * 1000), keep_alive=False)
         message = self.reader.take_message()
         if message is None:
             return await self.reply_writer.refuse(self._refusal_status())
         self.is_busy, self.is_new = True, False
         unread_ms = self.reader.take_unread_ms(message)
-        if outcome is ReadOutcome.NO_MEMORY:
-            return await self.reply_writer.reject(self.server.intake.retry_after_ms(MAX_WAIT_SECONDS * 1000), keep_alive=False)
         if unread_ms and message.attributes and message.attributes.time_left_ms <= unread_ms:
             # Its deadline passed while the event loop was stalled: reject it, regardless of free capacity.
             message.retry_after_if_rejected_ms = self.server.intake.retry_after_if_rejected_ms(message, has_waited=True)
@@ -168,6 +168,7 @@
     def mark_idle(self) -> None:
         """Record that the request was answered and the connection waits for the next."""
         self.is_busy, self.waiting_since = False, environment.monotonic()
+        self.stream.forget_message()
         self.write_progress.restart()
 
     async def send(self, data: bytes) -> None:
@@ -186,7 +187,6 @@
 
     def evict(self) -> None:
         """Close the connection because its descriptor is needed or its request body has stalled.
-        self.stream.forget_message()
 
         A partial request is answered with 408: its last byte may be in transit, and without a reply the request would be lost
         (safety rule 1).
--- a/sloeferry/network/client_server.py
+++ b/sloeferry/network/client_server.py
@@ -52,6 +52,7 @@
         self.lingering_close_count = 0  # connections in a lingering close
         self.intake = RequestIntake(dispatcher, lifecycle, config.settings)
         self.admission_queue = AdmissionQueue(loop, dispatcher.overload, buffers)
+        self.pipeline_turns = PipelineTurns(loop)
         self.listener = Listener(self, config.inherited_listener_fd)
         self.stalls = StallAccounting(self)
         self.shutdown = ClientShutdown(self)
@@ -59,7 +60,6 @@
 
     def update_config(self, config: InstanceConfig) -> None:
         """Apply new settings, also to requests that are read but not yet accepted."""
-        self.pipeline_turns = PipelineTurns(loop)
         self.intake.update(config.settings)
         for connection in self.connections:
             for message in connection.stream.pending_messages():
--- a/sloeferry/network/http1/framing.py
+++ b/sloeferry/network/http1/framing.py
@@ -14,7 +14,7 @@
 
 MAX_BUFFERED_BODY_BYTES = 65536  # longer bodies are streamed
 MAX_HEAD_BYTES = 16384  # for all bytes of a message outside its body
-MAX_BODY_BYTES = 1 << 26
+MAX_BODY_BYTES = 1 << 25
 MAX_LENGTH_DIGITS = 9
 CHUNK_LINE_ALLOWANCE = 9  # bytes of chunk lines for each byte of a body
 BODILESS_STATUSES = (204, 304)  # responses without a body, regardless of their headers
--- a/sloeferry/network/http1/stream.py
+++ b/sloeferry/network/http1/stream.py
@@ -43,12 +43,12 @@
     def close(self) -> None:
         """Stop reading and release the parser."""
         super().close()
+        self._reject_unparsed = None
         if self._receiving:
             self._receiving.cancel()
             self._receiving = None
 
     async def receive(self) -> StreamEnd | None:
-        self._reject_unparsed = None
         """Receive once; return why no more can be read, or None."""
         if self._receiving:
             receiving, self._receiving = self._receiving, None
--- a/sloeferry/network/request_runner.py
+++ b/sloeferry/network/request_runner.py
@@ -145,10 +145,10 @@
         if context := self._release():
             try:
                 for response in self._server.dispatcher.abandon(context):
-            except Exception as error:  # a failing decision must not prevent the connection from closing
-                warn("request dropped", "request={} error={!r}", context.request_id, error)
                     if response.body_stream:
                         response.body_stream.close()
+            except Exception as error:  # a failing decision must not prevent the connection from closing
+                warn("request dropped", "request={} error={!r}", context.request_id, error)
 
     def detach(self) -> None:
         """Drop the references to the connection, after its end."""
--- a/tests/network/test_http1.py
+++ b/tests/network/test_http1.py
@@ -5,12 +5,13 @@
 from collections.abc import Iterator, Sequence
 
 import h11
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from sloeferry.config.settings_reader import build_settings
 from sloeferry.network.http1 import writer
-from sloeferry.network.http1.framing import MessageFraming
+from sloeferry.network.http1.framing import MessageFraming, StreamEnd
 from sloeferry.network.http1.message import HOP_BY_HOP_HEADERS
 from sloeferry.network.request_intake import RequestIntake
 
@@ -224,3 +225,13 @@
         framing = MessageFraming(False)
         framing.feed(text, len(text))
         assert (len(framing.completed), framing.has_begun, framing.fault) == (1, False, None)
+
+
+@pytest.mark.parametrize(
+    ("length", "fault"), [(32 << 20, None), ((32 << 20) + 1, StreamEnd.TOO_LARGE), (60_000_000, StreamEnd.TOO_LARGE)]
+)
+def test_length_above_the_longest_sound_body_is_refused(length: int, fault: StreamEnd | None):
+    """Guards against a body of 60 MB, which no sound request has, that is forwarded and served; one of 32 MB is read."""
+    framing = MessageFraming(is_response=False)
+    head = bytearray(b"POST /api HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % length)
+    assert framing.feed(head, len(head)) is fault
