Soak with bad clients, crowds and a memory limit; the proxy tells its memory and rejects known ids

Verdicts over the limit (the process's own peak) and unsound answered as served are added; plans soak-N stay as they are, to the byte.

An id that was rejected is remembered, too: a copy of it was served in its place. Two processes of one proxy divide the memory as they divide the descriptors.

--- a/sloeferry/config/instance.py
+++ b/sloeferry/config/instance.py
@@ -28,7 +28,7 @@
     discovery: Address
     seed: int
     max_descriptors: int
-    memory_limit_bytes: int  # only validated and compared on reload; buffer and descriptor limits bound the memory used
+    memory_limit_bytes: int
     cached_endpoints: Mapping[str, Any]  # the last known endpoint list in discovery's format, or empty
     settings: Settings
     admin_address: Address | None = None
--- a/sloeferry/fault_testing/fault_actions.py
+++ b/sloeferry/fault_testing/fault_actions.py
@@ -237,6 +237,18 @@
         self.loop.create_task(self.fleet.discovery.fail_calls(proxy, failure))
 
 
+class MisbehavingClientsAction(FaultAction):
+    """Runs clients that misuse the target proxies, in one of the processes of clients."""
+
+    def apply(self) -> None:
+        """Start the clients; they end by themselves."""
+        addresses = [self.fleet.listeners[number].address for number in self.targets.proxies]
+        worker = self.fleet.client_workers[self.number % len(self.fleet.client_workers)]
+        kinds = [kind.value for kind in self.fault.kinds]
+        arguments = self.number, self.proxy_names(), addresses, kinds, self.fault.client_count, self.fault.lasts_seconds
+        worker.command("misuse", *arguments)
+
+
 ACTIONS: dict[type[Fault], type[FaultAction]] = {
     faults.Kill: KillAction,
     faults.Stop: StopAction,
@@ -254,6 +266,7 @@
     faults.OlderReplica: OlderReplicaAction,
     faults.RevisionReset: RevisionResetAction,
     faults.FailingDiscovery: FailingDiscoveryAction,
+    faults.MisbehavingClients: MisbehavingClientsAction,
 }
 
 
--- a/sloeferry/fault_testing/fault_generator.py
+++ b/sloeferry/fault_testing/fault_generator.py
@@ -7,6 +7,8 @@
 from random import Random
 from typing import Any
 
+from sloeferry.stand_ins.bad_clients import BadClientKind
+
 PlanTable = dict[str, Any]  # one table of a plan file, by its TOML keys
 FaultFactory = Callable[[], PlanTable]
 
@@ -20,6 +22,7 @@
 MIN_FAULT_SECONDS = 0.5
 FAULT_FREE_EDGE_SECONDS = 0.5  # without process faults, at the beginning and at the end of a plan
 MAX_LINK_FAULT_SECONDS = 2.5
+MAX_BAD_CLIENT_SECONDS = 6.0
 
 
 def rolling_deploy(lasts_seconds: float, drain_seconds: float) -> PlanTable:
@@ -66,6 +69,19 @@
         """Return a fault that sets wall clocks off by one of those offsets."""
         return self.fault("clock", 1, by_s=self.rng.choice(offsets_seconds))
 
+    def bad_clients(self) -> PlanTable:
+        """Return a fault where clients of some kinds misuse the target proxies."""
+        kinds = self.rng.sample(list(BadClientKind), self.rng.randint(2, 6))
+        return self.fault(
+            "bad-clients", MAX_BAD_CLIENT_SECONDS, kinds=[kind.value for kind in kinds], clients=self.rng.choice([10, 30, 60])
+        )
+
+    def crowd(self) -> PlanTable:
+        """Return a fault where hundreds of clients connect to a few proxies and finish no request."""
+        kinds = self.rng.choice([["silent"], ["silent", "short-fields"], ["silent", "half-request", "stopped-body"]])
+        crowd = self.fault("bad-clients", MAX_BAD_CLIENT_SECONDS, kinds=kinds, clients=400)
+        return {**crowd, "part": 0.1}
+
     def discovery_faults(self) -> list[FaultFactory]:
         """Return factories of faults where discovery is down, lags, restarts its revisions, or answers from an older replica."""
         return [
--- a/sloeferry/fault_testing/generated_plan.py
+++ b/sloeferry/fault_testing/generated_plan.py
@@ -53,15 +53,18 @@
     idle_timeout_seconds: int
     impatient_client_ratio: float
     discovery_mode: str | None = None  # None: the default of plans
+    memory_mb: float | None = None  # of each proxy; None: the default of plans
+    max_sockets: int | None = None
 
     def to_toml(self) -> str:
         """Return the text of the plan file."""
+        limits = {} if self.memory_mb is None else {"memory_mb": self.memory_mb, "sockets": self.max_sockets}
         mode = {"mode": self.discovery_mode} if self.discovery_mode else {}
         tables = {
             "name": self.name,
             "about": "Drawn.",
             "seconds": self.seconds,
-            "bank": {"proxies": self.proxy_count},
+            "bank": {"proxies": self.proxy_count, **limits},
             "network": {"zones": ["a", "b"]},
             "nodes": [self._backend_table()],
             "scheme": self.request_classes,
--- a/sloeferry/fault_testing/plan.py
+++ b/sloeferry/fault_testing/plan.py
@@ -11,7 +11,7 @@
 import msgspec
 from msgspec import Meta
 
-from sloeferry.fault_testing import short_plan_generator, soak_plan_generator
+from sloeferry.fault_testing import hostile_plan_generator, short_plan_generator, soak_plan_generator
 from sloeferry.fault_testing.plan_faults import AnyFault, DiscoveryDowntime, Fault, Kill, Stop, Termination
 from sloeferry.rehearsal import scenario as scenarios
 from sloeferry.rehearsal import scenario_faults
@@ -20,7 +20,12 @@
 
 SHIPPED_FOLDER = pathlib.Path(__file__).parent / "plans"
 MAX_PROXIES = 400  # on one machine
-GENERATED_NAME = re.compile(r"(drawn|soak)-(\d{1,9})")
+GENERATED_NAME = re.compile(r"(drawn|soak|hostile)-(\d{1,9})")
+GENERATORS = {
+    "drawn": short_plan_generator.generate_plan,
+    "soak": soak_plan_generator.generate_plan,
+    "hostile": hostile_plan_generator.generate_plan,
+}
 # Faults that also exist in virtual time, and the corresponding scenario fault.
 VIRTUAL_COUNTERPARTS = {
     Kill: scenario_faults.ProxyCrash,
@@ -77,12 +82,11 @@
 
 
 def read_plan_text(name: str) -> str:
-    """Return the text of a plan, given a shipped name, `drawn-N` or `soak-N` with a seed N, or a path."""
+    """Return the text of a plan, given a shipped name, that of a generator with a seed, such as `soak-1`, or a path."""
     if drawn := GENERATED_NAME.fullmatch(name):
-        generate_plan = short_plan_generator.generate_plan if drawn[1] == "drawn" else soak_plan_generator.generate_plan
-        return generate_plan(int(drawn[2])).to_toml()
+        return GENERATORS[drawn[1]](int(drawn[2])).to_toml()
     path = SHIPPED_FOLDER / f"{name}.toml" if name in shipped_names() else pathlib.Path(name)
-    return scenarios.read_scenario_text(path, [*shipped_names(), "drawn-N", "soak-N"])
+    return scenarios.read_scenario_text(path, [*shipped_names(), *(f"{kind}-N" for kind in GENERATORS)])
 
 
 def read_plan(name: str) -> Plan:
--- a/sloeferry/fault_testing/plan_faults.py
+++ b/sloeferry/fault_testing/plan_faults.py
@@ -9,6 +9,7 @@
 from msgspec import Meta, field
 
 from sloeferry.rehearsal.scenario_tables import NonNegative, Positive, Ratio, Table
+from sloeferry.stand_ins.bad_clients import BadClientKind
 
 ProxyNumber = Annotated[int, Meta(ge=0)]
 
@@ -122,7 +123,14 @@
     """Discovery restarts its revisions at 1."""
 
 
+class MisbehavingClients(Fault, tag="bad-clients"):
+    """Clients of each of `kinds` that misuse the target proxies, `client_count` in all, beside the usual clients."""
+
+    kinds: Annotated[list[BadClientKind], Meta(min_length=1)] = field(default_factory=lambda: list(BadClientKind))
+    client_count: Annotated[int, Meta(ge=1, le=1000)] = field(name="clients", default=20)
+
+
 AnyProcessFault = Kill | Stop | Termination | Reload | ClockStep | FailingSystemCalls
 AnyLinkFault = HeldLink | DelayedLink | CutLink | HalfOpenLink | BrokenLink
 AnyDiscoveryFault = DiscoveryDowntime | DiscoveryLag | OlderReplica | RevisionReset | FailingDiscovery
-AnyFault = AnyProcessFault | AnyLinkFault | AnyDiscoveryFault
+AnyFault = AnyProcessFault | AnyLinkFault | AnyDiscoveryFault | MisbehavingClients
--- a/sloeferry/fault_testing/plan_run.py
+++ b/sloeferry/fault_testing/plan_run.py
@@ -1,6 +1,7 @@
 """One run of a plan with real processes: it starts, measures, ends and judges them."""
 
 import asyncio
+import contextlib
 import os
 import pathlib
 import shutil
@@ -19,6 +20,7 @@
 from sloeferry.fault_testing.verdict import RunResult, judge_run
 from sloeferry.rehearsal.run_environment import READY_TIMEOUT_SECONDS
 from sloeferry.stand_ins import processes
+from sloeferry.stand_ins.rules import Rule
 
 TMPFS_FOLDER = "/dev/shm"
 POLL_SECONDS = 0.05
@@ -36,6 +38,8 @@
         self.figures: dict[str, Any] = {}
         self._fleet = fleet
         self._loop = fleet.loop
+        self._over_limit: set[int] = set()  # ids of processes
+        self._peak_mb = 0.0
 
     async def run(self) -> None:
         """Run the plan from the first process start to the end of the last request."""
@@ -65,6 +69,7 @@
         memory_mb: list[float] | None = None
         while self._is_running(began_at + seconds):
             await asyncio.sleep(MEASURE_POLL_SECONDS)
+            self._check_memory_limits()
             if memory_mb is None and self._loop.time() > began_at + seconds / 2:
                 memory_mb = [processes.memory_mb(pid) for pid in self._proxy_pids()]
         if memory_mb:
@@ -73,6 +78,23 @@
         if cpu_seconds:
             self.figures["cpu_s"] = min_mean_max(cpu_seconds)
 
+    def _check_memory_limits(self) -> None:
+        """Record a violation for each process whose memory was over the limit, once."""
+        fleet = self._fleet
+        limit_mb = fleet.plan.proxies.memory_mb
+        for proxy in fleet.proxies:
+            pid = proxy.process.pid if proxy.process else None
+            if pid is None or pid in self._over_limit:
+                continue
+            with contextlib.suppress(OSError, StopIteration):  # it has just ended
+                peak_mb = processes.memory_mb(pid, "VmHWM")
+                self._peak_mb = max(self._peak_mb, peak_mb)
+                if peak_mb > limit_mb:
+                    self._over_limit.add(pid)
+                    text = f"{proxy.name} took {peak_mb:.1f} MB, its limit is {limit_mb:g} MB"
+                    fleet.observer.rule_violated(Rule.MEMORY, self._loop.time(), text)
+        self.figures["peak_memory_mb"] = round(self._peak_mb, 1)
+
     def _is_running(self, ends_at: float) -> bool:
         now = self._loop.time()
         return now < ends_at or self._fleet.has_open_requests() and now < ends_at + self._fleet.last_request_timeout_seconds()
--- a/sloeferry/fault_testing/process_fleet.py
+++ b/sloeferry/fault_testing/process_fleet.py
@@ -65,10 +65,10 @@
         host.operator_file.write_text(OPERATOR_SETTINGS)
         self._options = options
         self._backend_workers = self._create_workers(WorkerRole.BACKENDS, plan.rig.nodes)
-        self._client_workers = self._create_workers(WorkerRole.CLIENTS, plan.rig.callers)
+        self.client_workers = self._create_workers(WorkerRole.CLIENTS, plan.rig.callers)
         relays = self._create_workers(WorkerRole.RELAY, 1 if self._links else 0)
         self.relay = relays[0] if relays else None
-        self._all_workers = [*self._backend_workers, *self._client_workers, *relays]
+        self._all_workers = [*self._backend_workers, *self.client_workers, *relays]
         self.balancer = SharedBalancer(self.loop, plan.balancer, self.listeners, self._broadcast_alive)
         self.backends: list[RemoteBackend] = []
         self._backends_by_number: dict[int, RemoteBackend] = {}  # including replaced ones
@@ -119,12 +119,12 @@
             self._links_open.set()
 
     def _broadcast_alive(self, proxy: str, is_alive: bool) -> None:
-        for worker in self._client_workers:
+        for worker in self.client_workers:
             worker.command("set_alive", proxy, is_alive)
 
     def has_open_requests(self) -> bool:
         """Return True while any worker of clients reports open requests, or has not reported yet."""
-        return any(worker.open_requests != 0 for worker in self._client_workers)
+        return any(worker.open_requests != 0 for worker in self.client_workers)
 
     # Interface of a rehearsal's fleet for scenario faults, proxies and stand-ins
 
@@ -188,7 +188,7 @@
         """Start clients and schedule scenario faults, process faults and the audit, relative to that loop time."""
         self.observer.began_at = now
         self.observer.note(now, Event.RUN_BEGAN)
-        for worker in self._client_workers:
+        for worker in self.client_workers:
             worker.command("begin", now)
         FaultInjector(self).schedule(now)
         for number, fault in enumerate(self.plan.process_faults):
--- a/sloeferry/fault_testing/process_host.py
+++ b/sloeferry/fault_testing/process_host.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 
+from sloeferry.fault_testing.recorded_events import Event
 from sloeferry.rehearsal.live import LiveEnvironment, LiveProxy, ProxyCommand
 from sloeferry.stand_ins import processes
 
@@ -39,6 +40,7 @@
         """Return how to start a proxy: as `sloeferry`, or as a flaky proxy if its clock or system calls are faulty."""
         number = proxy.index
         self.started_at[number] = self.loop.time()
+        proxy.fleet.observer.note(self.loop.time(), Event.PROXY_STARTED, proxy.name)
         clock_offset_seconds = self.clock_offsets_seconds.get(number)
         has_failing_calls = number in self.failing_call_proxies
         is_flaky = clock_offset_seconds is not None or has_failing_calls
--- a/sloeferry/fault_testing/record_judge.py
+++ b/sloeferry/fault_testing/record_judge.py
@@ -7,8 +7,11 @@
 from sloeferry.rehearsal.judge import ClientTry, Judge
 from sloeferry.rehearsal.proxy_spans import ProxySpans
 from sloeferry.rehearsal.scenario import Scenario
+from sloeferry.stand_ins.bad_clients import BadClientKind
+from sloeferry.stand_ins.rules import Rule
 from sloeferry.stand_ins.wire_protocol import RequestOutcome
 
+CONFLICT_STATUS = 409
 CUT_OFF = "apart"  # outcome, in records, of a request without a response whose client link had a fault
 
 
@@ -28,8 +31,24 @@
         self.violation_log: list[Violation] = []
         self.clients_cut_off = ProxySpans()  # by faults of the links to their clients
         self.discovery_unreachable = ProxySpans()
+        self.started_at: dict[str, float] = {}  # of the newest process, by proxy
         self.raced_idle_close: set[bytes] = set()  # requests that may have raced an idle close
 
+    def unsound_served(self, proxy: str, kind: str, request_id: bytes, now: float) -> None:
+        """Judge an answer that served an unsound request.
+
+        A repeated id is unsound only if the process that served it could know that it was another client's: that one had not been
+        refused in its place, and not been sent to an earlier process or another proxy.
+        """
+        original = self.tries.get(request_id) if kind == BadClientKind.REPEATED_ID else None
+        if original:
+            was_first = original.status != CONFLICT_STATUS and not self._was_cut_off(original, now)
+            is_same_process = original.proxy == proxy and original.sent_at > self.started_at.get(proxy, 0.0)
+            if not (was_first and is_same_process) or self.could_not_answer_in_time(original):
+                return
+        text = f"{proxy} answered a request of a client of the kind {kind} as served: {request_id.decode('latin-1')}"
+        self.rule_violated(Rule.UNSOUND, now, text)
+
     def rule_violated(self, rule: str, now: float, text: str) -> None:
         """Count a broken rule, and keep it for display with its evidence."""
         super().rule_violated(rule, now, text)
--- a/sloeferry/fault_testing/record_replay.py
+++ b/sloeferry/fault_testing/record_replay.py
@@ -87,6 +87,12 @@
             outcome = self._missing_outcomes.get(number, outcome)
         self._judge.request_ended(planned, outcome, at)
 
+    def _unsound_served(self, at: float, proxy: str, kind: str, request_id: str) -> None:
+        self._judge.unsound_served(proxy, kind, request_id.encode(), at)
+
+    def _proxy_started(self, at: float, proxy: str) -> None:
+        self._judge.started_at[proxy] = at
+
     # Events of links
 
     def _link_entered(self, at: float, link: str, request_id: str, since: float) -> None:
@@ -197,6 +203,8 @@
         Event.IDLE_CLOSE_RACED: _idle_close_raced,
         Event.RESPONSE_MISSING: _response_missing,
         Event.CALL_ENDED: _call_ended,
+        Event.UNSOUND_SERVED: _unsound_served,
+        Event.PROXY_STARTED: _proxy_started,
         Event.LINK_ENTERED: _link_entered,
         Event.LINK_REFUSED: _link_refused,
         Event.ATTEMPT_RECEIVED: _attempt_received,
--- a/sloeferry/fault_testing/recorded_events.py
+++ b/sloeferry/fault_testing/recorded_events.py
@@ -20,6 +20,9 @@
     RESPONSE_MISSING = "lost"  # id, reason
     CALL_ENDED = "ended"  # number of the request, outcome, time of its first try, number of its tries
 
+    UNSOUND_SERVED = "misused"  # proxy, kind of the bad client, id
+    PROXY_STARTED = "launched"  # proxy
+
     # Backends
     ATTEMPT_RECEIVED = "posted"  # backend, zone, id, arrival time of its first byte
     ATTEMPT_VERSIONS = "acted"  # backend, id, versions that its proxy acted on
--- a/sloeferry/fault_testing/worker_roles.py
+++ b/sloeferry/fault_testing/worker_roles.py
@@ -1,6 +1,7 @@
 """The roles of worker processes: backends, clients or links; a command of the driver calls the method of its name."""
 
 import asyncio
+import functools
 import sys
 from random import Random
 from typing import Any
@@ -10,14 +11,21 @@
 from sloeferry.fault_testing.event_recorder import EventRecorder
 from sloeferry.fault_testing.link_relay import Link, LinkCondition
 from sloeferry.fault_testing.plan import Plan
+from sloeferry.fault_testing.recorded_events import Event
 from sloeferry.fault_testing.worker_protocol import ReportKind, WorkerConfig, WorkerReport, WorkerRole
 from sloeferry.stand_ins.backends import StandInBackend
+from sloeferry.stand_ins.bad_clients import BadClient, BadClientKind, HeadMaker, OtherRequest, is_unsound_and_served
+from sloeferry.stand_ins.client_requests import DEFAULT_TENANT
 from sloeferry.stand_ins.clients import StandInClients
 from sloeferry.stand_ins.connection_balancer import ConnectionBalancer, ProxyListener
 from sloeferry.stand_ins.deduplication import DeduplicationStores
+from sloeferry.stand_ins.wire_protocol import RequestKind
 
 DRAIN_CHECK_SECONDS = 0.02
 OPEN_REQUESTS_REPORT_SECONDS = 0.1
+BAD_CLIENT_TIME_MS = 800
+# How old another client's request is when its id is repeated: its proxy has read it.
+MIN_REPEAT_SECONDS, MAX_REPEAT_SECONDS = 0.1, 2.0
 
 
 def send_report(kind: ReportKind, value: Any = None) -> None:
@@ -104,6 +112,7 @@
         super().__init__(*arguments)
         listeners = [ProxyListener(name, tuple(address), zone) for name, address, zone in self._config.places]
         self._balancer = ConnectionBalancer(self._loop, self._plan.balancer, listeners)
+        self._bad_clients: set[asyncio.Task[None]] = set()
         self._clients = [self._create_clients(index, zone) for index, zone in enumerate(self._plan.network.zones)]
 
     def _create_clients(self, index: int, zone: str) -> StandInClients:
@@ -128,6 +137,48 @@
         send_report(ReportKind.OPEN_REQUESTS, sum(clients.open_request_count for clients in self._clients))
         self._loop.call_later(OPEN_REQUESTS_REPORT_SECONDS, self._report_open_requests)
 
+    async def misuse(
+        self, fault: int, proxies: list[str], addresses: list, kinds: list[str], client_count: int, seconds: float
+    ) -> None:
+        """Run clients that misuse those proxies for a time, in turn of each kind and at each proxy."""
+        tenant = DEFAULT_TENANT.decode()
+        read_class, keyed_class = (self._class_name(kind) for kind in (RequestKind.IDEMPOTENT, RequestKind.DEDUPLICATED))
+        heads = HeadMaker(read_class, keyed_class, tenant, BAD_CLIENT_TIME_MS)
+        for number in range(client_count):
+            proxy = number % len(proxies)
+            client = BadClient(
+                BadClientKind(kinds[number // len(proxies) % len(kinds)]),
+                tuple(addresses[proxy]),
+                heads,
+                f"{fault}-{number}",
+                Random(f"{self._config.seed}/bad-clients-{fault}-{number}"),
+                functools.partial(self._bad_client_answered, proxies[proxy]),
+                self._request_to_repeat,
+            )
+            task = self._loop.create_task(client.run())
+            self._bad_clients.add(task)
+            task.add_done_callback(self._bad_clients.discard)
+            self._loop.call_later(seconds, task.cancel)
+
+    def _class_name(self, kind: RequestKind) -> str:
+        """Return the name of a request class of that kind, or of any class."""
+        classes = self._plan.request_classes
+        return next((each.name for each in classes if each.kind == kind), classes[0].name)
+
+    def _request_to_repeat(self) -> OtherRequest | None:
+        """Return a request that was sent so long ago that its proxy has read it, and not long before."""
+        now = self._loop.time()
+        sent = [each for clients in self._clients for each in clients.sent_requests]
+        return next((each for each in sent if MIN_REPEAT_SECONDS < now - each.sent_at < MAX_REPEAT_SECONDS), None)
+
+    def _bad_client_answered(self, proxy: str, kind: BadClientKind, request_id: str, status: int) -> None:
+        if is_unsound_and_served(kind, status):
+            if kind is BadClientKind.REPEATED_ID:
+                proxy = next(
+                    each.proxy for clients in self._clients for each in clients.sent_requests if each.request_id == request_id
+                )
+            self._recorder.note(self._loop.time(), Event.UNSOUND_SERVED, proxy, kind.value, request_id)
+
     async def set_alive(self, proxy: str, is_alive: bool) -> None:
         """Set whether new connections may be assigned to that proxy."""
         self._balancer.alive[proxy] = is_alive
--- a/sloeferry/lifecycle/proxy_process.py
+++ b/sloeferry/lifecycle/proxy_process.py
@@ -14,6 +14,7 @@
 from sloeferry.config.errors import ConfigError
 from sloeferry.config.instance import Address, InstanceConfig
 from sloeferry.dispatch.dispatcher import Dispatcher
+from sloeferry.lifecycle.memory_monitor import MemoryMonitor
 from sloeferry.lifecycle.reload import ConfigReload
 from sloeferry.lifecycle.state import Lifecycle
 from sloeferry.lifecycle.takeover import Takeover
@@ -31,6 +32,7 @@
 from sloeferry.network.request_ids import RequestIds, slot_count
 from sloeferry.network.task_set import TaskSet
 
+MAX_FREE_BUFFER_RATIO = 1 / 8  # of the memory for messages
 RESERVED_DESCRIPTORS = 32  # for files and sockets other than client and backend connections
 BIND_TIMEOUT_SECONDS = 2.0  # an earlier process may hold the address this long
 BIND_ATTEMPTS = 40
@@ -67,18 +69,20 @@
 class ProxyProcess:
     """Holds the parts of one proxy process."""
 
-    def __init__(self, config: InstanceConfig, environ: Mapping[str, str], resident_bytes: int = RESIDENT_AT_REST_BYTES):
-        """Build the parts; `resident_bytes`: memory that the process has before the first connection."""
+    def __init__(self, config: InstanceConfig, environ: Mapping[str, str], resident_bytes: int | None = None):
+        """Build the parts; `resident_bytes`: memory that the process has before the first connection, None if unknown."""
         loop = self._loop = asyncio.get_running_loop()
         timer = PolicyTimer(loop)
         self.dispatcher = timer.dispatcher = Dispatcher(config.seed, config.settings, timer.wake_at)
         # Clients and backends get separate budgets of half the descriptors, since a request needs one of each: a flood of client
         # connections must not use up the backends' descriptors, nor the reverse.
         limit = (config.max_descriptors - RESERVED_DESCRIPTORS) // 2
-        memory = MemoryBudget(config.memory_limit_bytes, resident_bytes)
-        limit = min(limit, memory.max_connections)
-        memory.set_connections(limit)
-        client_budget, backend_budget, buffers = DescriptorBudget(limit), DescriptorBudget(limit), BufferPool(memory.limit // 8)
+        memory = MemoryBudget(config.memory_limit_bytes, resident_bytes or RESIDENT_AT_REST_BYTES)
+        client_budget, backend_budget = DescriptorBudget(limit), DescriptorBudget(limit)
+        for budget in (client_budget, backend_budget):
+            budget.divide_among(1, memory.max_connections)
+        memory.set_connections(client_budget.limit)
+        buffers = BufferPool(int(memory.limit * MAX_FREE_BUFFER_RATIO))
         self.lifecycle = Lifecycle()
         self._takeover = _create_takeover(loop, config, environ)
         if self._takeover and self._takeover.snapshot:
@@ -116,6 +120,8 @@
             self.lifecycle,
         )
         self.admin = AdminServer(loop, self.lifecycle, buffers, self.clients.connection_counts, self.dispatcher.guard_counters)
+        self.admin.routes[b"/admin/memory"] = b"GET", lambda query: (200, memory.gauges())
+        self._memory_monitor = MemoryMonitor(self.clients, config.memory_limit_bytes) if resident_bytes else None
         self.reload = ConfigReload(
             config,
             environ,
@@ -161,6 +167,8 @@
             self.clients.sweeper.sweep(),
             self.clients.sweeper.check_loop_and_requests(),
         ]
+        if self._memory_monitor:
+            coroutines.append(self._memory_monitor.run())
         self._tasks = [self._loop.create_task(each) for each in coroutines]
         if features and features.versions.tell:
             self._install_recorder(features)
@@ -187,6 +195,8 @@
                 logger.error("task ended by itself: task={!r}", task)
         await self.clients.shutdown.run()
         logger.info("shutdown ends: send_guard={}", self.dispatcher.guard_counters())
+        if self._memory_monitor:
+            logger.info("memory: peak={} account={}", self._memory_monitor.peak_bytes, self.clients.memory.gauges())
 
     def close(self) -> None:
         """Release the takeover folder and close all sockets."""
@@ -234,7 +244,7 @@
     environ: Mapping[str, str] = os.environ,
     on_built: Callable[[Dispatcher], None] = lambda dispatcher: None,
     has_pending_reload: Callable[[], bool] = lambda: False,
-    resident_bytes: int = RESIDENT_AT_REST_BYTES,
+    resident_bytes: int | None = None,
 ) -> None:
-    """Run one proxy process until it has shut down; `resident_bytes`: the memory that it has at its start."""
+    """Run one proxy process until it has shut down; `resident_bytes`: the memory that it has at its start, None if unknown."""
     await ProxyProcess(config, environ, resident_bytes).run(has_pending_reload, on_built)
--- a/sloeferry/lifecycle/startup.py
+++ b/sloeferry/lifecycle/startup.py
@@ -14,7 +14,6 @@
 from sloeferry.config.instance import read_instance_config, read_log_options
 from sloeferry.dispatch.dispatcher import Dispatcher
 from sloeferry.lifecycle.proxy_process import serve
-from sloeferry.network.memory_budget import RESIDENT_AT_REST_BYTES
 
 LOG_FORMAT = "{time:HH:mm:ss.SSS} {level} {message}"
 GC_THRESHOLDS = (20000, 20, 50)  # above Python's defaults: each collection stalls the event loop
@@ -43,7 +42,7 @@
                     config,
                     on_built=freeze_startup_objects,
                     has_pending_reload=lambda: bool(early_reloads),
-                    resident_bytes=environment.resident_bytes() or RESIDENT_AT_REST_BYTES,
+                    resident_bytes=environment.resident_bytes(),
                 )
             )
     except ConfigError as error:
--- a/sloeferry/lifecycle/takeover.py
+++ b/sloeferry/lifecycle/takeover.py
@@ -113,8 +113,10 @@
         else:  # the last sends of the ended process still count in the budget window
             self._loop.call_later(self._budget_window_seconds, lambda: self._dispatcher.set_process_count(self._peer_count + 1))
         self._peer_count = alive
+        self._clients.memory.divide_among(alive + 1)
         for budget in self._budgets:
-            budget.divide_among(alive + 1)
+            budget.divide_among(alive + 1, self._clients.memory.max_connections)
+        self._clients.memory.set_connections(self._clients.budget.limit)
 
     async def run(self) -> None:
         """Check for peers and write snapshots at intervals for as long as the process runs."""
--- a/sloeferry/network/client_connection.py
+++ b/sloeferry/network/client_connection.py
@@ -8,11 +8,12 @@
 from loguru import logger
 
 from sloeferry import environment
-from sloeferry.network import client_replies
+from sloeferry.network import client_replies, protocol
 from sloeferry.network.attempt import OutgoingRequest
 from sloeferry.network.http1 import writer
 from sloeferry.network.http1.framing import StreamEnd
 from sloeferry.network.http1.message import Message
+from sloeferry.network.limited_log import warn
 from sloeferry.network.memory_budget import MAX_WAIT_SECONDS
 from sloeferry.network.reply_writer import ReplyWriter
 from sloeferry.network.request_intake import METHODS
@@ -116,6 +117,8 @@
         if outcome is ReadOutcome.REJECTED:
             return await self.reply_writer.reject(self.reader.retry_after_if_rejected_ms)
         if outcome is ReadOutcome.NO_MEMORY:
+            request_id = self.stream.message.header(protocol.REQUEST_ID)
+            warn("no memory for a request", "id={!r} account={}", request_id, self.server.memory.gauges())
             return await self.reply_writer.reject(self.server.intake.retry_after_ms(MAX_WAIT_SECONDS * 1000), keep_alive=False)
         message = self.reader.take_message()
         if message is None:
@@ -127,6 +130,8 @@
             message.retry_after_if_rejected_ms = self.server.intake.retry_after_if_rejected_ms(message, has_waited=True)
         if self._is_pipelined and message.attributes and self._must_make_room():
             message.retry_after_if_rejected_ms = self.server.intake.retry_after_ms(MAX_ROOM_WAIT_MS)
+        if message.retry_after_if_rejected_ms is not None and message.attributes:
+            self.server.request_ids.add(message.header(protocol.REQUEST_ID) or b"")
         if message.retry_after_if_rejected_ms is not None:  # it was incomplete or not in plain form, so it was parsed first
             return await self.reply_writer.reject(message.retry_after_if_rejected_ms, self._keeps_alive(message))
         return await self._reply(message, await self.request_runner.start(message, unread_ms))
--- a/sloeferry/network/client_server.py
+++ b/sloeferry/network/client_server.py
@@ -50,7 +50,7 @@
         self.connections: dict[ClientConnection, None] = {}  # in order of arrival
         self.open_requests: dict[bytes, ClientConnection] = {}  # by the request id that the client chose
         self.lingering_close_count = 0  # connections in a lingering close
-        self.intake = RequestIntake(dispatcher, lifecycle, config.settings)
+        self.intake = RequestIntake(dispatcher, lifecycle, config.settings, request_ids)
         self.admission_queue = AdmissionQueue(loop, dispatcher.overload, buffers)
         self.pipeline_turns = PipelineTurns(loop)
         self.listener = Listener(self, config.inherited_listener_fd)
--- a/sloeferry/network/descriptor_budget.py
+++ b/sloeferry/network/descriptor_budget.py
@@ -82,9 +82,9 @@
             waiting[connection] = environment.monotonic(), close  # a request or the end of the stream is unread
         return False
 
-    def divide_among(self, processes: int) -> None:
-        """Reduce the limit to the share of one of `processes` processes."""
-        self.limit = self._full_limit // processes
+    def divide_among(self, processes: int, max_limit: int) -> None:
+        """Reduce the limit to the share of one of `processes` processes, `max_limit` at most."""
+        self.limit = min(self._full_limit // processes, max_limit)
 
     def mark_waiting(
         self,
--- a/sloeferry/network/request_intake.py
+++ b/sloeferry/network/request_intake.py
@@ -11,6 +11,7 @@
 from sloeferry.lifecycle.state import Lifecycle
 from sloeferry.network import protocol
 from sloeferry.network.http1.message import Message, RequestAttributes
+from sloeferry.network.request_ids import RequestIds
 
 METHODS = (b"GET", b"POST", b"PUT", b"PATCH", b"DELETE")
 MAX_NUMBER_DIGITS = 9
@@ -18,6 +19,7 @@
 # A complete request in a plain form that may be rejected unparsed; any other input is parsed first.
 PLAIN_REQUEST = re.compile(rb"(?:GET|POST) /[!-~]* HTTP/1\.1\r\n(?:[!#-'*+.0-9A-Z^-z|~-]+:[\t -~]*\r\n)+\r\n")
 PLAIN_HEADERS = (
+    protocol.REQUEST_ID,
     protocol.REQUEST_CLASS,
     protocol.TENANT,
     protocol.IS_RETRY,
@@ -46,8 +48,9 @@
 class RequestIntake:
     """Validates request heads, rejects requests during load shedding and accepts the others."""
 
-    def __init__(self, dispatcher: Dispatcher, lifecycle: Lifecycle, settings: Settings):
+    def __init__(self, dispatcher: Dispatcher, lifecycle: Lifecycle, settings: Settings, request_ids: RequestIds):
         self._dispatcher = dispatcher
+        self._request_ids = request_ids
         self._lifecycle = lifecycle
         # The request being parsed was admitted unparsed and is not checked again. Set and used within one receive, without an
         # await in between.
@@ -150,6 +153,8 @@
         delay_ms = self._dispatcher.retry_after_if_rejected_ms(class_index, tenant_index, is_retry, has_waited)
         if delay_ms is None:
             self._was_admitted_unparsed = True
+        else:
+            self._request_ids.add(headers.get(protocol.REQUEST_ID, b""))  # a copy of it must not be served in its place
         return delay_ms
 
     # Acceptance
--- a/sloeferry/rehearsal/live.py
+++ b/sloeferry/rehearsal/live.py
@@ -18,7 +18,13 @@
 
 from sloeferry.rehearsal.baselines import DESIGN
 from sloeferry.rehearsal.proxy_fleet import ProxyFleet
-from sloeferry.rehearsal.run_environment import DRAIN_TIMEOUT_SECONDS, READY_TIMEOUT_SECONDS, RESTART_DELAY_SECONDS, ProxyHandle
+from sloeferry.rehearsal.run_environment import (
+    DRAIN_TIMEOUT_SECONDS,
+    KILL_DELAY_SECONDS,
+    READY_TIMEOUT_SECONDS,
+    RESTART_DELAY_SECONDS,
+    ProxyHandle,
+)
 from sloeferry.rehearsal.scenario import Scenario, ScenarioError
 from sloeferry.stand_ins import processes
 from sloeferry.stand_ins.processes import Throttle, free_ports
@@ -154,7 +160,9 @@
             self.is_restarting = True
             self.send_signal(signal.SIGTERM)
             self.fleet.balancer.proxy_ended(self.name, self.fleet.scenario.balancer.drain_notice_seconds)
-            self._loop.call_later(DRAIN_TIMEOUT_SECONDS, self._drain_timed_out, self.process)
+            longest_deadline_ms = max(each.deadline_ms for each in self.fleet.scenario.request_classes)
+            kill_after_seconds = min(DRAIN_TIMEOUT_SECONDS, longest_deadline_ms / 1000 + KILL_DELAY_SECONDS)
+            self._loop.call_later(kill_after_seconds, self._drain_timed_out, self.process)
 
     def _drain_timed_out(self, process: asyncio.subprocess.Process) -> None:
         if self.process is process:
--- a/sloeferry/rehearsal/run_environment.py
+++ b/sloeferry/rehearsal/run_environment.py
@@ -11,6 +11,7 @@
     from sloeferry.rehearsal.proxy_fleet import ProxyFleet
 
 READY_TIMEOUT_SECONDS = 30.0  # after which the load begins even if proxies are not ready
+KILL_DELAY_SECONDS = 0.7  # after the longest deadline, counted from SIGTERM: the earliest time of SIGKILL
 DRAIN_TIMEOUT_SECONDS = 3.7  # from SIGTERM to SIGKILL
 RESTART_DELAY_SECONDS = 0.2  # from the end of a process that drained to the next start
 
--- a/sloeferry/stand_ins/bad_clients.py
+++ b/sloeferry/stand_ins/bad_clients.py
@@ -50,6 +50,8 @@
     PIPELINE = "pipeline"  # sound: hundreds of requests at once
 
 
+# Begins the ids of all requests that bad clients make up; backends serve those that reach them, as some are sound.
+ID_PREFIX = "bad-"
 SOUND_KINDS = frozenset({BadClientKind.SLOW_BODY, BadClientKind.SLOW_READER, BadClientKind.PIPELINE})
 
 
@@ -85,10 +87,13 @@
 
 @dataclass(frozen=True, slots=True)
 class OtherRequest:
-    """Another client's request, as it was sent."""
+    """Another client's request, as it was sent; `sent_at` in seconds of the event loop."""
 
     request_id: str
     data: bytes
+    proxy: str
+    address: tuple[str, int]
+    sent_at: float
 
 
 class BadClient:
@@ -116,19 +121,25 @@
         self._on_answer = on_answer
         self._find_other_request = find_other_request
         self._count = 0
+        self._other: OtherRequest | None = None
 
     async def run(self) -> None:
         """Open one connection after the other until cancelled."""
         while True:
             self._count += 1
-            request_id = f"{self._name}-{self._count}"
+            request_id = f"{ID_PREFIX}{self._name}-{self._count}"
             with contextlib.suppress(OSError, EOFError, TimeoutError):
                 async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
                     await self._use_connection(request_id)
             await asyncio.sleep(PAUSE_SECONDS)
 
     async def _use_connection(self, request_id: str) -> None:
-        reader, writer = await asyncio.open_connection(*self._address, limit=WRITE_BYTES)
+        if self._kind is BadClientKind.REPEATED_ID:
+            self._other = self._find_other_request()
+            if self._other is None:
+                return
+        address = self._other.address if self._other else self._address
+        reader, writer = await asyncio.open_connection(*address, limit=WRITE_BYTES)
         try:
             play = _PLAYS.get(self._kind)
             if play:
@@ -218,8 +229,8 @@
             await reader.readexactly(await self._read_answer(each, reader))
 
     async def _play_repeated_id(self, request_id: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if other := self._find_other_request():
-            await self._send_and_wait(other.request_id, other.data, reader, writer)
+        if self._other:
+            await self._send_and_wait(self._other.request_id, self._other.data, reader, writer)
 
     async def _play_half_request(self, request_id: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         head = self._heads.upload(request_id, "100") + b"\r\n"
--- a/sloeferry/stand_ins/clients.py
+++ b/sloeferry/stand_ins/clients.py
@@ -4,12 +4,14 @@
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Sequence
 from functools import partial
 from random import Random
 from typing import TYPE_CHECKING, NamedTuple
 
 from sloeferry.stand_ins import wire_protocol
+from sloeferry.stand_ins.bad_clients import OtherRequest
 from sloeferry.stand_ins.client_connection import ClientConnection, NoResponse, Response
 from sloeferry.stand_ins.client_requests import make_request, make_request_id
 from sloeferry.stand_ins.connection_balancer import CONNECT_TIMEOUT_SECONDS, ConnectionBalancer, ProxyListener
@@ -22,6 +24,7 @@
     from sloeferry.rehearsal.scenario import Scenario
 
 RECONNECT_DELAY_SECONDS = 0.03
+MAX_SENT_REQUESTS = 64
 MIN_CONNECT_TIMEOUT_SECONDS = 0.001
 BACKOFF_JITTER_RANGE = (0.75, 1.25)
 
@@ -49,6 +52,7 @@
         self.planned_requests = planned_requests
         self.open_request_count = 0  # requests that have started and are not finished
         self.pools: dict[int, list[ClientConnection]] = {}  # idle connections by client
+        self.sent_requests: deque[OtherRequest] = deque(maxlen=MAX_SENT_REQUESTS)  # the last ones
         self._loop = loop
         self._scenario = scenario
         self._settings = scenario.clients
@@ -158,6 +162,8 @@
             return None
         now = self._loop.time()
         self._log.request_written(request_id, now, now + timeout_seconds)
+        address = next(each.address for each in self._balancer.listeners if each.name == connection.proxy)
+        self.sent_requests.append(OtherRequest(request_id.decode(), data, connection.proxy, tuple(address), now))
         if planned.leaves_early:
             return await connection.wait_for_response(timeout_seconds / 2)
         return await connection.wait_for_response(timeout_seconds + self._log.slack_seconds)
--- a/sloeferry/stand_ins/request_handler.py
+++ b/sloeferry/stand_ins/request_handler.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from sloeferry.stand_ins import wire_protocol
+from sloeferry.stand_ins.bad_clients import ID_PREFIX
 from sloeferry.stand_ins.deduplication import DeduplicationStore
 from sloeferry.stand_ins.http_messages import Message, make_response
 from sloeferry.stand_ins.rules import Rule
@@ -37,6 +38,10 @@
 
 NO_LINK_FAULT = LinkFault()
 
+BAD_CLIENT_ID_PREFIX = ID_PREFIX.encode()
+# Of the answers to bad clients, some of which read slowly.
+LONG_RESPONSE_BYTES, LONG_RESPONSE_RATIO = 1_000_000, 0.2
+
 
 class RequestHandler:
     """Handles the requests of one backend and makes its load reports."""
@@ -78,6 +83,10 @@
             connection.respond(make_response(200, self.load_report() if path == wire_protocol.LOAD_PATH else b""))
             return
         request_id = message.fields.get(wire_protocol.REQUEST_ID, b"")
+        if request_id.startswith(BAD_CLIENT_ID_PREFIX):
+            body_bytes = LONG_RESPONSE_BYTES if self._rng.random() < LONG_RESPONSE_RATIO else 0
+            connection.respond(make_response(200, bytes(body_bytes)))
+            return
         request_class = self._observer.request_class(request_id)
         if request_class is None:
             text = f"{backend.backend_id} received a request with an unknown id: {request_id!r}"
--- a/tests/network/test_http1.py
+++ b/tests/network/test_http1.py
@@ -13,6 +13,7 @@
 from sloeferry.network.http1 import writer
 from sloeferry.network.http1.framing import MessageFraming, StreamEnd
 from sloeferry.network.http1.message import HOP_BY_HOP_HEADERS
+from sloeferry.network.request_ids import RequestIds
 from sloeferry.network.request_intake import RequestIntake
 
 Headers = list[tuple[bytes, bytes]]
@@ -213,7 +214,7 @@
     overload = types.SimpleNamespace(is_shedding=lambda: True)
     dispatcher = types.SimpleNamespace(overload=overload, retry_after_if_rejected_ms=lambda *_: 5.0)
     names = {"schemes.count": 1, "schemes.0.name": "safe", "tenants.count": 1, "tenants.0.name": "acme"}
-    return RequestIntake(dispatcher, types.SimpleNamespace(is_stopping=False), build_settings(names))
+    return RequestIntake(dispatcher, types.SimpleNamespace(is_stopping=False), build_settings(names), RequestIds(1024))
 
 
 @settings(max_examples=300, deadline=None)
