--- a/sloeferry/network/listener.py
+++ b/sloeferry/network/listener.py
@@ -16,8 +16,9 @@
 MAX_ACCEPTS_PER_EVENT = 16
 RETRY_DELAY_SECONDS = 0.01  # before accepting again after a full budget or an error
 # If connections may have waited longer in the backlog, they get descriptors of any waiting connections: a request whose answer
-# comes this long after its deadline counts as lost.
+# comes this long after its deadline counts as lost.  With short deadlines they get them so early that a request is still in time.
 MAX_BACKLOG_WAIT_MS = 500.0
+MAX_BACKLOG_WAIT_RATIO = 1 / 2  # of the shortest deadline
 
 
 class Listener:
@@ -84,7 +85,7 @@
         rule 1). Its connection therefore notes since when it may have waited.
         """
         for _ in range(limit):
-            if not self._server.budget.acquire(is_urgent=self.has_backlog_waited(MAX_BACKLOG_WAIT_MS)):
+            if not self._server.budget.acquire(is_urgent=self.has_backlog_waited(self._max_backlog_wait_ms())):
                 self.backlogged_since_ms = self.backlogged_since_ms or environment.monotonic_ms()
                 self._pause_briefly()
                 return False
@@ -100,6 +101,9 @@
         self.backlogged_since_ms = self.backlogged_since_ms or environment.monotonic_ms()
         return False
 
+    def _max_backlog_wait_ms(self) -> float:
+        return min(MAX_BACKLOG_WAIT_MS, self._server.intake.shortest_deadline_ms() * MAX_BACKLOG_WAIT_RATIO)
+
     def has_backlog_waited(self, wait_ms: float) -> bool:
         """Return whether connections may have waited in the backlog for longer than that."""
         since_ms = self.backlogged_since_ms
--- a/sloeferry/network/request_intake.py
+++ b/sloeferry/network/request_intake.py
@@ -70,6 +70,10 @@
         self._deadline_ms = {index: classes[index].deadline_ms for index in self._classes.values()}
         self._sends_retry_after = settings.limits.sends_retry_after
 
+    def shortest_deadline_ms(self) -> float:
+        """Return the shortest deadline of all request classes."""
+        return min(self._deadline_ms.values())
+
     def longest_deadline_ms(self) -> float:
         """Return the longest deadline of all request classes."""
         return max(self._deadline_ms.values())
