Soak with bad clients: no deadline below the time for which its accepts fail

Nobody can answer a request that the system does not hand over; plans with failing calls have deadlines of 800 ms at least. Other plans are unchanged, to the byte.

--- a/sloeferry/fault_testing/hostile_plan_generator.py
+++ b/sloeferry/fault_testing/hostile_plan_generator.py
@@ -16,6 +16,8 @@
 MEMORY_LIMITS_MB = [32, 48, 96, 192]
 DESCRIPTOR_LIMITS = [256, 512, 1024]
 DEADLINES_MS = [300, 800, 2000]
+# Where accept fails for half a second on end (flaky_sockets.py), nobody could answer a request with a shorter deadline in time.
+MIN_DEADLINE_WITH_FAILING_CALLS_MS = 800
 CROWD_RATIO = 0.4  # of the plans
 MAX_PROXIES = 14  # hundreds of clients and many proxies at once would make those who measure late
 
@@ -25,6 +27,8 @@
     rng = Random(f"hostile {seed}")
     plan = soak_plan_generator.generate_plan(seed)
     deadline_ms = rng.choice(DEADLINES_MS)
+    if any(fault["what"] == "calls" for fault in plan.faults):
+        deadline_ms = max(deadline_ms, MIN_DEADLINE_WITH_FAILING_CALLS_MS)
     classes = [{**each, "sla_ms": deadline_ms / 2, "expiry_ms": deadline_ms} for each in plan.request_classes]
     return replace(
         plan,
