A complete request is answered before memory is waited for the next one

Found on reading the change again: a request that was complete waited up to a second, and got no answer at all, where a large one began right behind it and there was no memory for that. Memory is reserved only once nothing is left to answer. Besides, two processes may delete the same file of request ids.

--- a/sloeferry/lifecycle/request_id_files.py
+++ b/sloeferry/lifecycle/request_id_files.py
@@ -106,7 +106,8 @@
                 file.ended_at_ms = now
             elif now > file.ended_at_ms + RETENTION_MS:
                 self._forget(name)
-                os.unlink(os.path.join(self._path, name))
+                with contextlib.suppress(FileNotFoundError):  # another process has deleted it
+                    os.unlink(os.path.join(self._path, name))
 
     def _forget(self, name: str) -> None:
         self._others.pop(name).close()
--- a/sloeferry/network/request_reader.py
+++ b/sloeferry/network/request_reader.py
@@ -72,7 +72,7 @@
             if stream.has_begun and not had_begun and not connection.is_new:
                 # Set once per request, so that a client that sends slowly cannot extend its timeout.
                 connection.waiting_since = environment.monotonic()
-            if not await self._reserve_memory():
+            if not stream.completed and not await self._reserve_memory():
                 return ReadOutcome.NO_MEMORY
             await self._send_continue()
         return ReadOutcome.REQUEST
--- a/tests/network/test_memory_limit.py
+++ b/tests/network/test_memory_limit.py
@@ -9,8 +9,11 @@
 
 import pytest
 
+from sloeferry.network.http1.framing import MAX_BUFFERED_BODY_BYTES
+from sloeferry.network.memory_budget import SMALL_MESSAGE_BYTES
 from sloeferry.stand_ins.bad_clients import BadClient, BadClientKind, HeadMaker, is_unsound_and_served
 from tests.support.fake_backends import FakeBackends, Script, response
+from tests.support.instrumented_harness import InstrumentedHarness, wait_until
 from tests.support.process_harness import ProcessHarness
 from tests.support.proxy_harness import run_scenario
 
@@ -126,3 +129,37 @@
     assert harness.exit_code is None
     assert 0 < harness.peak_memory_mb <= LEAST_MEMORY_MB
     assert not [kind for kind, status in answers if is_unsound_and_served(kind, status)]
+
+
+def test_complete_request_is_answered_though_there_is_no_memory_for_the_next():
+    """Guards against a request that is read and gets no answer, because a large one begins right behind it."""
+
+    async def scenario(harness: InstrumentedHarness) -> None:
+        taken = harness.clients.memory.try_reserve(harness.clients.memory.limit)
+        large = harness.request_head("c2", "once", body_bytes=MAX_BUFFERED_BODY_BYTES)
+        client = await harness.send_raw(harness.request_head("c1") + large + bytes(SMALL_MESSAGE_BYTES))
+        received = b""
+        while received.count(b"HTTP/1.1 ") < 2:
+            received += await asyncio.get_running_loop().sock_recv(client.sock, 9999)
+        client.close()
+        assert received.startswith(b"HTTP/1.1 200 ") and b"HTTP/1.1 503 " in received
+        assert taken is not None
+
+    run_scenario(scenario, InstrumentedHarness({"b": response()}))
+
+
+def test_large_request_is_served_once_there_is_memory():
+    """The allowed neighbour: a body that has to wait for memory is read and served when another request has given it back."""
+
+    async def scenario(harness: InstrumentedHarness) -> None:
+        memory = harness.clients.memory
+        taken = memory.try_reserve(memory.limit)
+        request = asyncio.ensure_future(harness.request("once", "b" * (MAX_BUFFERED_BODY_BYTES // 2)))
+        await wait_until(lambda: memory.gauges()["waiting"])
+        assert taken is not None
+        del taken
+        assert await request == "200 done"
+        await wait_until(lambda: not harness.clients.connections)
+        assert memory.reserved == 0
+
+    run_scenario(scenario, InstrumentedHarness({"b": response()}))
