Responses get memory while large requests wait for it or hold it

Found on reading the change again: while one request waited for memory every response over 2 KiB was refused it, too, so that small requests failed after they had run; uploads could hold all of it. Responses do not queue behind requests, which may hold three quarters of the memory and of the reservations.

--- a/sloeferry/network/exchange.py
+++ b/sloeferry/network/exchange.py
@@ -215,13 +215,13 @@
         is_small = not response.is_head_complete or known_bytes <= SMALL_MESSAGE_BYTES
         if is_small or response.reservation or not response.body_bytes:
             return True
-        response.reservation = self._pool.memory.try_reserve(buffered_response_bytes(response.content_length))
+        response.reservation = self._pool.memory.reserve_for_response(buffered_response_bytes(response.content_length))
         return response.reservation is not None
 
     def _reserve_streaming(self, response: Message) -> bool:
         """Reserve memory for a response that is forwarded in parts; return whether there was enough."""
         if response.reservation is None:
-            response.reservation = self._pool.memory.try_reserve(STREAMED_BODY_BYTES)
+            response.reservation = self._pool.memory.reserve_for_response(STREAMED_BODY_BYTES)
         return response.reservation is not None
 
     async def _receive_while_held_back(self, stream: HttpStream) -> bool:
--- a/sloeferry/network/memory_budget.py
+++ b/sloeferry/network/memory_budget.py
@@ -30,6 +30,8 @@
 # Of the connections, so that there are always some for small requests.
 MAX_RESERVATION_RATIO = 2 / 3
 MAX_WAITER_RATIO = 1 / 16
+# Of the memory and of the reservations, for requests; the rest is for responses to requests that have run.
+MAX_REQUEST_RATIO = 3 / 4
 MAX_WAIT_SECONDS = 1.0  # for memory; a client that stops in the middle of a request has to get its error in 3 s
 
 
@@ -104,14 +106,14 @@
         self._max_reservations = int(count * MAX_RESERVATION_RATIO)
         self._max_waiters = int(count * MAX_WAITER_RATIO)
 
-    def try_reserve(self, size: int) -> Reservation | None:
-        """Reserve memory if there is enough and none waits for it."""
-        return None if self._waiters or not self._has_room(size) else self._reserve(size)
+    def reserve_for_response(self, size: int) -> Reservation | None:
+        """Reserve memory if there is enough, whether requests wait for it or not: the work for a response is done."""
+        return self._reserve(size) if self._has_room(size, 1.0) else None
 
-    async def reserve(self, size: int) -> Reservation | None:
+    async def reserve_for_request(self, size: int) -> Reservation | None:
         """Reserve memory, first come, first served; return None if there is not enough in time."""
-        if reservation := self.try_reserve(size):
-            return reservation
+        if not self._waiters and self._has_room(size, MAX_REQUEST_RATIO):
+            return self._reserve(size)
         if len(self._waiters) < self._max_waiters:
             waiter = _Waiter(size, asyncio.get_running_loop().create_future())
             self._waiters.append(waiter)
@@ -146,15 +148,15 @@
         self.release(size)
 
     def _grant(self) -> None:
-        while self._waiters and self._has_room(self._waiters[0].size):
+        while self._waiters and self._has_room(self._waiters[0].size, MAX_REQUEST_RATIO):
             waiter = self._waiters.popleft()
             waiter.granted.set_result(self._reserve(waiter.size))
 
-    def _has_room(self, size: int) -> bool:
-        """Return whether there is room; also for a message larger than the whole budget if there is no other."""
-        if self._reservation_count >= self._max_reservations:
+    def _has_room(self, size: int, ratio: float) -> bool:
+        """Return whether there is room in a part of the budget; also for a message larger than that if there is no other."""
+        if self._reservation_count >= self._max_reservations * ratio:
             return False
-        return self.reserved + size <= self.limit or not self.reserved
+        return self.reserved + size <= self.limit * ratio or not self.reserved
 
     def gauges(self) -> dict[str, int]:
         """Return the account for the admin server."""
--- a/sloeferry/network/request_reader.py
+++ b/sloeferry/network/request_reader.py
@@ -83,7 +83,7 @@
         missing_bytes = self._needed_bytes() - (message.reservation.size if message.reservation else 0)
         if missing_bytes <= 0:
             return True
-        reservation = await self._server.memory.reserve(missing_bytes)
+        reservation = await self._server.memory.reserve_for_request(missing_bytes)
         if reservation and message.reservation:
             message.reservation.merge(reservation)
         elif reservation:
--- a/tests/network/test_memory_limit.py
+++ b/tests/network/test_memory_limit.py
@@ -6,6 +6,7 @@
 import re
 from collections.abc import Sequence
 from random import Random
+from unittest import mock
 
 import pytest
 
@@ -25,6 +26,8 @@
 LONG_RESPONSE_BYTES = 8_000_000
 CROWD_SECONDS = 2.5  # until memory has reached its peak
 USUAL_CLIENTS = 4
+RESPONSE_BYTES = 5000
+LARGE_RESIDENT_BYTES = 184 << 20  # of the 192 MB that the harness's proxy has, so that few uploads use the rest up
 SERVED_REQUESTS = 5  # of each usual client, beside the crowd
 # A backend's load estimate counts uploads that have not ended, so that small requests are rejected beside them.
 UPLOADS = (BadClientKind.STOPPED_BODY, BadClientKind.LARGE_BODY)
@@ -135,7 +138,7 @@
     """Guards against a request that is read and gets no answer, because a large one begins right behind it."""
 
     async def scenario(harness: InstrumentedHarness) -> None:
-        taken = harness.clients.memory.try_reserve(harness.clients.memory.limit)
+        taken = harness.clients.memory.reserve_for_response(harness.clients.memory.limit)
         large = harness.request_head("c2", "once", body_bytes=MAX_BUFFERED_BODY_BYTES)
         client = await harness.send_raw(harness.request_head("c1") + large + bytes(SMALL_MESSAGE_BYTES))
         received = b""
@@ -153,7 +156,7 @@
 
     async def scenario(harness: InstrumentedHarness) -> None:
         memory = harness.clients.memory
-        taken = memory.try_reserve(memory.limit)
+        taken = memory.reserve_for_response(memory.limit)
         request = asyncio.ensure_future(harness.request("once", "b" * (MAX_BUFFERED_BODY_BYTES // 2)))
         await wait_until(lambda: memory.gauges()["waiting"])
         assert taken is not None
@@ -163,3 +166,27 @@
         assert memory.reserved == 0
 
     run_scenario(scenario, InstrumentedHarness({"b": response()}))
+
+
+def test_response_is_served_while_large_requests_wait_for_memory():
+    """Guards against requests that fail after they have run, because uploads hold or wait for all memory."""
+
+    async def scenario(harness: InstrumentedHarness) -> None:
+        memory = harness.clients.memory
+        uploads = []
+        while not memory.gauges()["waiting"]:
+            head = harness.request_head(f"c{len(uploads)}", "once", body_bytes=MAX_BUFFERED_BODY_BYTES)
+            uploads.append(await harness.send_raw(head))
+            await asyncio.sleep(0.001)
+        reader, writer = await harness.connect()
+        writer.write(harness.with_new_ids(harness.request_head("c1", "safe")))
+        assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200 ")
+        assert len(await reader.readexactly(RESPONSE_BYTES)) == RESPONSE_BYTES
+        assert memory.gauges()["waiting"]
+        for client in uploads:
+            client.close()
+        writer.close()
+
+    harness = InstrumentedHarness({"b": response("r" * RESPONSE_BYTES)})
+    with mock.patch("sloeferry.lifecycle.proxy_process.RESIDENT_AT_REST_BYTES", LARGE_RESIDENT_BYTES):
+        run_scenario(scenario, harness)
