A wait for memory counts against the time of a request that has arrived

Found on reading the change once more: a request whose last byte had come while it waited for memory, up to a second, was read with its whole time left, so that it was sent and answered after its time. What the kernel says of the last arrival, the wait at most, comes off its time; where the kernel does not tell, the whole wait does.

Measured: the new test fails without the change (sent, 200 after its time of 300 ms) and passes; the waits of large requests that are served in time are tested beside it.

--- a/sloeferry/network/request_reader.py
+++ b/sloeferry/network/request_reader.py
@@ -83,7 +83,9 @@
         missing_bytes = self._needed_bytes() - (message.reservation.size if message.reservation else 0)
         if missing_bytes <= 0:
             return True
+        waiting_since_ms = environment.monotonic_ms()
         reservation = await self._server.memory.reserve_for_request(missing_bytes)
+        self.unread_time.note_wait(environment.monotonic_ms() - waiting_since_ms)
         if reservation and message.reservation:
             message.reservation.merge(reservation)
         elif reservation:
--- a/sloeferry/network/unread_time.py
+++ b/sloeferry/network/unread_time.py
@@ -27,6 +27,12 @@
         """Record that a receive did not complete a request."""
         self._came_in_pieces = True
 
+    def note_wait(self, waited_ms: float) -> None:
+        """Record that nothing was read for a time: the rest of a request may have arrived during it."""
+        arrived_ms_ago = environment.ms_since_arrival(self._sock)
+        unread_ms = waited_ms if arrived_ms_ago is None else min(waited_ms, arrived_ms_ago)
+        self.stalled_ms = max(self.stalled_ms, unread_ms)
+
     def silent_since(self, is_partial: bool) -> float | None:
         """Return from when on the client has sent nothing (seconds, monotonic); None for now.
 
--- a/tests/network/test_memory_limit.py
+++ b/tests/network/test_memory_limit.py
@@ -190,3 +190,20 @@
     harness = InstrumentedHarness({"b": response("r" * RESPONSE_BYTES)})
     with mock.patch("sloeferry.lifecycle.proxy_process.RESIDENT_AT_REST_BYTES", LARGE_RESIDENT_BYTES):
         run_scenario(scenario, harness)
+
+
+def test_wait_for_memory_counts_against_the_time_of_a_request_that_has_arrived():
+    """Guards against an answer long after its time: a whole request waits for memory, and its time ran from its reading."""
+
+    async def scenario(harness: InstrumentedHarness) -> None:
+        memory = harness.clients.memory
+        taken = memory.reserve_for_response(memory.limit)
+        request = asyncio.ensure_future(harness.request("once", "b" * (MAX_BUFFERED_BODY_BYTES // 2)))
+        await wait_until(lambda: memory.gauges()["waiting"])
+        await asyncio.sleep(0.4)  # longer than its time
+        assert taken is not None
+        del taken
+        assert (await request).startswith(("503", "504"))
+        assert harness.backends.requests_received == 0
+
+    run_scenario(scenario, InstrumentedHarness({"b": response()}, deadline_ms=300))
