Log lines tell why an attempt ended, why a connection was closed and whose response broke off

Change: one limited line for each attempt that did not serve its request, one for each close by the sweeper, more in the line of a broken response; all name the client's request id.

--- a/sloeferry/network/attempt.py
+++ b/sloeferry/network/attempt.py
@@ -16,6 +16,7 @@
 from sloeferry.network.deadline_timers import DeadlineTimers
 from sloeferry.network.exchange import Exchange, ExchangePlan, ExchangeResult
 from sloeferry.network.http1.message import Message
+from sloeferry.network.limited_log import warn
 from sloeferry.network.load_reports import NO_REPORT, LoadReportReader
 from sloeferry.policy.interface import SendAttempt
 
@@ -33,6 +34,7 @@
     """
 
     context: RequestContext
+    request_id: bytes  # chosen by the client
     head: bytes
     body: bytes | RequestBodyStream
     attempts: dict[int, asyncio.Task] = field(default_factory=dict)  # the running attempts, by attempt number
@@ -67,6 +69,8 @@
         if response:
             end = _classify(response)
             load_report = self._load_reports.read(response.header(protocol.LOAD_REPORT))
+        if end is not AttemptEnd.SERVED:
+            _log_failure(request, command, result._replace(end=end))
         duration_ms = environment.monotonic_ms() - started_at
         is_used = self._report(context, number, result._replace(end=end), duration_ms, load_report)
         if response and response.body_stream and (not is_used or context.is_abandoned):
@@ -112,6 +116,19 @@
             return context.is_answered  # the response is already being sent
 
 
+def _log_failure(request: OutgoingRequest, command: SendAttempt, result: ExchangeResult) -> None:
+    body = request.body if isinstance(request.body, RequestBodyStream) else None
+    warn(
+        f"attempt {result.end.value}",
+        "request={!r} attempt={} backend={} progress={}{}",
+        request.request_id,
+        command.attempt_number,
+        command.endpoint_id,
+        result.progress.name,
+        f" body_bytes_read={body.received_bytes}" if body else "",
+    )
+
+
 def _classify(response: Message) -> AttemptEnd:
     if response.status == 200:
         return AttemptEnd.SERVED
--- a/sloeferry/network/body_stream.py
+++ b/sloeferry/network/body_stream.py
@@ -69,6 +69,11 @@
         if self._claimed_by == attempt_number:
             self._claimed_by = None
 
+    @property
+    def received_bytes(self) -> int:
+        """Return how much of the body has been received."""
+        return self._message.body_bytes
+
     def buffered_part(self) -> bytes:
         """Return the buffered part of the body, framed."""
         return self._framed(self._buffered)
@@ -126,6 +131,8 @@
 
     def __init__(self, backend: "BackendConnection", message: Message):
         self._backend: BackendConnection | None = backend  # None once it is finished or closed
+        self.endpoint_id = backend.endpoint_id
+        self.forwarded_bytes = 0
         self._message = message
         self._waiting_since = environment.monotonic()
         message.is_streamed = True
@@ -149,10 +156,11 @@
             for at in range(0, len(data), SLICE_BYTES):
                 piece = data[at : at + SLICE_BYTES]
                 await send(writer.chunk(piece) if is_chunked else piece)
+                self.forwarded_bytes += len(piece)
             if self._message.is_complete:
                 break
             if fault := backend.stream.fault:
-                raise BodyInterruptedError(fault.value)
+                raise BodyInterruptedError("reset" if backend.stream.was_reset else fault.value)
             self._waiting_since = environment.monotonic()
             await backend.stream.receive()
         if is_chunked:
--- a/sloeferry/network/connection_sweeper.py
+++ b/sloeferry/network/connection_sweeper.py
@@ -53,14 +53,17 @@
         if connection.request_runner.body_stream:
             connection.request_runner.body_stream.cancel_stalled_write(now)
         if connection.write_progress.has_stalled(now):
+            _log_close(connection, "the client does not read its response")
             connection.close()
         elif connection.reader.receiving_body_since and now > connection.reader.receiving_body_since + READ_TIMEOUT_SECONDS:
+            _log_close(connection, "the client does not send the rest of its request")
             connection.evict()
         elif (
             connection.reply_writer.response_body
             and not connection.is_sending()
             and connection.reply_writer.response_body.has_stalled(now)
         ):
+            _log_close(connection, "the backend does not send the rest of its response")
             connection.close()
         elif not connection.is_busy and not stream.completed:
             allowed_seconds = idle_timeout_seconds
@@ -111,3 +114,7 @@
             self._server.dispatcher.client_left(context)
         elif connection.has_client_left():
             self._server.dispatcher.client_left(context)
+
+
+def _log_close(connection: ClientConnection, reason: str) -> None:
+    warn("connection closed", "request={!r} reason={!r}", connection.request_runner.request_id, reason)
--- a/sloeferry/network/reply_writer.py
+++ b/sloeferry/network/reply_writer.py
@@ -57,7 +57,14 @@
             await body.forward(self._connection.send, message.is_http10)
             return keep_alive
         except BodyInterruptedError as error:
-            warn("response broke off", "request={!r} reason={!r}", message.header(protocol.REQUEST_ID), str(error))
+            warn(
+                "response broke off",
+                "request={!r} reason={!r} backend={} forwarded_bytes={}",
+                message.header(protocol.REQUEST_ID),
+                str(error),
+                body.endpoint_id,
+                body.forwarded_bytes,
+            )
             if not framing:
                 reset_on_close(self._connection.sock)
             return False
--- a/sloeferry/network/request_runner.py
+++ b/sloeferry/network/request_runner.py
@@ -69,7 +69,7 @@
         self.body_stream = None
         if not message.is_complete:
             self.body_stream = RequestBodyStream(self._connection, message, self._server.dispatcher, context)
-        return OutgoingRequest(context, head, self.body_stream or message.body())
+        return OutgoingRequest(context, self._request_id, head, self.body_stream or message.body())
 
     async def run(self, request: OutgoingRequest, message: Message) -> Reply | None:
         """Execute the commands for the request; return its reply, or None if another task has taken it over."""
@@ -150,6 +150,11 @@
             except Exception as error:  # a failing decision must not prevent the connection from closing
                 warn("request dropped", "request={} error={!r}", context.request_id, error)
 
+    @property
+    def request_id(self) -> bytes:
+        """Return the client's id of the last request that was accepted."""
+        return self._request_id
+
     def detach(self) -> None:
         """Drop the references to the connection, after its end."""
         del self._connection
