An upload's time runs from when its last byte may have been written, also while it is unread

What callers saw: uploads over 64 KiB that a backend read slowly, or not to the end, were answered seconds late or never, and after SIGTERM never. Cause: from 64 KiB on a request had no deadline until the proxy had read its last byte; the proxy read only what the backend took, so that the byte waited with the kernels; the last part was written without a limit, and the time left was counted from its end. Change: LastByteBound tells the earliest time at which the last byte may have been written. Two facts prove that it had not been: a connection found empty for longer than bytes are in transit, and more missing than the largest send buffer holds (4 MiB, by tcp(7); assumed against the proxy, named). UploadReader reads ahead of the backend, 64 KiB at most and if there is memory, for only what was read shows that. The sweeper ends an attempt whose answer is due, after SIGTERM at the time by which all are; the policy gives such a request up at once.

--- a/sloeferry/dispatch/attempt_end.py
+++ b/sloeferry/dispatch/attempt_end.py
@@ -29,6 +29,7 @@
     MALFORMED = "malformed response"  # unparsable or unterminated, on a connection that is still open
 
     NO_MEMORY = "no memory for the response"
+    UPLOAD_OVERDUE = "upload overdue"  # the answer is due before the request's body was read to its end
 
 
 _OUTCOME_WHEN_WRITTEN = {
@@ -40,10 +41,11 @@
     AttemptEnd.CANCELLED: AttemptOutcome.CANCELLED,
     AttemptEnd.MALFORMED: AttemptOutcome.UNKNOWN,
     AttemptEnd.NO_MEMORY: AttemptOutcome.UNKNOWN,
+    AttemptEnd.UPLOAD_OVERDUE: AttemptOutcome.TIMED_OUT,
 }
 
 
-LOCAL_ENDS = (AttemptEnd.CANCELLED, AttemptEnd.NO_MEMORY)
+LOCAL_ENDS = (AttemptEnd.CANCELLED, AttemptEnd.NO_MEMORY, AttemptEnd.UPLOAD_OVERDUE)
 
 
 def attempt_outcome(progress: AttemptProgress, end: AttemptEnd) -> AttemptOutcome:
--- a/sloeferry/environment.py
+++ b/sloeferry/environment.py
@@ -57,6 +57,14 @@
         return None
 
 
+def unread_bytes(sock: socket.socket) -> int | None:
+    """Return how many bytes have arrived on a connection and were not read; None if the system does not tell."""
+    try:
+        return int(_C_INT.unpack(fcntl.ioctl(sock, termios.FIONREAD, bytes(_C_INT.size)))[0])
+    except OSError:
+        return None
+
+
 def resident_bytes() -> int | None:
     """Return the resident memory of this process; None if the system does not tell."""
     try:
@@ -93,6 +101,7 @@
     "has_peer_ended",
     "ms_since_arrival",
     "unacknowledged_bytes",
+    "unread_bytes",
 }
 
 
--- a/sloeferry/network/body_stream.py
+++ b/sloeferry/network/body_stream.py
@@ -14,6 +14,7 @@
 from sloeferry.network.http1 import writer
 from sloeferry.network.http1.message import Message
 from sloeferry.network.memory_budget import STREAMED_BODY_BYTES
+from sloeferry.network.upload_reader import UploadReader
 from sloeferry.network.write_progress import WriteProgress
 
 if TYPE_CHECKING:
@@ -39,7 +40,7 @@
     """A request body that is streamed to one backend.
 
     Until more than the buffered part has been sent, another attempt can start over with it; from then on it is bound to its
-    attempt. The time left of the request runs from the last byte of the body.
+    attempt. The time left of the request runs from the last byte of the body, which may have been written before it is read.
     """
 
     def __init__(self, connection: "ClientConnection", message: Message, dispatcher: Dispatcher, context: RequestContext):
@@ -47,13 +48,14 @@
         self._message = message
         self._dispatcher = dispatcher
         self.context = context
-        self.time_left_ms = context.deadline - environment.monotonic_ms()  # counted from the last byte
+        self._reader = UploadReader(connection, message, context.deadline - environment.monotonic_ms())
+        self.is_overdue = False  # the attempt was ended, because its answer is due before the last byte was read
         self._buffered = message.take_body()
         self._claimed_by: int | None = None  # the number of the attempt that writes it
         self.is_bound = False
         self.last_byte_at_ms: float | None = None
         self.task: asyncio.Task | None = None  # the task that writes it
-        self.is_complete = False  # the last byte has been received
+        self.is_complete = False  # the last part has been taken
         self._backend_writes: BackendWrites | None = None  # while they last
         message.is_streamed = True
 
@@ -90,40 +92,56 @@
 
     @contextlib.contextmanager
     def writing_to(self, backend: "BackendConnection", task: asyncio.Task) -> Iterator[WriteProgress]:
-        """Return a context manager for the writes of the rest of the body; `task` is cancelled if the backend stops reading."""
-        progress = WriteProgress(self._connection.server.loop, backend.sock, MAX_BACKEND_PAUSE_SECONDS)
+        """Return a context manager for the writes of the rest of the body, which is read meanwhile.
+
+        `task` is cancelled if the backend stops reading, or if the final answer is due.
+        """
+        loop = self._connection.server.loop
+        progress = WriteProgress(loop, backend.sock, MAX_BACKEND_PAUSE_SECONDS)
         self._backend_writes = BackendWrites(progress, task)
+        reading = loop.create_task(self._read())
         try:
             yield progress
         finally:
             self._backend_writes = None
+            reading.cancel()
 
     def cancel_stalled_write(self, now: float) -> None:
         """Cancel the task that writes to the backend if the backend has stopped reading; to be called repeatedly."""
         if self._backend_writes and self._backend_writes.progress.has_stalled(now):
             self._backend_writes.task.cancel()
 
+    def cancel_overdue_write(self, now_ms: float) -> None:
+        """Cancel the task that writes to the backend if the final answer is due; to be called every few ms."""
+        if self._backend_writes and not self.is_complete and not self.is_overdue and self._reader.is_overdue(now_ms):
+            self.is_overdue = True
+            self._backend_writes.task.cancel()
+
     async def next_part(self) -> bytes:
         """Return the next part, framed; the last part includes the end of the framing and sets `is_complete`.
 
         Raises BodyInterruptedError if the client's connection fails.
         """
-        while True:
-            data, is_last = self._message.take_body(), self._message.is_complete
-            if data or is_last:
-                part = self._framed(data) if data else b""
-                if not is_last:
-                    return part
-                self._completed()
-                return part if self._message.content_length is not None else part + writer.LAST_CHUNK
-            if fault := self._connection.stream.fault:
-                raise BodyInterruptedError(fault.value)
-            await self._connection.reader.receive_body()
-
-    def _completed(self) -> None:
-        self.is_complete, self.last_byte_at_ms, self.task = True, environment.monotonic_ms(), None
-        self.time_left_ms = self._connection.server.intake.cap_time_left_ms(self.time_left_ms)
-        self._dispatcher.body_received(self.context, self.time_left_ms)
+        message = self._message
+        data = await self._reader.next_part()
+        part = self._framed(data) if data else b""
+        if not message.is_complete or message.held_bytes:
+            if not data:
+                raise BodyInterruptedError(self._connection.stream.fault.value)
+            return part
+        self.is_complete, self.task = True, None
+        return part if message.content_length is not None else part + writer.LAST_CHUNK
+
+    async def _read(self) -> None:
+        await self._reader.read()
+        if self._message.is_complete:
+            now_ms = environment.monotonic_ms()
+            self.last_byte_at_ms = now_ms
+            self._dispatcher.body_received(self.context, self.time_left_ms(now_ms))
+
+    def time_left_ms(self, now_ms: float) -> float:
+        """Return how long from now on the client waits for its answer, as far as is known."""
+        return self._connection.server.intake.cap_time_left_ms(self._reader.due_ms() - now_ms)
 
 
 class ResponseBodyStream:
--- a/sloeferry/network/connection_sweeper.py
+++ b/sloeferry/network/connection_sweeper.py
@@ -109,6 +109,8 @@
             or now_ms <= context.arrived_at + 1000 * stall_accounting.LOOP_CHECK_INTERVAL_SECONDS
         ):
             return
+        if connection.request_runner.body_stream:
+            connection.request_runner.body_stream.cancel_overdue_write(now_ms)
         if now_ms > context.deadline + OVERDUE_MS:
             warn("request overdue", "no answer decided in time: request={}", context.request_id)
             self._server.dispatcher.client_left(context)
--- a/sloeferry/network/exchange.py
+++ b/sloeferry/network/exchange.py
@@ -150,11 +150,16 @@
             return
         self._timer.cancel()
         is_answered_early = await self._write_body(plan.body)
-        self._read_by = self._loop.time() + plan.body.time_left_ms / 1000
-        self._timer = self._timers.set(self._read_by, self._task)
+        if is_answered_early and not plan.body.is_complete:
+            self._limit_time_after_body(plan.body)
         if not is_answered_early and self._end is not AttemptEnd.ABORTED_LOCALLY:
             self._request_written()
 
+    def _limit_time_after_body(self, body: RequestBodyStream) -> None:
+        """Limit the rest of the exchange to the request's time left once nothing more of its body is to be read."""
+        self._read_by = self._loop.time() + body.time_left_ms(environment.monotonic_ms()) / 1000
+        self._timer = self._timers.set(self._read_by, self._task)
+
     def _request_written(self) -> None:
         self._progress = AttemptProgress.COMPLETELY_WRITTEN
         self._connection.request_written()
@@ -169,6 +174,8 @@
             with body.writing_to(self._connection, self._task) as writes:
                 while not body.is_complete:
                     part = await body.next_part()
+                    if body.is_complete:
+                        self._limit_time_after_body(body)
                     if await self._is_answered():
                         return True
                     await writes.send(part)
@@ -268,6 +275,8 @@
     # Result
 
     def _cancelled_end(self) -> AttemptEnd:
+        if self._plan.body and self._plan.body.is_overdue:
+            return AttemptEnd.UPLOAD_OVERDUE
         if not self._timer.has_expired:
             return AttemptEnd.CANCELLED
         has_response_begun = self._progress is AttemptProgress.RESPONSE_BEGUN
--- a/sloeferry/network/http1/message.py
+++ b/sloeferry/network/http1/message.py
@@ -129,8 +129,19 @@
             self._body = bytes(self._body)
         return self._body
 
-    def take_body(self) -> bytes:
-        """Return the part of the body that was received since the last call."""
+    @property
+    def held_bytes(self) -> int:
+        """Return how much of the body has been received and not taken."""
+        return len(self._body)
+
+    def take_body(self, max_bytes: int | None = None) -> bytes:
+        """Return what was received of the body and not taken, or its first `max_bytes`."""
+        if max_bytes is not None and len(self._body) > max_bytes:
+            if isinstance(self._body, bytes):
+                self._body = bytearray(self._body)
+            data = bytes(self._body[:max_bytes])
+            del self._body[:max_bytes]
+            return data
         data = self.body()
         self._body = b""
         return data
--- a/sloeferry/network/memory_budget.py
+++ b/sloeferry/network/memory_budget.py
@@ -110,10 +110,14 @@
         """Reserve memory if there is enough, whether requests wait for it or not: the work for a response is done."""
         return self._reserve(size) if self._has_room(size, 1.0) else None
 
+    def reserve_now_for_request(self, size: int) -> Reservation | None:
+        """Reserve memory unless other requests wait for it, or there is not enough."""
+        return self._reserve(size) if not self._waiters and self._has_room(size, MAX_REQUEST_RATIO) else None
+
     async def reserve_for_request(self, size: int) -> Reservation | None:
         """Reserve memory, first come, first served; return None if there is not enough in time."""
-        if not self._waiters and self._has_room(size, MAX_REQUEST_RATIO):
-            return self._reserve(size)
+        if reservation := self.reserve_now_for_request(size):
+            return reservation
         if len(self._waiters) < self._max_waiters:
             waiter = _Waiter(size, asyncio.get_running_loop().create_future())
             self._waiters.append(waiter)
--- /dev/null
+++ b/sloeferry/network/upload_reader.py
@@ -0,0 +1,102 @@
+"""Reads the rest of a long request body, ahead of the backend to which it is forwarded.
+
+What has been read shows when the client wrote it, which bytes that wait with the kernels do not: a proxy that reads only what its
+backend takes could not tell a client that still writes from one that has long written everything.
+"""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from sloeferry import environment
+from sloeferry.network.buffers import BUFFER_BYTES
+from sloeferry.network.http1.message import Message
+from sloeferry.network.last_byte_bound import LastByteBound
+from sloeferry.network.sockets import is_open_and_idle
+
+if TYPE_CHECKING:
+    from sloeferry.network.client_connection import ClientConnection
+
+PART_BYTES = BUFFER_BYTES  # of a body, per write
+# What a client that writes 64 kB a second, the slowest that the platform names, writes in a second.
+MAX_READ_AHEAD_BYTES = 65536
+READ_AHEAD_AFTER = 1 / 2  # of the request's time left
+ANSWER_BEFORE_DUE_MS = 25.0  # as the policy gives other requests up, two ticks before their deadline
+
+
+class UploadReader:
+    """The reading side of one streamed request body; times in ms, monotonic."""
+
+    def __init__(self, connection: "ClientConnection", message: Message, time_left_ms: float):
+        """Begin after the buffered part; the client waits for `time_left_ms` from the last byte on."""
+        self._connection = connection
+        self._message = message
+        self._time_left_ms = time_left_ms
+        self._last_byte = LastByteBound(environment.monotonic_ms(), message.content_length)
+        self._has_read = asyncio.Event()
+        self._has_room = asyncio.Event()
+        self._may_read_ahead = False  # memory is reserved for it
+
+    async def read(self) -> None:
+        """Read to the end of the body, or until the client's connection fails."""
+        message, stream = self._message, self._connection.stream
+        while not message.is_complete and not stream.fault:
+            if message.held_bytes >= self._limit_bytes():
+                self._has_room.clear()
+                await self._has_room.wait()
+                continue
+            await self._receive()
+            self._has_read.set()
+        self._has_read.set()
+
+    async def _receive(self) -> None:
+        self._last_byte.read_begins(environment.monotonic_ms(), self._message.body_bytes, self._unread_bytes())
+        await self._connection.reader.receive_body()
+
+    def _unread_bytes(self) -> int:
+        """Return how many bytes have arrived and were not read; 1 if there are some and the system does not tell."""
+        sock = self._connection.sock
+        return 0 if is_open_and_idle(sock) else environment.unread_bytes(sock) or 1
+
+    async def next_part(self) -> bytes:
+        """Return a part of the body; b"" once it has ended or its client's connection has failed."""
+        message = self._message
+        while not message.held_bytes and not message.is_complete and not self._connection.stream.fault:
+            self._has_read.clear()
+            await self._has_read.wait()
+        part = message.take_body(PART_BYTES)
+        self._has_room.set()
+        return part
+
+    def due_ms(self) -> float:
+        """Return when the final answer is due, as far as is known."""
+        return min(self._last_byte.earliest_ms + self._time_left_ms, self._connection.server.intake.answer_by_ms)
+
+    def is_overdue(self, now_ms: float) -> bool:
+        """Return whether the final answer is about to be due; to be called every few ms."""
+        if self._message.is_complete:
+            return now_ms >= self.due_ms() - ANSWER_BEFORE_DUE_MS
+        if self._connection.reader.receiving_body_since is not None and is_open_and_idle(self._connection.sock):
+            self._last_byte.read_waits(now_ms)
+        if now_ms >= self._read_ahead_at_ms():
+            self._last_byte.bytes_arrived(now_ms, self._message.body_bytes + self._unread_bytes())
+            self._has_room.set()  # the limit may be higher now
+        return now_ms >= self.due_ms() - ANSWER_BEFORE_DUE_MS
+
+    def _read_ahead_at_ms(self) -> float:
+        return self._last_byte.earliest_ms + READ_AHEAD_AFTER * self._time_left_ms
+
+    def _limit_bytes(self) -> int:
+        """Return how much may be held before more is read.
+
+        A body is read further ahead once its backend has kept it waiting for a part of the request's time, if there is memory.
+        """
+        if not self._may_read_ahead and environment.monotonic_ms() >= self._read_ahead_at_ms():
+            self._may_read_ahead = self._reserve_read_ahead()
+        return MAX_READ_AHEAD_BYTES if self._may_read_ahead else 1
+
+    def _reserve_read_ahead(self) -> bool:
+        reservation = self._connection.server.memory.reserve_now_for_request(MAX_READ_AHEAD_BYTES + BUFFER_BYTES)
+        if reservation is None or self._message.reservation is None:
+            return False
+        self._message.reservation.merge(reservation)
+        return True
--- a/sloeferry/policy/retry_policy.py
+++ b/sloeferry/policy/retry_policy.py
@@ -145,10 +145,12 @@
     def _is_retry_excluded(self, request: Request, now: float) -> bool:
         """Return whether a retry would fail or do harm.
 
-        That is so where no time is left, where the request's class or tenant is at fault, and, but for a random sample, where
-        errors are mostly caused by the requests.
+        That is so where its body has outgrown the buffer, where no time is left, where its class or tenant is at fault, and, but
+        for a random sample, where errors are mostly caused by the requests.
         """
-        if now >= request.deadline - LAST_RETRY_TICKS * self._tick_ms or request.is_at_fault():
+        if not request.max_attempts or request.is_at_fault():
+            return True
+        if now >= request.deadline - LAST_RETRY_TICKS * self._tick_ms:
             return True
         has_erred = request.attempts[-1].outcome is AttemptOutcome.ERROR
         if not (has_erred and self._outliers.retry_recovery_ratio < HIGH_RECOVERY_RATIO):
--- a/sloeferry/rehearsal/simulated_socket.py
+++ b/sloeferry/rehearsal/simulated_socket.py
@@ -210,6 +210,10 @@
         """Return how many sent bytes the peer has not read; see `environment.unacknowledged_bytes`."""
         return self.bytes_unread_by_peer
 
+    def unread_bytes(self) -> int:
+        """Return how many received bytes are unread; see `environment.unread_bytes`."""
+        return sum(len(data) for data in self.inbox)
+
     def check_open(self) -> None:
         """Raise OSError if the socket has been closed."""
         if self.is_closed:
--- a/sloeferry/rehearsal/simulation.py
+++ b/sloeferry/rehearsal/simulation.py
@@ -181,6 +181,7 @@
         has_peer_ended=SimulatedSocket.has_peer_ended,
         ms_since_arrival=SimulatedSocket.ms_since_arrival,
         unacknowledged_bytes=SimulatedSocket.unacknowledged_bytes,
+        unread_bytes=SimulatedSocket.unread_bytes,
     )
     try:
         yield
--- a/tests/network/test_attempt.py
+++ b/tests/network/test_attempt.py
@@ -6,7 +6,7 @@
 
 # The golden file's names of the progress and the ends.
 PROGRESS_WORDS = ("NOTHING", "PART", "WHOLE", "BEGUN")
-END_WORDS = ("SERVED", "ERRED", "REJECTED", "BROKEN", "LATE", "WITHDRAWN", "VOID", "SPOILT", "NO_MEMORY")
+END_WORDS = ("SERVED", "ERRED", "REJECTED", "BROKEN", "LATE", "WITHDRAWN", "VOID", "SPOILT", "NO_MEMORY", "UPLOAD_OVERDUE")
 
 
 def test_outcome_by_progress(golden: GoldenFiles):
