After SIGTERM requests that are still being received get their error before SIGKILL

What callers saw: a small request that was being sent slowly when SIGTERM came ended with a reset at SIGKILL; if its last byte had come just before, it was lost. Change: at that time the requests that are being received get 408. Twin: the rest of a request that comes after SIGTERM is served.

--- a/sloeferry/network/client_shutdown.py
+++ b/sloeferry/network/client_shutdown.py
@@ -58,6 +58,8 @@
         self.is_grace_over = True
         while server.connections:
             self.close_idle()
+            if environment.monotonic_ms() >= server.intake.answer_by_ms:
+                self._end_partial_requests()
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
 
     def close_idle(self) -> None:
@@ -66,6 +68,12 @@
             if not connection.is_busy and not connection.stream.completed and self.may_close(connection):
                 connection.close()
 
+    def _end_partial_requests(self) -> None:
+        """Answer the requests that are still being received with an error: their last bytes may come before SIGKILL."""
+        for connection in self._server.connections:
+            if not connection.is_busy and connection.stream.has_begun:
+                connection.reader.time_out()
+
     def may_close(self, connection: ClientConnection) -> bool:
         """Return whether a connection that waits for a request may be closed for a drain or a shutdown.
 
--- a/tests/network/test_upload_deadline.py
+++ b/tests/network/test_upload_deadline.py
@@ -162,6 +162,21 @@
         run_scenario(scenario, UploadHarness(UploadBackends(), deadline_ms=300))
 
 
+def test_request_that_is_sent_slowly_is_served_after_sigterm():
+    """A request of which a part had come before SIGTERM is served if the rest comes in time."""
+
+    async def scenario(harness: UploadHarness) -> None:
+        client = await harness.send_raw(harness.request_head(body_bytes=9))
+        await client.wait_for_connection(lambda connection: connection.stream.has_begun)
+        await harness.stop_proxy()
+        await client.send(b"123456789")
+        received = await asyncio.wait_for(asyncio.get_running_loop().sock_recv(client.sock, 999), HANG_SECONDS)
+        assert received.startswith(b"HTTP/1.1 200 ")
+        client.close()
+
+    run_scenario(scenario, UploadHarness({"b": response()}, deadline_ms=3000))
+
+
 @FRAMINGS
 @pytest.mark.parametrize(
     ("pace", "part_bytes"),
