A response that comes while the write of its request waits is read

What callers saw: a backend that answered at once and read nothing of an upload was given up at the deadline, its answer unread (503). Cause: the backend was looked at between two parts of a body, not during the write of one; the first 64 KiB were one write. Change: RequestWriter receives while a write waits, for buffered requests as for streamed ones, and reads the response also where the write fails because its backend has closed. What was received meanwhile stays for the next read.

--- a/sloeferry/network/exchange.py
+++ b/sloeferry/network/exchange.py
@@ -21,9 +21,9 @@
 from sloeferry.network.http1.stream import HttpStream
 from sloeferry.network.limited_log import warn
 from sloeferry.network.memory_budget import SMALL_MESSAGE_BYTES, STREAMED_BODY_BYTES, buffered_response_bytes
+from sloeferry.network.request_writer import RequestWriter
 from sloeferry.network.sockets import is_open_and_idle
 
-FIRST_FINAL_STATUS = 200  # lower ones are those of interim responses
 MAX_HOLD_BACK_SECONDS = 1.0  # a long response of which the backend's bytes are held back for 2 s counts as lost
 # The policy gives a request up two ticks before its deadline; a tick lasts up to 12.5 ms.
 FORWARD_BEFORE_DEADLINE_SECONDS = 0.025
@@ -144,7 +144,9 @@
         if plan.on_first_byte:
             plan.on_first_byte()
         self._connection.request_begins()
-        await self._loop.sock_sendall(self._connection.sock, request)
+        self._writer = RequestWriter(self._loop, self._connection)
+        if await self._writer.send(request):
+            return
         if plan.body is None:
             self._request_written()
             return
@@ -176,27 +178,13 @@
                     part = await body.next_part()
                     if body.is_complete:
                         self._limit_time_after_body(body)
-                    if await self._is_answered():
+                    if await self._writer.is_answered() or await self._writer.send(part, writes.send):
                         return True
-                    await writes.send(part)
         except BodyInterruptedError:
             self._dispatcher.client_left(body.context)
             self._end = AttemptEnd.ABORTED_LOCALLY
         return False
 
-    async def _is_answered(self) -> bool:
-        """Return whether the backend has begun its final response, or ended the connection.
-
-        Interim responses (1xx) are read and dropped: the backend still wants the rest of the request (RFC 9110, 15.2).
-        """
-        stream = self._connection.stream
-        while not is_open_and_idle(self._connection.sock):
-            await stream.receive()
-            has_final_status = stream.has_begun and stream.message.status >= FIRST_FINAL_STATUS
-            if stream.completed or stream.fault or has_final_status:
-                return True
-        return False
-
     async def _read(self) -> None:
         """Read the whole response, or its beginning if it is to be streamed to the client."""
         stream = self._connection.stream
--- a/sloeferry/network/http1/stream.py
+++ b/sloeferry/network/http1/stream.py
@@ -55,14 +55,18 @@
             return await receiving
         return await self._receive()
 
+    def begin_receive(self) -> "asyncio.Task[StreamEnd | None]":
+        """Begin to receive once, and return the task; `receive` returns its result."""
+        self._receiving = self._receiving or self._loop.create_task(self._receive())
+        return self._receiving
+
     async def receive_within(self, seconds: float) -> bool:
         """Receive once with a timeout; return whether the receive has completed.
 
         After a timeout the receive stays pending for the next call: a cancelled receive might already have read bytes, which
         would then be missing from the middle of a body.
         """
-        self._receiving = self._receiving or self._loop.create_task(self._receive())
-        done, _ = await asyncio.wait([self._receiving], timeout=seconds)
+        done, _ = await asyncio.wait([self.begin_receive()], timeout=seconds)
         if done:
             await self.receive()
         return bool(done)
