The head of a long response serves its request, also if its body comes later

What callers saw: a response of over 64 KiB whose head came in time and its first body byte a second later was given up (503 or 504). Cause: a response counted as begun with its first body byte; only the first bytes of a long one are due in time, and a stated length tells that it is long with the head. Twins: a head without a body whose length is short or unknown still gets its error in time, since its last byte is due then.

--- a/sloeferry/network/exchange.py
+++ b/sloeferry/network/exchange.py
@@ -192,7 +192,7 @@
             if not self._may_be_buffered(stream.message):
                 self._response = stream.message
                 break
-            if stream.has_unknown_length() and stream.message.body_bytes:
+            if self._may_be_streamed(stream):
                 if not await self._receive_while_held_back(stream):
                     self._response = stream.message
                     break
@@ -219,15 +219,27 @@
             response.reservation = self._pool.memory.reserve_for_response(STREAMED_BODY_BYTES)
         return response.reservation is not None
 
+    @staticmethod
+    def _may_be_streamed(stream: HttpStream) -> bool:
+        """Return whether a response may be streamed as far as it has come.
+
+        The head of a long one is enough, since its first bytes alone are due in time.  One of unknown length may be short: its
+        last byte is.
+        """
+        if stream.has_unknown_length():
+            return stream.message.body_bytes > 0
+        return stream.has_begun and stream.message.is_head_complete and stream.has_long_body()
+
     async def _receive_while_held_back(self, stream: HttpStream) -> bool:
-        """Receive more of a response of unknown length; return False once it is to be streamed to the client.
+        """Receive more of a response of unknown length, or that is known to be long; return False once it is to be streamed.
 
-        It may be of any length, and only the time of its first bytes is limited.  It is held back for a limited time, however
-        steadily it comes, and no longer than to shortly before the deadline.
+        Only the time of the first bytes of a long response is limited.  They are held back for a limited time, however steadily
+        more comes, and no longer than to shortly before the deadline.
         """
         now = self._loop.time()
         if self._stream_at is None:
-            hold_back_seconds = min(self._pool.max_pause_seconds, MAX_HOLD_BACK_SECONDS)
+            is_long = stream.has_long_body()
+            hold_back_seconds = MAX_HOLD_BACK_SECONDS if is_long else min(self._pool.max_pause_seconds, MAX_HOLD_BACK_SECONDS)
             self._stream_at = min(now + hold_back_seconds, self._read_by - FORWARD_BEFORE_DEADLINE_SECONDS)
         return now < self._stream_at and await stream.receive_within(self._stream_at - now)
 
