A long response is given up after a silence of 60 s, no longer of 10 s

What callers saw: a long response whose server paused for 12 s was cut off. Twin: a backend that stays silent is still given up.

--- a/sloeferry/network/body_stream.py
+++ b/sloeferry/network/body_stream.py
@@ -22,7 +22,9 @@
     from sloeferry.network.client_connection import ClientConnection
 
 SLICE_BYTES = 16384  # per write
-MAX_BACKEND_PAUSE_SECONDS = 10.0  # of a backend that sends a response body or is sent a request body
+MAX_UPLOAD_PAUSE_SECONDS = 10.0  # of a backend that is sent a request body
+# Of a backend that sends a response body.  What it still gives must not be cut off, but a machine that has vanished stays silent.
+MAX_RESPONSE_PAUSE_SECONDS = 60.0
 
 
 class BodyInterruptedError(Exception):
@@ -97,7 +99,7 @@
         `task` is cancelled if the backend stops reading, or if the final answer is due.
         """
         loop = self._connection.server.loop
-        progress = WriteProgress(loop, backend.sock, MAX_BACKEND_PAUSE_SECONDS)
+        progress = WriteProgress(loop, backend.sock, MAX_UPLOAD_PAUSE_SECONDS)
         self._backend_writes = BackendWrites(progress, task)
         reading = loop.create_task(self._read())
         try:
@@ -188,7 +190,7 @@
 
     def has_stalled(self, now: float) -> bool:
         """Return whether the backend has sent nothing for too long; time that the client takes to read does not count."""
-        return now > self._waiting_since + MAX_BACKEND_PAUSE_SECONDS
+        return now > self._waiting_since + MAX_RESPONSE_PAUSE_SECONDS
 
     def close(self) -> None:
         """Discard the rest and close the backend connection."""
--- a/tests/network/test_long_response_pauses.py
+++ b/tests/network/test_long_response_pauses.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from sloeferry.network.body_stream import MAX_BACKEND_PAUSE_SECONDS
+from sloeferry.network.body_stream import MAX_RESPONSE_PAUSE_SECONDS
 from sloeferry.network.http1.framing import MAX_BUFFERED_BODY_BYTES
 from tests.network.test_write_progress import SimulatedSeconds
 from tests.support.fake_backends import FakeBackends, Script
@@ -74,7 +74,7 @@
         reader, writer = await harness.connect()
         writer.write(harness.with_new_ids(harness.request_head("c0", "once")))
         await reader.readexactly(HALF_BYTES)
-        seconds.added += MAX_BACKEND_PAUSE_SECONDS + 1
+        seconds.added += MAX_RESPONSE_PAUSE_SECONDS + 1
         sweep(harness)
         with contextlib.suppress(ConnectionResetError):
             while await reader.read(65536):
--- a/tests/network/test_upload_deadline.py
+++ b/tests/network/test_upload_deadline.py
@@ -91,7 +91,7 @@
 @pytest.fixture(autouse=True)
 def _small_buffers() -> Iterator[None]:
     previous = environment.replace(tcp_socket=with_small_buffers(environment.tcp_socket, PROXY_BUFFER_BYTES))
-    with mock.patch.object(body_stream, "MAX_BACKEND_PAUSE_SECONDS", NEVER_SECONDS):  # the time of a request is what ends it
+    with mock.patch.object(body_stream, "MAX_UPLOAD_PAUSE_SECONDS", NEVER_SECONDS):  # the time of a request is what ends it
         yield
     environment.replace(**previous)
 
