A request waits for memory no longer than its client waits for an answer

What callers saw: uploads beside a crowd of stopped ones, deadline 600 ms, were answered 503 0.94 s after their time. Cause: the wait for memory was up to a second for any request, after up to half a second in the backlog; counted it, but did not bound it. Change: the wait ends with the request's time, from which what it has been unread so far is taken off.

--- a/sloeferry/network/memory_budget.py
+++ b/sloeferry/network/memory_budget.py
@@ -114,7 +114,7 @@
         """Reserve memory unless other requests wait for it, or there is not enough."""
         return self._reserve(size) if not self._waiters and self._has_room(size, MAX_REQUEST_RATIO) else None
 
-    async def reserve_for_request(self, size: int) -> Reservation | None:
+    async def reserve_for_request(self, size: int, max_wait_seconds: float = MAX_WAIT_SECONDS) -> Reservation | None:
         """Reserve memory, first come, first served; return None if there is not enough in time."""
         if reservation := self.reserve_now_for_request(size):
             return reservation
@@ -122,7 +122,7 @@
             waiter = _Waiter(size, asyncio.get_running_loop().create_future())
             self._waiters.append(waiter)
             try:
-                await asyncio.wait([waiter.granted], timeout=MAX_WAIT_SECONDS)
+                await asyncio.wait([waiter.granted], timeout=min(max_wait_seconds, MAX_WAIT_SECONDS))
             finally:
                 self._remove(waiter)
             if waiter.granted.done():
--- a/sloeferry/network/request_reader.py
+++ b/sloeferry/network/request_reader.py
@@ -9,8 +9,9 @@
 from sloeferry.network.http1.framing import StreamEnd
 from sloeferry.network.http1.message import Message
 from sloeferry.network.http1.stream import HttpStream
-from sloeferry.network.memory_budget import LARGE_HEAD_BYTES, SMALL_MESSAGE_BYTES, buffered_request_bytes
+from sloeferry.network.memory_budget import LARGE_HEAD_BYTES, MAX_WAIT_SECONDS, SMALL_MESSAGE_BYTES, buffered_request_bytes
 from sloeferry.network.unread_time import UnreadTime
+from sloeferry.network.upload_reader import ANSWER_BEFORE_DUE_MS
 
 if TYPE_CHECKING:
     from sloeferry.network.client_connection import ClientConnection
@@ -84,7 +85,7 @@
         if missing_bytes <= 0:
             return True
         waiting_since_ms = environment.monotonic_ms()
-        reservation = await self._server.memory.reserve_for_request(missing_bytes)
+        reservation = await self._server.memory.reserve_for_request(missing_bytes, self._max_memory_wait_seconds())
         self.unread_time.note_wait(environment.monotonic_ms() - waiting_since_ms)
         if reservation and message.reservation:
             message.reservation.merge(reservation)
@@ -92,6 +93,14 @@
             message.reservation = reservation
         return reservation is not None
 
+    def _max_memory_wait_seconds(self) -> float:
+        """Return how long the request being received may wait for memory: its last byte may have been written, unread."""
+        attributes = self.stream.message.attributes
+        if attributes is None:
+            return MAX_WAIT_SECONDS
+        time_left_ms = attributes.time_left_ms
+        return max(0.0, (time_left_ms - self.unread_time.unread_ms(time_left_ms) - ANSWER_BEFORE_DUE_MS) / 1000)
+
     def _needed_bytes(self) -> int:
         """Return what the request being received has to reserve, as far as it is known."""
         stream, message = self.stream, self.stream.message
--- a/sloeferry/network/unread_time.py
+++ b/sloeferry/network/unread_time.py
@@ -50,12 +50,14 @@
 
         `time_left_ms`: its time left as the client stated it.  `recent_stall_ms`: of a stall of the event loop just ended.
         """
-        unread_ms, self.stalled_ms = max(self.stalled_ms, recent_stall_ms), 0.0
-        if self._may_have_queued():
-            unread_ms = max(unread_ms, self._queued_ms(time_left_ms))
-            self.queued_since_ms, self.may_have_waited_longer = None, False
+        unread_ms = max(self.unread_ms(time_left_ms), recent_stall_ms)
+        self.stalled_ms, self.queued_since_ms, self.may_have_waited_longer = 0.0, None, False
         return unread_ms
 
+    def unread_ms(self, time_left_ms: float) -> float:
+        """Return how long the request being received has been unread so far."""
+        return max(self.stalled_ms, self._queued_ms(time_left_ms)) if self._may_have_queued() else self.stalled_ms
+
     def _may_have_queued(self) -> bool:
         return self.queued_since_ms is not None or self.may_have_waited_longer
 
--- a/tests/network/test_memory_limit.py
+++ b/tests/network/test_memory_limit.py
@@ -10,11 +10,12 @@
 
 import pytest
 
+from sloeferry.network import memory_budget
 from sloeferry.network.http1.framing import MAX_BUFFERED_BODY_BYTES
 from sloeferry.network.memory_budget import SMALL_MESSAGE_BYTES
 from sloeferry.stand_ins.bad_clients import BadClient, BadClientKind, HeadMaker, is_unsound_and_served
 from tests.support.fake_backends import FakeBackends, Script, response
-from tests.support.instrumented_harness import InstrumentedHarness, wait_until
+from tests.support.instrumented_harness import NEVER_SECONDS, InstrumentedHarness, wait_until
 from tests.support.process_harness import ProcessHarness
 from tests.support.proxy_harness import run_scenario
 
@@ -24,6 +25,7 @@
 DEADLINE_MS = 800
 WORK_SECONDS = 0.02
 LONG_RESPONSE_BYTES = 8_000_000
+HANG_SECONDS = 15.0  # a client that has no answer by then gets none
 CROWD_SECONDS = 2.5  # until memory has reached its peak
 USUAL_CLIENTS = 4
 RESPONSE_BYTES = 5000
@@ -168,6 +170,20 @@
     run_scenario(scenario, InstrumentedHarness({"b": response()}))
 
 
+def test_large_request_does_not_wait_for_memory_past_its_time():
+    """Guards against an answer after its time: what is not read of a request, for want of memory, may have been written."""
+
+    async def scenario(harness: InstrumentedHarness) -> None:
+        memory = harness.clients.memory
+        taken = memory.reserve_for_response(memory.limit)
+        assert taken is not None
+        request = asyncio.ensure_future(harness.request("once", "b" * (MAX_BUFFERED_BODY_BYTES // 2)))
+        assert (await asyncio.wait_for(request, HANG_SECONDS)).startswith("503 ")
+
+    with mock.patch.object(memory_budget, "MAX_WAIT_SECONDS", NEVER_SECONDS):
+        run_scenario(scenario, InstrumentedHarness({"b": response()}, deadline_ms=300))
+
+
 def test_response_is_served_while_large_requests_wait_for_memory():
     """Guards against requests that fail after they have run, because uploads hold or wait for all memory."""
 
