Soak with slow peers: uploads at any pace, backends that read slowly or stop, small buffers

Change: plans slow-N: clients upload 70 kB to 1 MB at full speed, evenly or with pauses, with length or in chunks; the request target tells the backend how to read and to answer; buffers of proxies and backends are keys of plans. A rule of its own judges uploads from their last byte, half a second after their time, and answers that are cut off.

--- a/sloeferry/fault_testing/fault_actions.py
+++ b/sloeferry/fault_testing/fault_actions.py
@@ -249,6 +249,16 @@
         worker.command("misuse", *arguments)
 
 
+class UploadsAction(FaultAction):
+    """Runs clients with uploads at the target proxies, in one of the processes of clients."""
+
+    def apply(self) -> None:
+        """Start the clients; they end by themselves."""
+        addresses = [self.fleet.listeners[number].address for number in self.targets.proxies]
+        worker = self.fleet.client_workers[self.number % len(self.fleet.client_workers)]
+        worker.command("upload", self.number, self.proxy_names(), addresses, self.fault.client_count, self.fault.lasts_seconds)
+
+
 ACTIONS: dict[type[Fault], type[FaultAction]] = {
     faults.Kill: KillAction,
     faults.Stop: StopAction,
@@ -267,6 +277,7 @@
     faults.RevisionReset: RevisionResetAction,
     faults.FailingDiscovery: FailingDiscoveryAction,
     faults.MisbehavingClients: MisbehavingClientsAction,
+    faults.Uploads: UploadsAction,
 }
 
 
--- a/sloeferry/fault_testing/fault_generator.py
+++ b/sloeferry/fault_testing/fault_generator.py
@@ -23,6 +23,7 @@
 FAULT_FREE_EDGE_SECONDS = 0.5  # without process faults, at the beginning and at the end of a plan
 MAX_LINK_FAULT_SECONDS = 2.5
 MAX_BAD_CLIENT_SECONDS = 6.0
+MIN_UPLOAD_SECONDS = 4.0  # during which uploads are begun
 
 
 def rolling_deploy(lasts_seconds: float, drain_seconds: float) -> PlanTable:
@@ -76,10 +77,17 @@
             "bad-clients", MAX_BAD_CLIENT_SECONDS, kinds=[kind.value for kind in kinds], clients=self.rng.choice([10, 30, 60])
         )
 
-    def crowd(self) -> PlanTable:
+    def uploads(self) -> PlanTable:
+        """Return a fault where clients upload long bodies to the target proxies."""
+        at = round(self.rng.uniform(FAULT_FREE_EDGE_SECONDS, self._plan_seconds / 2), 2)
+        lasts = round(self.rng.uniform(MIN_UPLOAD_SECONDS, self._plan_seconds - at - FAULT_FREE_EDGE_SECONDS), 2)
+        part = self.rng.choice(self._target_ratios)
+        return {"at": at, "lasts": lasts, "part": part, "what": "uploads", "clients": self.rng.choice([4, 8, 12])}
+
+    def crowd(self, client_count: int = 400) -> PlanTable:
         """Return a fault where hundreds of clients connect to a few proxies and finish no request."""
         kinds = self.rng.choice([["silent"], ["silent", "short-fields"], ["silent", "half-request", "stopped-body"]])
-        crowd = self.fault("bad-clients", MAX_BAD_CLIENT_SECONDS, kinds=kinds, clients=400)
+        crowd = self.fault("bad-clients", MAX_BAD_CLIENT_SECONDS, kinds=kinds, clients=client_count)
         return {**crowd, "part": 0.1}
 
     def discovery_faults(self) -> list[FaultFactory]:
--- a/sloeferry/fault_testing/generated_plan.py
+++ b/sloeferry/fault_testing/generated_plan.py
@@ -55,10 +55,14 @@
     discovery_mode: str | None = None  # None: the default of plans
     memory_mb: float | None = None  # of each proxy; None: the default of plans
     max_sockets: int | None = None
+    proxy_buffer_bytes: int = 0  # of each socket; 0: the system's
+    backend_buffer_bytes: int = 0
 
     def to_toml(self) -> str:
         """Return the text of the plan file."""
         limits = {} if self.memory_mb is None else {"memory_mb": self.memory_mb, "sockets": self.max_sockets}
+        if self.proxy_buffer_bytes:
+            limits["buffers"] = self.proxy_buffer_bytes
         mode = {"mode": self.discovery_mode} if self.discovery_mode else {}
         tables = {
             "name": self.name,
@@ -91,4 +95,5 @@
             "cold_s": WARM_UP_SECONDS if self.is_cold else 0,
             "cold_from": COLD_CAPACITY_RATIO if self.is_cold else 1.0,
             "idle_s": self.idle_timeout_seconds,
+            **({"buffers": self.backend_buffer_bytes} if self.backend_buffer_bytes else {}),
         }
--- a/sloeferry/fault_testing/plan.py
+++ b/sloeferry/fault_testing/plan.py
@@ -11,7 +11,7 @@
 import msgspec
 from msgspec import Meta
 
-from sloeferry.fault_testing import hostile_plan_generator, short_plan_generator, soak_plan_generator
+from sloeferry.fault_testing import hostile_plan_generator, short_plan_generator, slow_peer_plan_generator, soak_plan_generator
 from sloeferry.fault_testing.plan_faults import AnyFault, DiscoveryDowntime, Fault, Kill, Stop, Termination
 from sloeferry.rehearsal import scenario as scenarios
 from sloeferry.rehearsal import scenario_faults
@@ -20,11 +20,12 @@
 
 SHIPPED_FOLDER = pathlib.Path(__file__).parent / "plans"
 MAX_PROXIES = 400  # on one machine
-GENERATED_NAME = re.compile(r"(drawn|soak|hostile)-(\d{1,9})")
+GENERATED_NAME = re.compile(r"(drawn|soak|hostile|slow)-(\d{1,9})")
 GENERATORS = {
     "drawn": short_plan_generator.generate_plan,
     "soak": soak_plan_generator.generate_plan,
     "hostile": hostile_plan_generator.generate_plan,
+    "slow": slow_peer_plan_generator.generate_plan,
 }
 # Faults that also exist in virtual time, and the corresponding scenario fault.
 VIRTUAL_COUNTERPARTS = {
--- a/sloeferry/fault_testing/plan_faults.py
+++ b/sloeferry/fault_testing/plan_faults.py
@@ -130,7 +130,13 @@
     client_count: Annotated[int, Meta(ge=1, le=1000)] = field(name="clients", default=20)
 
 
+class Uploads(Fault, tag="uploads"):
+    """Clients that upload long bodies to the target proxies, `client_count` in all, as drawn by `upload_plays.draw_play`."""
+
+    client_count: Annotated[int, Meta(ge=1, le=200)] = field(name="clients", default=10)
+
+
 AnyProcessFault = Kill | Stop | Termination | Reload | ClockStep | FailingSystemCalls
 AnyLinkFault = HeldLink | DelayedLink | CutLink | HalfOpenLink | BrokenLink
 AnyDiscoveryFault = DiscoveryDowntime | DiscoveryLag | OlderReplica | RevisionReset | FailingDiscovery
-AnyFault = AnyProcessFault | AnyLinkFault | AnyDiscoveryFault | MisbehavingClients
+AnyFault = AnyProcessFault | AnyLinkFault | AnyDiscoveryFault | MisbehavingClients | Uploads
--- a/sloeferry/fault_testing/process_host.py
+++ b/sloeferry/fault_testing/process_host.py
@@ -37,18 +37,21 @@
             os.sched_setaffinity(process.pid, cores or self._proxy_cores)
 
     def command(self, proxy: LiveProxy) -> ProxyCommand:
-        """Return how to start a proxy: as `sloeferry`, or as a flaky proxy if its clock or system calls are faulty."""
+        """Return how to start a proxy: as `sloeferry`, or as a flaky proxy if its clock, calls or buffers are special."""
         number = proxy.index
         self.started_at[number] = self.loop.time()
         proxy.fleet.observer.note(self.loop.time(), Event.PROXY_STARTED, proxy.name)
         clock_offset_seconds = self.clock_offsets_seconds.get(number)
         has_failing_calls = number in self.failing_call_proxies
-        is_flaky = clock_offset_seconds is not None or has_failing_calls
+        buffer_bytes = proxy.fleet.plan.proxies.buffer_bytes
+        is_flaky = clock_offset_seconds is not None or has_failing_calls or buffer_bytes
         arguments, environment = processes.proxy_command(FLAKY_PROXY if is_flaky else "sloeferry")
         if clock_offset_seconds is not None:
             environment["SLOEFERRY_RIG_CLOCK"] = repr(clock_offset_seconds)
         if has_failing_calls:
             environment["SLOEFERRY_RIG_CALLS"] = "yes"
+        if buffer_bytes:
+            environment["SLOEFERRY_RIG_BUFFERS"] = str(buffer_bytes)
         if proxy.fleet.plan.rig.audit_s:
             environment["SLOEFERRY_OPERATOR"] = str(self.operator_file)
         return ProxyCommand(arguments, environment, self._proxy_tree)
--- a/sloeferry/fault_testing/record_judge.py
+++ b/sloeferry/fault_testing/record_judge.py
@@ -1,6 +1,8 @@
 """The rehearsal's judge with exemptions for faults that prevent a proxy from keeping a rule."""
 
+from collections import defaultdict
 from collections.abc import Sequence
+from math import inf
 from typing import NamedTuple
 
 from sloeferry.rehearsal.arrivals import PlannedRequest
@@ -9,9 +11,12 @@
 from sloeferry.rehearsal.scenario import Scenario
 from sloeferry.stand_ins.bad_clients import BadClientKind
 from sloeferry.stand_ins.rules import Rule
+from sloeferry.stand_ins.upload_client import UploadRecord
 from sloeferry.stand_ins.wire_protocol import RequestOutcome
 
 CONFLICT_STATUS = 409
+MAX_RESTART_SECONDS = 1.0  # from the end of a process to the start of the next
+LOST_AFTER_SECONDS = 0.5  # an answer that comes so long after its time counts as none
 CUT_OFF = "apart"  # outcome, in records, of a request without a response whose client link had a fault
 
 
@@ -23,6 +28,16 @@
     text: str
 
 
+class EndedUpload(NamedTuple):
+    """An upload, as its client saw it; `wait_seconds` is how long that waits from the last byte on."""
+
+    request_id: str
+    proxy: str
+    wait_seconds: float
+    record: UploadRecord
+    ended_at: float
+
+
 class RecordJudge(Judge):
     """A judge that is fed afterwards from records instead of by stand-ins during the run."""
 
@@ -33,6 +48,9 @@
         self.discovery_unreachable = ProxySpans()
         self.started_at: dict[str, float] = {}  # of the newest process, by proxy
         self.raced_idle_close: set[bytes] = set()  # requests that may have raced an idle close
+        self.uploads: list[EndedUpload] = []
+        self.kills: defaultdict[str, list[float]] = defaultdict(list)  # by proxy
+        self.starts: defaultdict[str, list[float]] = defaultdict(list)  # by proxy
 
     def unsound_served(self, proxy: str, kind: str, request_id: bytes, now: float) -> None:
         """Judge an answer that served an unsound request.
@@ -49,6 +67,45 @@
         text = f"{proxy} answered a request of a client of the kind {kind} as served: {request_id.decode('latin-1')}"
         self.rule_violated(Rule.UNSOUND, now, text)
 
+    def judge_uploads(self) -> None:
+        """Judge all uploads, once all events of the proxies are known."""
+        for upload in self.uploads:
+            self._judge_upload(upload)
+
+    def _judge_upload(self, upload: EndedUpload) -> None:
+        """Judge one upload; one whose last byte was not written has no time yet."""
+        record, name, now = upload.record, f"{upload.request_id} at {upload.proxy}", upload.ended_at
+        if record.began_at is None or self._was_disturbed(upload.proxy, record.began_at, now):
+            return
+        due_at = inf if record.written_at is None else record.written_at + upload.wait_seconds
+        answered_at = now if record.answered_at is None else record.answered_at
+        if answered_at > due_at + LOST_AFTER_SECONDS:
+            late_ms = 1000 * (answered_at - due_at)
+            self.rule_violated(Rule.UPLOAD, now, f"{name} got status {record.status} {late_ms:.0f} ms late")
+        elif record.status is None and record.written_at is not None:
+            self.rule_violated(Rule.UPLOAD, now, f"{name} got no answer, its connection ended")
+        elif record.status is not None and not record.is_whole and not self._was_replaced(upload.proxy, record.began_at, now):
+            self.rule_violated(Rule.UPLOAD, now, f"{name} got an answer that was cut off")
+
+    def _was_disturbed(self, proxy: str, began_at: float, now: float) -> bool:
+        """Return whether a fault excuses a proxy that did not answer in time: killed, paused, or cut off from its clients."""
+        is_killed = any(began_at <= at <= now for at in self.kills[proxy])
+        return is_killed or any(each.overlaps(proxy, began_at, now) for each in (self.stopped_spans, self.clients_cut_off))
+
+    def _was_replaced(self, proxy: str, began_at: float, now: float) -> bool:
+        """Return whether the process ended on SIGTERM meanwhile; SIGKILL cuts off what it has not written by then."""
+        return any(began_at <= at <= now + MAX_RESTART_SECONDS for at in self.starts[proxy])
+
+    def proxy_killed(self, proxy: str, now: float) -> None:
+        """Record that a proxy was killed by a fault of the scenario."""
+        super().proxy_killed(proxy, now)
+        self.kills[proxy].append(now)
+
+    def proxy_started(self, proxy: str, now: float) -> None:
+        """Record the start of a process."""
+        self.started_at[proxy] = now
+        self.starts[proxy].append(now)
+
     def rule_violated(self, rule: str, now: float, text: str) -> None:
         """Count a broken rule, and keep it for display with its evidence."""
         super().rule_violated(rule, now, text)
--- a/sloeferry/fault_testing/record_replay.py
+++ b/sloeferry/fault_testing/record_replay.py
@@ -7,13 +7,16 @@
 from collections import defaultdict
 from typing import NamedTuple
 
+import msgspec
+
 from sloeferry.fault_testing.audit_check import AuditCheck, WrittenList
 from sloeferry.fault_testing.event_recorder import RecordedEvent, request_number
-from sloeferry.fault_testing.record_judge import RecordJudge
+from sloeferry.fault_testing.record_judge import EndedUpload, RecordJudge
 from sloeferry.fault_testing.recorded_events import Event
 from sloeferry.rehearsal.proxy_fleet import make_backend_id
 from sloeferry.rehearsal.proxy_spans import NOTIFICATION_GRACE_SECONDS, ProxySpans
 from sloeferry.stand_ins.run_observer import RecentWork
+from sloeferry.stand_ins.upload_client import UploadRecord
 from sloeferry.stand_ins.wire_protocol import RequestOutcome
 
 
@@ -90,8 +93,11 @@
     def _unsound_served(self, at: float, proxy: str, kind: str, request_id: str) -> None:
         self._judge.unsound_served(proxy, kind, request_id.encode(), at)
 
+    def _upload_ended(self, at: float, request_id: str, proxy: str, wait_seconds: float, record: dict) -> None:
+        self._judge.uploads.append(EndedUpload(request_id, proxy, wait_seconds, msgspec.convert(record, UploadRecord), at))
+
     def _proxy_started(self, at: float, proxy: str) -> None:
-        self._judge.started_at[proxy] = at
+        self._judge.proxy_started(proxy, at)
 
     # Events of links
 
@@ -204,6 +210,7 @@
         Event.RESPONSE_MISSING: _response_missing,
         Event.CALL_ENDED: _call_ended,
         Event.UNSOUND_SERVED: _unsound_served,
+        Event.UPLOAD_ENDED: _upload_ended,
         Event.PROXY_STARTED: _proxy_started,
         Event.LINK_ENTERED: _link_entered,
         Event.LINK_REFUSED: _link_refused,
--- a/sloeferry/fault_testing/recorded_events.py
+++ b/sloeferry/fault_testing/recorded_events.py
@@ -20,6 +20,7 @@
     RESPONSE_MISSING = "lost"  # id, reason
     CALL_ENDED = "ended"  # number of the request, outcome, time of its first try, number of its tries
 
+    UPLOAD_ENDED = "uploaded"  # id, proxy, what its client waits in seconds, its record (UploadRecord) without the body
     UNSOUND_SERVED = "misused"  # proxy, kind of the bad client, id
     PROXY_STARTED = "launched"  # proxy
 
--- a/sloeferry/fault_testing/verdict.py
+++ b/sloeferry/fault_testing/verdict.py
@@ -50,6 +50,7 @@
     last_at = max((event[0] for event in evidence.events), default=0.0)
     for event in evidence.events:
         replay.replay(event)
+    judge.judge_uploads()
     for planned in judge.planned_requests:
         if not planned.outcome:
             judge.rule_violated(Rule.ONE_ANSWER, last_at, f"request {planned.number} has no recorded end")
@@ -68,7 +69,7 @@
         "late_ms": max_lag_ms,
         "failed": failures,
         "void": void_reasons,
-        "figures": result.figures,
+        "figures": {**result.figures, "uploads": len(judge.uploads)},
         "struck": {str(number): targets.proxies for number, targets in enumerate(result.targets)},
         "evidence": [evidence.for_violation(violation) for violation in judge.violation_log[:MAX_SHOWN_VIOLATIONS]],
         "verdict": _verdict(bool(void_reasons), is_broken).value,
--- a/sloeferry/fault_testing/worker_roles.py
+++ b/sloeferry/fault_testing/worker_roles.py
@@ -12,6 +12,7 @@
 from sloeferry.fault_testing.link_relay import Link, LinkCondition
 from sloeferry.fault_testing.plan import Plan
 from sloeferry.fault_testing.recorded_events import Event
+from sloeferry.fault_testing.uploading_client import UploadingClient
 from sloeferry.fault_testing.worker_protocol import ReportKind, WorkerConfig, WorkerReport, WorkerRole
 from sloeferry.stand_ins.backends import StandInBackend
 from sloeferry.stand_ins.bad_clients import BadClient, BadClientKind, HeadMaker, OtherRequest, is_unsound_and_served
@@ -113,6 +114,7 @@
         listeners = [ProxyListener(name, tuple(address), zone) for name, address, zone in self._config.places]
         self._balancer = ConnectionBalancer(self._loop, self._plan.balancer, listeners)
         self._bad_clients: set[asyncio.Task[None]] = set()
+        self._uploading: set[asyncio.Task[None]] = set()
         self._clients = [self._create_clients(index, zone) for index, zone in enumerate(self._plan.network.zones)]
 
     def _create_clients(self, index: int, zone: str) -> StandInClients:
@@ -134,7 +136,8 @@
         self._loop.call_at(now + self._plan.seconds, self._report_open_requests)
 
     def _report_open_requests(self) -> None:
-        send_report(ReportKind.OPEN_REQUESTS, sum(clients.open_request_count for clients in self._clients))
+        open_requests = sum(clients.open_request_count for clients in self._clients) + len(self._uploading)
+        send_report(ReportKind.OPEN_REQUESTS, open_requests)
         self._loop.call_later(OPEN_REQUESTS_REPORT_SECONDS, self._report_open_requests)
 
     async def misuse(
@@ -160,6 +163,25 @@
             task.add_done_callback(self._bad_clients.discard)
             self._loop.call_later(seconds, task.cancel)
 
+    async def upload(self, fault: int, proxies: list[str], addresses: list, client_count: int, seconds: float) -> None:
+        """Run clients that upload long bodies to those proxies for a time, in turn; an upload that has begun is ended."""
+        ends_at = self._loop.time() + seconds
+        for number in range(client_count):
+            proxy = number % len(proxies)
+            client = UploadingClient(
+                proxies[proxy],
+                tuple(addresses[proxy]),
+                self._class_name(RequestKind.NON_IDEMPOTENT),
+                DEFAULT_TENANT.decode(),
+                min(each.deadline_ms for each in self._plan.request_classes),
+                f"{fault}-{number}",
+                Random(f"{self._config.seed}/uploads-{fault}-{number}"),
+                self._recorder,
+            )
+            task = self._loop.create_task(client.run(ends_at))
+            self._uploading.add(task)
+            task.add_done_callback(self._uploading.discard)
+
     def _class_name(self, kind: RequestKind) -> str:
         """Return the name of a request class of that kind, or of any class."""
         classes = self._plan.request_classes
--- a/sloeferry/rehearsal/scenario_tables.py
+++ b/sloeferry/rehearsal/scenario_tables.py
@@ -33,6 +33,7 @@
     cpu_share: PositiveRatio = field(default=1.0, name="share")  # of a core
     max_sockets: Annotated[int, Meta(ge=64)] = field(default=1024, name="sockets")
     memory_mb: Annotated[float, Meta(ge=16)] = 192.0
+    buffer_bytes: Annotated[int, Meta(ge=0)] = field(default=0, name="buffers")  # of each socket; 0: the system's
 
 
 class Network(Table):
@@ -73,6 +74,7 @@
     report_interval_ms: NonNegative = field(default=2.0, name="report_ms")
     drops_expired: bool = field(default=False, name="drops_late")  # a request whose deadline passes in the queue is not run
     congestion: Congestion | None = field(default=None, name="choke")
+    buffer_bytes: Annotated[int, Meta(ge=0)] = field(default=0, name="buffers")  # of each socket; 0: the system's
 
 
 class RequestClass(Table):
--- a/sloeferry/stand_ins/backend_connection.py
+++ b/sloeferry/stand_ins/backend_connection.py
@@ -5,11 +5,15 @@
 
 from sloeferry.stand_ins import wire_protocol
 from sloeferry.stand_ins.http_messages import MessageReader
+from sloeferry.stand_ins.upload_plays import AnswerKind, BackendPlay, answer_parts
 
 if TYPE_CHECKING:
     from sloeferry.stand_ins.backends import StandInBackend
 
 
+MAX_HALT_SECONDS = 10.0  # after which a connection that is not read any more is reset
+
+
 class BackendConnection(asyncio.Protocol):
     """Reads requests and writes their responses; closes itself after the idle timeout of the settings."""
 
@@ -21,6 +25,8 @@
         self._request_began_at: float | None = None
         self._is_busy = False
         self._idle_timer: asyncio.TimerHandle | None = None
+        self._play: BackendPlay | None = None  # of the upload that is being read
+        self._upload_bytes = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Accept the connection, or reset it if the backend is down or has too many; called by the event loop."""
@@ -51,6 +57,9 @@
             return
         if self._request_began_at is None:
             self._request_began_at = backend.loop.time()
+            self._upload_begins(data)
+        if self._play:
+            self._follow_pace(self._play, len(data))
         for message in self._reader.feed(data):
             began_at = self._request_began_at
             self._request_began_at = None
@@ -66,6 +75,38 @@
             self._transport.write(data)
             self._mark_idle()
 
+    def _upload_begins(self, data: bytes) -> None:
+        self._play, self._upload_bytes = BackendPlay.from_head(data), 0
+        if self._play and self._play.answer is AnswerKind.EARLY:
+            self._respond_in_parts(self._play)
+
+    def _follow_pace(self, play: BackendPlay, received_bytes: int) -> None:
+        """Stop reading until the pace of an upload allows more."""
+        self._upload_bytes += received_bytes
+        loop = self._backend.loop
+        wait_seconds = self._request_began_at + play.pace.seconds_until(self._upload_bytes) - loop.time()
+        if wait_seconds > MAX_HALT_SECONDS:
+            self._transport.pause_reading()
+            loop.call_later(MAX_HALT_SECONDS, self._transport.abort)
+        elif wait_seconds > 0:
+            self._transport.pause_reading()
+            loop.call_later(wait_seconds, self._resume_reading)
+
+    def _resume_reading(self) -> None:
+        if not self.is_gone and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def upload_received(self) -> None:
+        """Write the response for which a complete upload asks, unless it was written before the upload was read."""
+        if self._play and self._play.answer is not AnswerKind.EARLY:
+            self._respond_in_parts(self._play)
+
+    def _respond_in_parts(self, play: BackendPlay) -> None:
+        after_seconds = 0.0
+        for part in answer_parts(play.answer):
+            after_seconds += part.pause_seconds
+            self._backend.loop.call_later(after_seconds, self.respond, part.data)
+
     def truncate(self, data: bytes) -> None:
         """Write a part of a response and close the connection."""
         if not self._transport.is_closing():
--- a/sloeferry/stand_ins/backends.py
+++ b/sloeferry/stand_ins/backends.py
@@ -14,6 +14,7 @@
 from sloeferry.stand_ins.http_messages import Message
 from sloeferry.stand_ins.request_handler import LinkFault, RequestHandler
 from sloeferry.stand_ins.run_observer import RunObserver
+from sloeferry.stand_ins.small_buffers import limit_buffers
 from sloeferry.stand_ins.warm_up import WarmUpModel
 from sloeferry.stand_ins.work_queue import Job, WorkQueue
 
@@ -90,6 +91,9 @@
 
     async def _listen(self) -> None:
         self._server = await self.loop.create_server(lambda: BackendConnection(self), *self.address, backlog=LISTEN_BACKLOG)
+        if self.settings.buffer_bytes:
+            for sock in self._server.sockets:
+                limit_buffers(sock, self.settings.buffer_bytes)
 
     def _stop_listening(self) -> None:
         if self._server:
--- a/sloeferry/stand_ins/http_messages.py
+++ b/sloeferry/stand_ins/http_messages.py
@@ -117,6 +117,12 @@
     return encoded + b"0\r\nX-Call-Class: another\r\nX-Tail: 1\r\n\r\n"
 
 
+def content_length(head: bytes) -> int:
+    """Return the length that a head states; 0 if it states none."""
+    length = CONTENT_LENGTH.search(head)
+    return int(length[1]) if length else 0
+
+
 def make_request_body(request_id: bytes, size_bytes: int) -> bytes:
     """Return the body of one request, made from its id, so that a truncated or another request's body is detected."""
     return (request_id * (size_bytes // len(request_id) + 1))[:size_bytes]
--- a/sloeferry/stand_ins/request_handler.py
+++ b/sloeferry/stand_ins/request_handler.py
@@ -8,7 +8,7 @@
 from random import Random
 from typing import TYPE_CHECKING, NamedTuple
 
-from sloeferry.stand_ins import wire_protocol
+from sloeferry.stand_ins import upload_plays, wire_protocol
 from sloeferry.stand_ins.bad_clients import ID_PREFIX
 from sloeferry.stand_ins.deduplication import DeduplicationStore
 from sloeferry.stand_ins.http_messages import Message, make_response
@@ -39,6 +39,7 @@
 NO_LINK_FAULT = LinkFault()
 
 BAD_CLIENT_ID_PREFIX = ID_PREFIX.encode()
+UPLOAD_ID_PREFIX = upload_plays.ID_PREFIX.encode()
 # Of the answers to bad clients, some of which read slowly.
 LONG_RESPONSE_BYTES, LONG_RESPONSE_RATIO = 1_000_000, 0.2
 
@@ -87,6 +88,9 @@
             body_bytes = LONG_RESPONSE_BYTES if self._rng.random() < LONG_RESPONSE_RATIO else 0
             connection.respond(make_response(200, bytes(body_bytes)))
             return
+        if request_id.startswith(UPLOAD_ID_PREFIX):
+            connection.upload_received()
+            return
         request_class = self._observer.request_class(request_id)
         if request_class is None:
             text = f"{backend.backend_id} received a request with an unknown id: {request_id!r}"
--- a/sloeferry/stand_ins/rules.py
+++ b/sloeferry/stand_ins/rules.py
@@ -14,6 +14,8 @@
     NO_OVERLOAD_IN_WARM_UP = "4"  # all proxies together do not overload a backend in its warm-up
     PROTOCOL = "protocol"  # messages are well-formed, and bodies arrive unchanged
     QUIESCE = "drain"  # a quiesced proxy makes its clients reconnect elsewhere, and serves again after resume
+    # An upload is answered half a second after its time at the latest, and a long answer that has begun is not cut off.
+    UPLOAD = "upload"
     UNSOUND = "unsound"  # no request that is not sound is answered as served
     MEMORY = "memory"  # no proxy process is over its memory limit
     CRASH = "crash"  # no proxy process ends unexpectedly
--- a/sloeferry/stand_ins/upload_client.py
+++ b/sloeferry/stand_ins/upload_client.py
@@ -5,7 +5,7 @@
 import socket
 from dataclasses import dataclass
 
-from sloeferry.stand_ins.http_messages import HEAD_END
+from sloeferry.stand_ins.http_messages import HEAD_END, content_length
 from sloeferry.stand_ins.pace import FULL_SPEED, Pace
 
 READ_BYTES = 65536
@@ -21,6 +21,7 @@
     written_at: float | None = None  # when the kernel had taken the last byte
     answered_at: float | None = None  # the first byte of the final answer
     answer: bytes = b""
+    is_whole: bool = False  # the final answer, by its length
 
 
 class UploadClient:
@@ -82,11 +83,13 @@
         return b"%x\r\n%b\r\n%b" % (len(data), data, LAST_CHUNK if is_last else b"")
 
     async def _read_answer(self, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
-        """Read until the head of the answer is whole, or the connection ends."""
+        """Read until the answer is whole, or the connection ends."""
         record = self.record
-        while HEAD_END not in record.answer and (data := await loop.sock_recv(sock, READ_BYTES)):
+        while not record.is_whole and (data := await loop.sock_recv(sock, READ_BYTES)):
             if record.answered_at is None:
                 record.answered_at = loop.time()
             record.answer += data
-        if HEAD_END in record.answer:
-            record.status = int(record.answer.split(b" ", 2)[1])
+            head, end, body = record.answer.partition(HEAD_END)
+            if end:
+                record.status = int(head.split(b" ", 2)[1])
+                record.is_whole = len(body) >= content_length(head)
--- a/tests/network/test_upload_deadline.py
+++ b/tests/network/test_upload_deadline.py
@@ -12,9 +12,9 @@
 import pytest
 
 from sloeferry import environment
-from sloeferry.fault_testing.small_buffers import limit_buffers, with_small_buffers
 from sloeferry.network import body_stream
 from sloeferry.stand_ins.pace import Pace
+from sloeferry.stand_ins.small_buffers import limit_buffers, with_small_buffers
 from sloeferry.stand_ins.upload_client import UploadClient, UploadRecord
 from tests.support.fake_backends import FakeBackends, Script, response
 from tests.support.instrumented_harness import NEVER_SECONDS, InstrumentedHarness
