Reading ahead ends with its upload, whatever ends it, and costs no system call while it waits

A failure of the task that reads ahead would have left the writer waiting; what a pending receive had read of a response was looked at only after the next write; each waiting upload was peeked at every 10 ms. Change: the reader's end wakes the writer, the response already read counts, and the time of the check before tells what has not arrived.

--- a/sloeferry/network/body_stream.py
+++ b/sloeferry/network/body_stream.py
@@ -101,7 +101,7 @@
         loop = self._connection.server.loop
         progress = WriteProgress(loop, backend.sock, MAX_UPLOAD_PAUSE_SECONDS)
         self._backend_writes = BackendWrites(progress, task)
-        reading = loop.create_task(self._read())
+        reading = self._connection.server.tasks.spawn(self._read())
         try:
             yield progress
         finally:
@@ -129,7 +129,8 @@
         part = self._framed(data) if data else b""
         if not message.is_complete or message.held_bytes:
             if not data:
-                raise BodyInterruptedError(self._connection.stream.fault.value)
+                fault = self._connection.stream.fault
+                raise BodyInterruptedError(fault.value if fault else "reading failed")
             return part
         self.is_complete, self.task = True, None
         return part if message.content_length is not None else part + writer.LAST_CHUNK
--- a/sloeferry/network/request_writer.py
+++ b/sloeferry/network/request_writer.py
@@ -61,11 +61,11 @@
 
         Interim responses (1xx) are read and dropped: the backend still wants the rest of the request (RFC 9110, 15.2).
         """
-        while not is_open_and_idle(self._sock):
+        while not self._has_response_begun():  # a pending receive may have read it
+            if is_open_and_idle(self._sock):
+                return False
             await self._stream.receive()
-            if self._has_response_begun():
-                return True
-        return False
+        return True
 
     async def _has_final_response(self) -> bool:
         """Return whether a final response can still be read from a connection that has failed."""
--- a/sloeferry/network/upload_reader.py
+++ b/sloeferry/network/upload_reader.py
@@ -35,18 +35,23 @@
         self._has_read = asyncio.Event()
         self._has_room = asyncio.Event()
         self._may_read_ahead = False  # memory is reserved for it
+        self._has_ended = False  # nothing more is read
+        self._last_check_ms = 0.0
 
     async def read(self) -> None:
         """Read to the end of the body, or until the client's connection fails."""
         message, stream = self._message, self._connection.stream
-        while not message.is_complete and not stream.fault:
-            if message.held_bytes >= self._limit_bytes():
-                self._has_room.clear()
-                await self._has_room.wait()
-                continue
-            await self._receive()
+        try:
+            while not message.is_complete and not stream.fault:
+                if message.held_bytes >= self._limit_bytes():
+                    self._has_room.clear()
+                    await self._has_room.wait()
+                    continue
+                await self._receive()
+                self._has_read.set()
+        finally:
+            self._has_ended = True
             self._has_read.set()
-        self._has_read.set()
 
     async def _receive(self) -> None:
         self._last_byte.read_begins(environment.monotonic_ms(), self._message.body_bytes, self._unread_bytes())
@@ -58,9 +63,9 @@
         return 0 if is_open_and_idle(sock) else environment.unread_bytes(sock) or 1
 
     async def next_part(self) -> bytes:
-        """Return a part of the body; b"" once it has ended or its client's connection has failed."""
+        """Return a part of the body; b"" once nothing more is read."""
         message = self._message
-        while not message.held_bytes and not message.is_complete and not self._connection.stream.fault:
+        while not message.held_bytes and not self._has_ended:
             self._has_read.clear()
             await self._has_read.wait()
         part = message.take_body(PART_BYTES)
@@ -75,8 +80,9 @@
         """Return whether the final answer is about to be due; to be called every few ms."""
         if self._message.is_complete:
             return now_ms >= self.due_ms() - ANSWER_BEFORE_DUE_MS
-        if self._connection.reader.receiving_body_since is not None and is_open_and_idle(self._connection.sock):
-            self._last_byte.read_waits(now_ms)
+        if self._connection.reader.receiving_body_since is not None:
+            self._last_byte.read_waits(self._last_check_ms)  # what had arrived by then has been read by now
+        self._last_check_ms = now_ms
         if now_ms >= self._read_ahead_at_ms():
             self._last_byte.bytes_arrived(now_ms, self._message.body_bytes + self._unread_bytes())
             self._has_room.set()  # the limit may be higher now
