--- a/sloeferry/environment.py
+++ b/sloeferry/environment.py
@@ -65,6 +65,14 @@
         return None
 
 
+def send_now(sock: socket.socket, data: bytes) -> int:
+    """Send as much as the kernel takes at once, and return how much that was; raises OSError if the connection has failed."""
+    try:
+        return sock.send(data)
+    except (BlockingIOError, InterruptedError):
+        return 0
+
+
 def resident_bytes() -> int | None:
     """Return the resident memory of this process; None if the system does not tell."""
     try:
@@ -99,6 +107,7 @@
     "tcp_socket",
     "inherited_socket",
     "has_peer_ended",
+    "send_now",
     "ms_since_arrival",
     "unacknowledged_bytes",
     "unread_bytes",
--- a/sloeferry/fault_testing/cli.py
+++ b/sloeferry/fault_testing/cli.py
@@ -61,7 +61,7 @@
     virtual: bool,
     as_json: bool,
 ) -> None:
-    """Run PLAN: a shipped name, `drawn-N` or `soak-N` with a seed N, or a path.
+    """Run PLAN: a shipped name, `drawn-N`, `soak-N`, `hostile-N` or `slow-N` with a seed N, or a path.
 
     Exit status 0: kept, 1: broken, 2: the plan cannot be run, 3: void.
     """
--- a/sloeferry/network/request_writer.py
+++ b/sloeferry/network/request_writer.py
@@ -6,8 +6,9 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from sloeferry import environment
 from sloeferry.network.backend_connection import BackendConnection
-from sloeferry.network.sockets import is_open_and_idle, send_now
+from sloeferry.network.sockets import is_open_and_idle
 
 FIRST_FINAL_STATUS = 200  # lower ones are those of interim responses
 
@@ -26,7 +27,7 @@
         `send_rest` sends what the kernel does not take at once.  Raises OSError if the connection fails without a response.
         """
         try:
-            sent_bytes = send_now(self._sock, data)
+            sent_bytes = environment.send_now(self._sock, data)
             if sent_bytes == len(data):
                 return False
             return await self._send_rest(send_rest or self._send_all, memoryview(data)[sent_bytes:])
--- a/sloeferry/network/sockets.py
+++ b/sloeferry/network/sockets.py
@@ -46,14 +46,6 @@
         return False
 
 
-def send_now(sock: socket.socket, data: bytes) -> int:
-    """Send as much as the kernel takes at once, and return how much that was; raises OSError if the connection has failed."""
-    try:
-        return sock.send(data)
-    except (BlockingIOError, InterruptedError):
-        return 0
-
-
 def prepare_accepted(sock: socket.socket) -> bool:
     """Make an accepted socket non-blocking and disable Nagle's algorithm; close it and return False if it is broken.
 
--- a/sloeferry/rehearsal/simulated_socket.py
+++ b/sloeferry/rehearsal/simulated_socket.py
@@ -149,6 +149,14 @@
         self._send_in_segments(bytes(data[:count]))
         return count
 
+    def send_now(self, data: bytes) -> int:
+        """Send as much as the window allows, at the cost of a write; see `environment.send_now`."""
+        self.process.spend_cpu("write")
+        try:
+            return self.send(data)
+        except BlockingIOError:
+            return 0
+
     def _send_in_segments(self, data: bytes) -> None:
         network, rng = self.network, self.network.rng
         while network.split_probability and len(data) > 1 and rng.random() < network.split_probability:
--- a/sloeferry/rehearsal/simulation.py
+++ b/sloeferry/rehearsal/simulation.py
@@ -179,6 +179,7 @@
         tcp_socket=network.socket,
         epoll=lambda: SimulatedEpoll(network),
         has_peer_ended=SimulatedSocket.has_peer_ended,
+        send_now=SimulatedSocket.send_now,
         ms_since_arrival=SimulatedSocket.ms_since_arrival,
         unacknowledged_bytes=SimulatedSocket.unacknowledged_bytes,
         unread_bytes=SimulatedSocket.unread_bytes,
