A client that writes steadily is told from one that has written all at any pace; reading ends with the connection

A client that wrote 1 to 4 MB a second, in parts less than 10 ms apart or of a whole window, was taken for one that had written everything: its upload would have got 503 after its time though its backend was idle. Reads that find nothing at first and are made as the bytes arrive, by the kernel's word, prove more than their bytes alone. 2. The task that reads ahead could go on in the turn in which its connection was closed, with a closed parser (an ERROR line; no request was affected). It is ended with the connection. Measured: three plays of 1, 2 and 4 MB a second in virtual time are new; the test of the second failed before. A late event loop still proves nothing, with large and small windows.

--- a/sloeferry/network/body_stream.py
+++ b/sloeferry/network/body_stream.py
@@ -59,6 +59,7 @@
         self.task: asyncio.Task | None = None  # the task that writes it
         self.is_complete = False  # the last part has been taken
         self._backend_writes: BackendWrites | None = None  # while they last
+        self._reading: asyncio.Task | None = None  # while the rest of the body is read
         message.is_streamed = True
 
     def claim(self, attempt_number: int) -> bool:
@@ -101,12 +102,18 @@
         loop = self._connection.server.loop
         progress = WriteProgress(loop, backend.sock, MAX_UPLOAD_PAUSE_SECONDS)
         self._backend_writes = BackendWrites(progress, task)
-        reading = self._connection.server.tasks.spawn(self._read())
+        self._reading = self._connection.server.tasks.spawn(self._read())
         try:
             yield progress
         finally:
             self._backend_writes = None
-            reading.cancel()
+            self.stop_reading()
+
+    def stop_reading(self) -> None:
+        """End the task that reads the rest of the body; to be called before the client's connection is closed."""
+        if self._reading:
+            self._reading.cancel()
+            self._reading = None
 
     def cancel_stalled_write(self, now: float) -> None:
         """Cancel the task that writes to the backend if the backend has stopped reading; to be called repeatedly."""
--- a/sloeferry/network/client_connection.py
+++ b/sloeferry/network/client_connection.py
@@ -230,5 +230,7 @@
             self.task.cancel()
         self.request_runner.drop()
         body = self.request_runner.body_stream
+        if body:
+            body.stop_reading()
         if body and body.task not in (None, current, None if runs_attempt else self.task):
             body.task.cancel()  # it reads from this connection
--- a/sloeferry/network/last_byte_bound.py
+++ b/sloeferry/network/last_byte_bound.py
@@ -13,7 +13,8 @@
 
 MAX_TRANSIT_MS = 10.0  # from the client's kernel to this one, in an open receive window
 # What a client's kernel with unsent bytes delivers in MAX_TRANSIT_MS at least, if they are read as they arrive.
-MIN_TRANSIT_BYTES = 16384
+MIN_TRANSIT_BYTES = 65536
+MAX_READ_DELAY_MS = 4.0  # of bytes that are read as they arrive, to the precision of the kernel's word
 # The largest send buffer that Linux allows by default: tcp(7), tcp_wmem.
 MAX_CLIENT_BUFFER_BYTES = 1 << 22
 MIN_BYTES_BETWEEN_SAMPLES = MAX_CLIENT_BUFFER_BYTES // 64
@@ -37,15 +38,22 @@
         self._waiting: _Sample | None = None  # the begin of the last read, if it found nothing
         self._keeping_up: _Sample | None = None  # since when each read has found nothing at first
 
-    def read_begins(self, now_ms: float, received_bytes: int, unread_bytes: int) -> None:
-        """Record that a read begins, before which so much has been received, and so much has arrived and is unread."""
+    def read_begins(self, now_ms: float, received_bytes: int, unread_bytes: int, ms_since_arrival: float = 0.0) -> None:
+        """Record that a read begins, before which so much has been received, and so much has arrived and is unread.
+
+        `ms_since_arrival`: how long ago the last bytes arrived, as far as the system tells; after a late event loop they were
+        read long after that.
+        """
         self.bytes_arrived(now_ms, received_bytes + unread_bytes)
         if unread_bytes:
             self._waiting = self._keeping_up = None
             return
-        self._waiting = _Sample(now_ms, received_bytes)
+        waited, self._waiting = self._waiting, _Sample(now_ms, received_bytes)
+        if waited and now_ms - ms_since_arrival >= waited.at_ms + MAX_TRANSIT_MS:
+            self._advance(waited.at_ms)
         since = self._keeping_up
-        if since is None or received_bytes - since.arrived_bytes >= MIN_TRANSIT_BYTES:
+        has_much_arrived = since is None or received_bytes - since.arrived_bytes >= MIN_TRANSIT_BYTES
+        if since is None or has_much_arrived or ms_since_arrival >= MAX_READ_DELAY_MS:
             self._keeping_up = self._waiting
         elif now_ms >= since.at_ms + MAX_TRANSIT_MS:
             self._advance(since.at_ms)
--- a/sloeferry/network/upload_reader.py
+++ b/sloeferry/network/upload_reader.py
@@ -54,7 +54,9 @@
             self._has_read.set()
 
     async def _receive(self) -> None:
-        self._last_byte.read_begins(environment.monotonic_ms(), self._message.body_bytes, self._unread_bytes())
+        unread_bytes = self._unread_bytes()
+        ms_since_arrival = 0.0 if unread_bytes else environment.ms_since_arrival(self._connection.sock) or 0.0
+        self._last_byte.read_begins(environment.monotonic_ms(), self._message.body_bytes, unread_bytes, ms_since_arrival)
         await self._connection.reader.receive_body()
 
     def _unread_bytes(self) -> int:
--- a/tests/network/test_last_byte_bound.py
+++ b/tests/network/test_last_byte_bound.py
@@ -35,6 +35,7 @@
         bound = LastByteBound(0.0, self.body_bytes if self.has_length else None)
         step, written_at, longest_stand = 0, 0.0, 0.0
         is_reading = False  # a read has found nothing and waits
+        last_arrival = 0.0
         while self.taken < self.body_bytes:
             step += 1
             now = step * STEP_MS
@@ -44,6 +45,8 @@
                 room = self.arrived + self.client_buffer_bytes
                 self.written = min(self.body_bytes, room, self.written + self.client_bytes * self.burst_steps)
                 written_at = now
+            if min(self.written, self.read + WINDOW_BYTES) > self.arrived:
+                last_arrival = now
             self.arrived = min(self.written, self.read + WINDOW_BYTES)
             if is_reading and self.arrived == self.read:
                 bound.read_waits(now)
@@ -51,8 +54,10 @@
                 self.read, is_reading = self.arrived, False
                 may_take -= self._take(may_take)
             while not is_reading and self.read - self.taken < self.read_ahead_bytes and self.read < self.body_bytes:
+                if min(self.written, self.read + WINDOW_BYTES) > self.arrived:
+                    last_arrival = now
                 self.arrived = min(self.written, self.read + WINDOW_BYTES)
-                bound.read_begins(now, int(self.read), int(self.arrived - self.read))
+                bound.read_begins(now, int(self.read), int(self.arrived - self.read), now - last_arrival)
                 is_reading = self.arrived == self.read
                 self.read = self.arrived
                 may_take -= self._take(may_take)
@@ -77,10 +82,24 @@
         (Upload(400_000, 50, 1000, burst_steps=2000), 200),
         (Upload(512_000, 64, 90, read_ahead_bytes=65_536), 400),
         (Upload(600_000, 64, 1000, halts_at_step=200), 500),
+        (Upload(3_000_000, 2000, 20_000), 100),
+        (Upload(3_000_000, 4096, 20_000, burst_steps=16), 100),
+        (Upload(3_000_000, 1024, 20_000, burst_steps=16), 100),
         (Upload(30_000_000, 1_000_000, 20_000), 300),
         (Upload(30_000_000, 1_000_000, 20_000, has_length=False), 300),
     ],
-    ids=["slow client", "in parts", "bursts", "both slow", "halt", "fast", "fast, chunks"],
+    ids=[
+        "slow client",
+        "in parts",
+        "bursts",
+        "both slow",
+        "halt",
+        "2 MB/s",
+        "4 MB/s in parts",
+        "1 MB/s in parts",
+        "fast",
+        "fast, chunks",
+    ],
 )
 def test_time_of_a_client_that_still_writes_moves_on(upload: Upload, longest_stand_ms: float):
     """Where the client is shown to be writing, the bound follows it, so that its request goes on."""
@@ -108,3 +127,15 @@
     bound.read_begins(500.1, 102_768, 0)
     bound.read_waits(505.0)
     assert bound.earliest_ms == 0.0
+
+
+def test_late_reads_of_a_small_window_prove_nothing():
+    """Reads that find nothing at first, because the next bytes are in transit, and come late: the client's kernel has bytes all
+    the time, and the window of the proxy's is filled at once."""
+    bound = LastByteBound(0.0, 820_000)
+    received, now = 70_000, 1.0
+    for _ in range(50):
+        bound.read_begins(now, received, 0, 0.0 if received == 70_000 else 4.8)
+        received += 4096
+        now += 5.0
+    assert bound.earliest_ms == 0.0
--- a/tests/network/test_upload_deadline.py
+++ b/tests/network/test_upload_deadline.py
@@ -5,19 +5,22 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import Callable, Iterator
 from math import inf
 from unittest import mock
 
 import pytest
+from loguru import logger
 
 from sloeferry import environment
 from sloeferry.network import body_stream
+from sloeferry.network.client_connection import ClientConnection
 from sloeferry.stand_ins.pace import Pace
 from sloeferry.stand_ins.small_buffers import limit_buffers, with_small_buffers
 from sloeferry.stand_ins.upload_client import UploadClient, UploadRecord
 from tests.support.fake_backends import FakeBackends, Script, response
-from tests.support.instrumented_harness import NEVER_SECONDS, InstrumentedHarness
+from tests.support.instrumented_harness import NEVER_SECONDS, InstrumentedHarness, wait_until
 from tests.support.proxy_harness import run_scenario
 
 PROXY_BUFFER_BYTES = 16384
@@ -208,3 +211,38 @@
         assert (record.status, record.answer[-5:]) == (200, b"early")
 
     run_scenario(scenario, UploadHarness(backends, deadline_ms=3000))
+
+
+class ClosingLoop:
+    """An event loop in whose turn after a receive the connection is closed, before what was received is parsed."""
+
+    def __init__(self, connection: ClientConnection):
+        self._connection = connection
+        self._loop = asyncio.get_running_loop()
+
+    async def sock_recv_into(self, sock: socket.socket, buffer: bytearray) -> int:
+        """Receive, and have the connection closed before the caller goes on."""
+        length = await self._loop.sock_recv_into(sock, buffer)
+        self._loop.call_soon(self._connection.close)
+        await asyncio.sleep(0)
+        return length
+
+
+def test_connection_that_closes_while_its_upload_is_read_fails_no_task():
+    """Guards against a read that goes on with a closed parser, its bytes having come in the turn of the close."""
+    errors: list[str] = []
+
+    async def scenario(harness: UploadHarness) -> None:
+        handler = logger.add(errors.append, level="ERROR")
+        client = await harness.send_raw(harness.request_head("c0", "once", body_bytes=BODY_BYTES) + bytes(100_000))
+        connection = await client.wait_for_connection(lambda connection: connection.reader.receiving_body_since is not None)
+        connection.stream._loop = ClosingLoop(connection)
+        for _ in range(2):
+            await client.send(bytes(9))
+            await asyncio.sleep(0.01)
+        await wait_until(lambda: connection.is_closed and not harness.dispatcher.requests)
+        logger.remove(handler)
+        client.close()
+
+    run_scenario(scenario, UploadHarness(UploadBackends(), deadline_ms=3000))
+    assert not errors
