--- a/sloeferry/load_testing/stand_in_process.py
+++ b/sloeferry/load_testing/stand_in_process.py
@@ -116,6 +116,7 @@
         report_interval_ms=0.0,
         drops_expired=False,
         congestion=None,
+        buffer_bytes=0,
     )
     rng = Random(f"{task.seed} {index}")
     return StandInBackend(loop, settings, f"b{index}", task.backends[index], ZONE, counter, {}, None, rng)
--- a/sloeferry/network/limited_log.py
+++ b/sloeferry/network/limited_log.py
@@ -12,6 +12,12 @@
 _count: dict[str, int] = {}
 
 
+def reset() -> None:
+    """Begin all spans anew, as in a new process."""
+    _span_start_seconds.clear()
+    _count.clear()
+
+
 def warn(kind: str, text: str, *values: Any) -> None:
     """Log a warning of the given kind unless the limit of the kind is reached.
 
--- a/sloeferry/rehearsal/simulation.py
+++ b/sloeferry/rehearsal/simulation.py
@@ -12,6 +12,7 @@
 from sloeferry import environment
 from sloeferry.config.instance import read_instance_config
 from sloeferry.lifecycle.proxy_process import serve
+from sloeferry.network import limited_log
 from sloeferry.rehearsal import baselines
 from sloeferry.rehearsal.network import SimulatedHost, SimulatedNetwork
 from sloeferry.rehearsal.proxy_fleet import ProxyFleet
@@ -173,6 +174,7 @@
     scheduler, network = run_environment.scheduler, run_environment.network
     logger.remove()
     logger.add(log, level="INFO", format="{message}", catch=False)
+    limited_log.reset()
     previous = environment.replace(
         monotonic=scheduler.monotonic,
         unix_time=scheduler.unix_time,
