Uploads that are open when a run ends are judged by what they saw before it

Proxies are killed at a run's end, which is no end of an upload either. Change: the run's end is recorded; its clients break off what is open, and note it only if its answer was long due.

--- a/sloeferry/fault_testing/process_fleet.py
+++ b/sloeferry/fault_testing/process_fleet.py
@@ -203,6 +203,7 @@
 
     async def end(self) -> None:
         """End all processes, and close the records."""
+        self.observer.note(self.loop.time(), Event.RUN_ENDED)
         for proxy in self.proxies:
             proxy.is_run_over = True
             proxy.send_signal()
--- a/sloeferry/fault_testing/record_judge.py
+++ b/sloeferry/fault_testing/record_judge.py
@@ -48,6 +48,7 @@
         self.discovery_unreachable = ProxySpans()
         self.started_at: dict[str, float] = {}  # of the newest process, by proxy
         self.raced_idle_close: set[bytes] = set()  # requests that may have raced an idle close
+        self.ended_at = inf  # when the run did, and its processes were killed
         self.uploads: list[EndedUpload] = []
         self.kills: defaultdict[str, list[float]] = defaultdict(list)  # by proxy
         self.starts: defaultdict[str, list[float]] = defaultdict(list)  # by proxy
@@ -82,7 +83,7 @@
         if answered_at > due_at + LOST_AFTER_SECONDS:
             late_ms = 1000 * (answered_at - due_at)
             self.rule_violated(Rule.UPLOAD, now, f"{name} got status {record.status} {late_ms:.0f} ms late")
-        elif record.status is None and record.written_at is not None:
+        elif record.status is None and record.written_at is not None and now < self.ended_at:
             self.rule_violated(Rule.UPLOAD, now, f"{name} got no answer, its connection ended")
         elif record.status is not None and not record.is_whole and not self._was_replaced(upload.proxy, record.began_at, now):
             self.rule_violated(Rule.UPLOAD, now, f"{name} got an answer that was cut off")
@@ -94,7 +95,7 @@
 
     def _was_replaced(self, proxy: str, began_at: float, now: float) -> bool:
         """Return whether the process ended on SIGTERM meanwhile; SIGKILL cuts off what it has not written by then."""
-        return any(began_at <= at <= now + MAX_RESTART_SECONDS for at in self.starts[proxy])
+        return now >= self.ended_at or any(began_at <= at <= now + MAX_RESTART_SECONDS for at in self.starts[proxy])
 
     def proxy_killed(self, proxy: str, now: float) -> None:
         """Record that a proxy was killed by a fault of the scenario."""
--- a/sloeferry/fault_testing/record_replay.py
+++ b/sloeferry/fault_testing/record_replay.py
@@ -63,6 +63,9 @@
     def _run_began(self, at: float) -> None:
         self._judge.began_at = at
 
+    def _run_ended(self, at: float) -> None:
+        self._judge.ended_at = at
+
     def _request_began(self, at: float, request_id: str, proxy: str, deadline: float) -> None:
         self._judge.request_started(
             request_id.encode(), self._judge.planned_requests[request_number(request_id)], proxy, at, deadline
@@ -203,6 +206,7 @@
 
     _HANDLERS = {
         Event.RUN_BEGAN: _run_began,
+        Event.RUN_ENDED: _run_ended,
         Event.REQUEST_BEGAN: _request_began,
         Event.REQUEST_SENT: _request_sent,
         Event.RESPONSE_RECEIVED: _response_received,
--- a/sloeferry/fault_testing/recorded_events.py
+++ b/sloeferry/fault_testing/recorded_events.py
@@ -8,6 +8,7 @@
     """An event; its value is its name in records.  The comments list the fields that follow time and name."""
 
     RUN_BEGAN = "begin"
+    RUN_ENDED = "done"  # proxies are killed from now on
     FAULT_BEGAN = "fault"  # number, kind, proxies, number of links
     FAULT_ENDED = "over"  # number
     PROCESS_LATE = "late"  # role, ms
--- a/sloeferry/fault_testing/uploading_client.py
+++ b/sloeferry/fault_testing/uploading_client.py
@@ -5,11 +5,12 @@
 from random import Random
 
 from sloeferry.fault_testing.recorded_events import Event, EventSink
-from sloeferry.stand_ins.upload_client import UploadClient
+from sloeferry.stand_ins.upload_client import UploadClient, UploadRecord
 from sloeferry.stand_ins.upload_plays import ID_PREFIX, UploadPlay, draw_play
 
 PAUSE_SECONDS = 0.05  # between two uploads
 PART_BYTES = 6400  # of a slow client, ten times a second at the slowest
+OVERDUE_SECONDS = 1.0  # after its time, when an upload without an answer is broken off
 MAX_UPLOAD_SECONDS = 30.0  # above the 15 s of the slowest client, and the longest silence of a backend
 
 
@@ -53,8 +54,19 @@
                 await client.run(self._address)
         except (OSError, TimeoutError):
             pass
-        record = dataclasses.replace(client.record, answer=b"")
-        self._recorder.note(loop.time(), Event.UPLOAD_ENDED, request_id, self._proxy, self._wait_ms / 1000, record)
+        except asyncio.CancelledError:  # the run is over
+            if self._is_overdue(client.record, loop.time()):
+                self._note(loop, request_id, client.record)
+            raise
+        self._note(loop, request_id, client.record)
+
+    def _is_overdue(self, record: UploadRecord, now: float) -> bool:
+        """Return whether an upload that is broken off should have been answered long ago."""
+        return record.written_at is not None and now > record.written_at + self._wait_ms / 1000 + OVERDUE_SECONDS
+
+    def _note(self, loop: asyncio.AbstractEventLoop, request_id: str, record: UploadRecord) -> None:
+        without_answer = dataclasses.replace(record, answer=b"")
+        self._recorder.note(loop.time(), Event.UPLOAD_ENDED, request_id, self._proxy, self._wait_ms / 1000, without_answer)
 
     def _head(self, request_id: str, play: UploadPlay) -> bytes:
         """Return the head up to its framing."""
--- a/sloeferry/fault_testing/worker_roles.py
+++ b/sloeferry/fault_testing/worker_roles.py
@@ -201,6 +201,14 @@
                 )
             self._recorder.note(self._loop.time(), Event.UNSOUND_SERVED, proxy, kind.value, request_id)
 
+    async def end(self) -> None:
+        """Break off the uploads that are not over, while they can be recorded, and stop the worker."""
+        for task in self._uploading:
+            task.cancel()
+        if self._uploading:
+            await asyncio.wait(self._uploading)
+        await super().end()
+
     async def set_alive(self, proxy: str, is_alive: bool) -> None:
         """Set whether new connections may be assigned to that proxy."""
         self._balancer.alive[proxy] = is_alive
