The soak with slow peers reads on behind a complete upload, and knows the ids of a process before

Change: no pause behind a complete upload; an attempt made by a process that started after the request's answer is none of that request.

--- a/sloeferry/fault_testing/record_judge.py
+++ b/sloeferry/fault_testing/record_judge.py
@@ -127,12 +127,24 @@
         deadline is not checked.
         """
         client_try = self.tries[request_id]
+        if self._is_repeated_at_next_process(client_try):
+            return
         deadline = client_try.deadline
         if self._was_cut_off(client_try, deadline):
             client_try.deadline = float("inf")
         super().attempt_received(backend_id, zone, request_id, sent_at)
         client_try.deadline = deadline
 
+    def request_ran(self, backend_id: str, request_id: bytes, now: float) -> None:
+        """Judge that a request ran, unless a bad client has sent its id to the next process of the proxy."""
+        if not self._is_repeated_at_next_process(self.tries[request_id]):
+            super().request_ran(backend_id, request_id, now)
+
+    def _is_repeated_at_next_process(self, client_try: ClientTry) -> bool:
+        """Return whether a process that started after a request was answered sends its id: it knows no ids of the one before."""
+        answered_at = client_try.answered_at
+        return bool(answered_at) and self.started_at.get(client_try.proxy, 0.0) > answered_at
+
     def response_missing(self, request_id: bytes, now: float, reason: str) -> RequestOutcome | str:
         """Return the outcome of a request without a response, or CUT_OFF if its client link had a fault."""
         client_try = self.tries[request_id]
--- a/sloeferry/stand_ins/backend_connection.py
+++ b/sloeferry/stand_ins/backend_connection.py
@@ -58,9 +58,10 @@
         if self._request_began_at is None:
             self._request_began_at = backend.loop.time()
             self._upload_begins(data)
-        if self._play:
+        messages = self._reader.feed(data)
+        if self._play and not messages:  # behind a complete upload the next request is read at once
             self._follow_pace(self._play, len(data))
-        for message in self._reader.feed(data):
+        for message in messages:
             began_at = self._request_began_at
             self._request_began_at = None
             if backend.is_up:
--- a/tests/test_slow_peer_soak.py
+++ b/tests/test_slow_peer_soak.py
@@ -95,3 +95,18 @@
     judge.proxy_started("p0", 11.1)
     judge.judge_uploads()
     assert judge.violation_counts[Rule.UPLOAD] == expected
+
+
+@pytest.mark.parametrize(("started_at", "expected"), [(0.0, 2), (4.0, 0)], ids=["same process", "next process"])
+def test_repeated_id_at_the_next_process_is_no_attempt_of_the_first_request(started_at: float, expected: int):
+    """An attempt after a request's answer breaks rule 1, unless the process that made it cannot have had that request."""
+    plan = read_plan("slow-1")
+    judge = RecordJudge(plan, plan_requests(plan, Random("1/arrivals")))
+    judge.proxy_zones = {"p0": "a"}
+    request_id = b"0000000000010000"
+    judge.request_started(request_id, judge.planned_requests[1], "p0", 1.0, 2.0)
+    judge.request_written(request_id, 1.0, 2.0)
+    judge.tries[request_id].answered_at = 1.5
+    judge.proxy_started("p0", started_at)
+    judge.attempt_received("s-0001", "a", request_id, 5.0)
+    assert judge.violation_counts[Rule.ONE_ANSWER] == expected
