Judge excuses a repeated id whose first request's idle connection was closed unread

The process had never read the first request, so the copy was the only one with its id. The judge has that excuse for the request without an answer (docs/fault-testing.md), and the test of the takeover asks for the copy to be served; the judge of repeated ids lacked it.

Change: a request that may have crossed an idle close and had come to no backend when its client gave up leaves its id free. One that came to a backend, or was lost without such a close, still breaks the rule.

--- a/sloeferry/fault_testing/record_judge.py
+++ b/sloeferry/fault_testing/record_judge.py
@@ -48,6 +48,7 @@
         self.discovery_unreachable = ProxySpans()
         self.started_at: dict[str, float] = {}  # of the newest process, by proxy
         self.raced_idle_close: set[bytes] = set()  # requests that may have raced an idle close
+        self._never_read: set[bytes] = set()  # those of them that came to no backend before their client gave up
         self.ended_at = inf  # when the run did, and its processes were killed
         self.uploads: list[EndedUpload] = []
         self.kills: defaultdict[str, list[float]] = defaultdict(list)  # by proxy
@@ -57,10 +58,13 @@
         """Judge an answer that served an unsound request.
 
         A repeated id is unsound only if the process that served it could know that it was another client's: that one had not been
-        refused in its place, and not been sent to an earlier process or another proxy.
+        refused in its place, and not been sent to an earlier process or another proxy, or on an idle connection that was closed
+        unread.
         """
         original = self.tries.get(request_id) if kind == BadClientKind.REPEATED_ID else None
         if original:
+            if request_id in self._never_read:
+                return
             was_first = original.status != CONFLICT_STATUS and not self._was_cut_off(original, now)
             is_same_process = original.proxy == proxy and original.sent_at > self.started_at.get(proxy, 0.0)
             if not (was_first and is_same_process) or self.could_not_answer_in_time(original):
@@ -151,6 +155,7 @@
         if self._was_cut_off(client_try, now):
             return CUT_OFF
         if request_id in self.raced_idle_close and not client_try.attempt_count and not self.was_proxy_killed(client_try):
+            self._never_read.add(request_id)
             return RequestOutcome.NOT_ACCEPTED
         return super().response_missing(request_id, now, reason)
 
--- a/tests/test_hostile_soak.py
+++ b/tests/test_hostile_soak.py
@@ -60,6 +60,29 @@
     assert judge.violation_counts[Rule.UNSOUND] == expected
 
 
+@pytest.mark.parametrize(
+    ("raced_idle_close", "was_attempted", "expected"),
+    [(True, False, 0), (True, True, 1), (False, False, 1)],
+    ids=["closed unread", "read and attempted", "lost on an open connection"],
+)
+def test_repeated_id_may_be_served_if_its_first_request_was_never_read(
+    raced_idle_close: bool, was_attempted: bool, expected: int
+):
+    """A request that crossed the close of its idle connection and came to no backend leaves its id unknown to the process."""
+    plan = read_plan("hostile-1")
+    judge = RecordJudge(plan, plan_requests(plan, Random("1/arrivals")))
+    request_id = b"0000000000010000"
+    judge.request_started(request_id, judge.planned_requests[1], "p0", 1.0, 2.0)
+    judge.request_written(request_id, 1.0, 2.0)
+    judge.tries[request_id].attempt_count = int(was_attempted)
+    if raced_idle_close:
+        judge.raced_idle_close.add(request_id)
+    judge.response_missing(request_id, 1.1, "its connection ended")
+    judge.tries[request_id].attempt_count += 1  # the repeated request's
+    judge.unsound_served("p0", BadClientKind.REPEATED_ID, request_id, 1.6)
+    assert judge.violation_counts[Rule.UNSOUND] == expected
+
+
 def test_other_unsound_request_breaks_the_rule_whenever_it_is_served():
     """An answer that serves a request without an id, for instance, is always a violation."""
     plan = read_plan("hostile-1")
