One owner of a client's state; nothing begins for one whose end may wait behind unread bytes

Cause: the proxy knew a client's end only once it had arrived, and behind more requests than the receive window holds it waits with the client's kernel: 150 requests of 1.6 kB and a half-close, written at once, were read and sent on one after the other long after the end. The time of a pipelined request began when it was read, behind all before it.

Change: ClientState (network/client_state.py) knows of one client what the kernel tells without a read (idle, unread, ended, gone) and the last time at which it surely had not ended: when nothing was unread. If that is more than 80 ms ago, no attempt begins for it. What arrives behind an open request is received ahead, up to 64 KiB and unparsed, if there is memory (network/read_ahead.py), which shows the end; behind more than that requests are rejected until it can be read. Each request carries the earliest time at which its last byte may have been written. Intake, send guard, sweeper, shutdown, stall accounting and uploads ask ClientState; LastByteBound and UnreadTime are its parts, and UploadReader no longer knows the connection. A half-close is taken for leaving, as before: it cannot be told from a close.

--- a/sloeferry/environment.py
+++ b/sloeferry/environment.py
@@ -4,6 +4,7 @@
 clock and network (`sloeferry/rehearsal/`), and tests inject failing system calls.
 """
 
+import enum
 import fcntl
 import resource
 import select
@@ -25,16 +26,35 @@
     return monotonic() * 1000
 
 
-def has_peer_ended(sock: socket.socket) -> bool:
-    """Return whether the peer has shut down its sending side or the connection, even if received bytes are unread.
+class PeerState(enum.Enum):
+    """What the kernel tells of the peer of a connection."""
+
+    IDLE = "open, with nothing unread"
+    UNREAD = "open, with unread bytes"
+    SENDING_ENDED = "has ended its sending, or closed"
+    GONE = "reset, or closed at both ends"
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the peer sends nothing more; one that only ends its sending cannot be told from one that has closed."""
+        return self in (PeerState.SENDING_ENDED, PeerState.GONE)
+
+
+def peer_state(sock: socket.socket) -> PeerState:
+    """Return the state of the peer of a connection.
 
     A read check can't detect the end of a stream behind unread bytes; POLLRDHUP of Linux's poll(2) does.
     """
     if sock.fileno() < 0:
-        return True
+        return PeerState.GONE
     poll = select.poll()
-    poll.register(sock, select.POLLRDHUP)
-    return bool(poll.poll(0))
+    poll.register(sock, select.POLLIN | select.POLLRDHUP)
+    events = poll.poll(0)
+    if not events:
+        return PeerState.IDLE
+    if events[0][1] & (select.POLLHUP | select.POLLERR | select.POLLNVAL):
+        return PeerState.GONE
+    return PeerState.SENDING_ENDED if events[0][1] & select.POLLRDHUP else PeerState.UNREAD
 
 
 def ms_since_arrival(sock: socket.socket) -> float | None:
@@ -106,7 +126,7 @@
     "epoll",
     "tcp_socket",
     "inherited_socket",
-    "has_peer_ended",
+    "peer_state",
     "send_now",
     "ms_since_arrival",
     "unacknowledged_bytes",
--- a/sloeferry/fault_testing/planted_faults.py
+++ b/sloeferry/fault_testing/planted_faults.py
@@ -68,7 +68,7 @@
             # Its clients have closed at their deadline, which the check before the first byte of a response detects.
             Edit(
                 "network/client_connection.py",
-                "return self.is_closed or environment.has_peer_ended(self.sock)",
+                "return self.is_closed or self.client_state.may_have_ended()",
                 "return self.is_closed",
             ),
         ),
--- a/sloeferry/network/admission_queue.py
+++ b/sloeferry/network/admission_queue.py
@@ -119,6 +119,7 @@
                     self._epoll.modify(fd, ONE_SHOT_READ)
                     return
                 length = 0  # the send buffer is full: treat the connection as closed by its client
+            connection.stream.written_at_ms = None
             connection.stream.feed(buffer, length)
         except (BlockingIOError, InterruptedError):
             pass  # no bytes to read after all: the connection is read in the usual way
--- a/sloeferry/network/body_stream.py
+++ b/sloeferry/network/body_stream.py
@@ -45,12 +45,19 @@
     attempt. The time left of the request runs from the last byte of the body, which may have been written before it is read.
     """
 
-    def __init__(self, connection: "ClientConnection", message: Message, dispatcher: Dispatcher, context: RequestContext):
+    def __init__(
+        self,
+        connection: "ClientConnection",
+        message: Message,
+        reader: UploadReader,
+        dispatcher: Dispatcher,
+        context: RequestContext,
+    ):
         self._connection = connection
         self._message = message
+        self._reader = reader
         self._dispatcher = dispatcher
         self.context = context
-        self._reader = UploadReader(connection, message, context.deadline - environment.monotonic_ms())
         self.is_overdue = False  # the attempt was ended, because its answer is due before the last byte was read
         self._buffered = message.take_body()
         self._claimed_by: int | None = None  # the number of the attempt that writes it
@@ -122,7 +129,9 @@
 
     def cancel_overdue_write(self, now_ms: float) -> None:
         """Cancel the task that writes to the backend if the final answer is due; to be called every few ms."""
-        if self._backend_writes and not self.is_complete and not self.is_overdue and self._reader.is_overdue(now_ms):
+        if not self._backend_writes or self.is_complete or self.is_overdue:
+            return
+        if self._reader.is_overdue(now_ms, self._connection.server.intake.answer_by_ms):
             self.is_overdue = True
             self._backend_writes.task.cancel()
 
--- a/sloeferry/network/client_connection.py
+++ b/sloeferry/network/client_connection.py
@@ -10,16 +10,17 @@
 from sloeferry import environment
 from sloeferry.network import client_replies, protocol
 from sloeferry.network.attempt import OutgoingRequest
+from sloeferry.network.client_state import MAX_UNNOTICED_MS, ClientState
 from sloeferry.network.http1 import writer
 from sloeferry.network.http1.framing import StreamEnd
 from sloeferry.network.http1.message import Message
+from sloeferry.network.last_byte_bound import MAX_TRANSIT_MS
 from sloeferry.network.limited_log import warn
 from sloeferry.network.memory_budget import MAX_WAIT_SECONDS
 from sloeferry.network.reply_writer import ReplyWriter
 from sloeferry.network.request_intake import METHODS
 from sloeferry.network.request_reader import ReadOutcome, RequestReader
 from sloeferry.network.request_runner import RequestRunner
-from sloeferry.network.sockets import is_open_and_idle
 from sloeferry.network.write_progress import WriteProgress
 
 if TYPE_CHECKING:
@@ -38,6 +39,7 @@
     def __init__(self, server: "ClientServer", sock: socket.socket):
         self.server = server
         self.sock = sock
+        self.client_state = ClientState(sock)
         self.reader = RequestReader(self)
         self.stream = self.reader.stream
         self.request_runner = RequestRunner(self)
@@ -81,7 +83,7 @@
                 keep_alive = await self._reply(message, await self.request_runner.run(request, message))
             while keep_alive:
                 keep_alive = await self._serve_next()
-                if keep_alive and self.stream.completed:
+                if keep_alive and self.stream.has_pending:
                     self._is_pipelined = True
                     await self.server.pipeline_turns.wait()
             if self.is_owned_by_current_task() and self._has_unread_input():
@@ -102,7 +104,7 @@
         return not self.is_closed and asyncio.current_task() is self.task
 
     def _has_unread_input(self) -> bool:
-        return self.stream.fault is not StreamEnd.CLOSED and not is_open_and_idle(self.sock)
+        return self.stream.fault is not StreamEnd.CLOSED and not self.client_state.is_idle()
 
     def hand_over(self, request: OutgoingRequest, message: Message) -> None:
         """Let a new task execute a command that arrived while this connection's task runs an attempt."""
@@ -125,6 +127,12 @@
             return await self.reply_writer.refuse(self._refusal_status())
         self.is_busy, self.is_new = True, False
         unread_ms = self.reader.take_unread_ms(message)
+        if message.attributes and not await self._is_client_present(message, unread_ms):
+            request_id = message.header(protocol.REQUEST_ID) or b""
+            self.server.request_ids.add(request_id)
+            warn("client may have ended", "request={!r} held_bytes={}", request_id, self.stream.held_bytes)
+            delay_ms = self.server.intake.retry_after_ms(MAX_UNNOTICED_MS)
+            return await self.reply_writer.reject(delay_ms, self._keeps_alive(message))
         if unread_ms and message.attributes and message.attributes.time_left_ms <= unread_ms:
             # Its deadline passed while the event loop was stalled: reject it, regardless of free capacity.
             message.retry_after_if_rejected_ms = self.server.intake.retry_after_if_rejected_ms(message, has_waited=True)
@@ -136,6 +144,21 @@
             return await self.reply_writer.reject(message.retry_after_if_rejected_ms, self._keeps_alive(message))
         return await self._reply(message, await self.request_runner.start(message, unread_ms))
 
+    async def _is_client_present(self, message: Message, unread_ms: float) -> bool:
+        """Return whether the client's end would be known by now, reading ahead to find it.
+
+        If more is unread than can be held, it may wait behind that.
+        """
+        if self.client_state.was_present_lately(unread_ms):
+            return True
+        if message.is_complete and not self.reader.read_ahead():
+            return False
+        if self.client_state.may_hold_end_back():
+            await asyncio.sleep(MAX_TRANSIT_MS / 1000)
+        if message.is_complete and not self.reader.read_ahead():
+            return False
+        return self.client_state.confirm_presence()
+
     def _refusal_status(self) -> int | None:
         """Return the status for input that is not a valid request; None if the client has disconnected."""
         fault = self.stream.fault
@@ -157,7 +180,7 @@
         """
         if not (message.keep_alive and message.is_complete) or self.stream.fault:
             return False
-        if self.stream.completed:
+        if self.stream.has_pending:
             return True
         return not self.server.lifecycle.closes_connections() and not self._must_make_room()
 
@@ -168,7 +191,7 @@
         """
         if not self.server.listener.has_backlog_waited(MAX_ROOM_WAIT_MS):
             return False
-        return bool(self.stream.completed) or not is_open_and_idle(self.sock)
+        return self.stream.has_pending or not self.client_state.is_idle()
 
     def mark_idle(self) -> None:
         """Record that the request was answered and the connection waits for the next."""
@@ -184,9 +207,9 @@
         """Return whether a write has begun and not ended."""
         return self.write_progress.waiting_since is not None
 
-    def has_client_left(self) -> bool:
-        """Return whether the client has disconnected, according to the current state of the socket."""
-        return self.is_closed or environment.has_peer_ended(self.sock)
+    def may_client_have_left(self) -> bool:
+        """Return whether no attempt may begin for the client any more: its end has arrived, or may wait behind unread bytes."""
+        return self.is_closed or self.client_state.may_have_ended()
 
     # Close
 
@@ -218,7 +241,7 @@
         context, stream = self.request_runner.context, self.stream
         if context is None or context.is_answered or stream.has_begun or stream.fault:
             return False
-        return not environment.has_peer_ended(self.sock)
+        return not self.client_state.observe().has_ended
 
     def _end_tasks(self) -> None:
         context, current = self.request_runner.context, asyncio.current_task()
--- a/sloeferry/network/client_shutdown.py
+++ b/sloeferry/network/client_shutdown.py
@@ -12,7 +12,6 @@
 from sloeferry.dispatch.limits import SOCKET_SLACK_MS
 from sloeferry.network.client_connection import ClientConnection
 from sloeferry.network.listener import BACKLOG
-from sloeferry.network.sockets import is_open_and_idle
 
 if TYPE_CHECKING:
     from sloeferry.network.client_server import ClientServer
@@ -65,7 +64,7 @@
     def close_idle(self) -> None:
         """Close the idle connections on which no further request is accepted."""
         for connection in list(self._server.connections):
-            if not connection.is_busy and not connection.stream.completed and self.may_close(connection):
+            if not connection.is_busy and not connection.stream.has_pending and self.may_close(connection):
                 connection.close()
 
     def _end_partial_requests(self) -> None:
@@ -80,11 +79,11 @@
         A connection that has not sent a request yet has a grace period. During a takeover all connections have one: a request
         may be in transit on any connection that the proxy closes.
         """
-        if connection.stream.has_begun:
+        if connection.stream.has_begun or connection.stream.has_pending:
             return False
         if not self.is_grace_over and not self._is_past_grace(connection):
             return False
-        return is_open_and_idle(connection.sock)  # otherwise a request or the end of the stream is waiting to be read
+        return connection.client_state.is_idle()  # otherwise a request or the end of the stream is waiting to be read
 
     def _is_past_grace(self, connection: ClientConnection) -> bool:
         is_new, lifecycle = connection.is_new, self._server.lifecycle
--- a/sloeferry/network/connection_sweeper.py
+++ b/sloeferry/network/connection_sweeper.py
@@ -4,10 +4,10 @@
 from typing import TYPE_CHECKING
 
 from sloeferry import environment
+from sloeferry.environment import PeerState
 from sloeferry.network import stall_accounting
 from sloeferry.network.client_connection import ClientConnection
 from sloeferry.network.limited_log import warn
-from sloeferry.network.sockets import is_open_and_idle
 from sloeferry.network.write_progress import MIN_BYTES_PER_SECOND
 
 if TYPE_CHECKING:
@@ -65,7 +65,7 @@
         ):
             _log_close(connection, "the backend does not send the rest of its response")
             connection.close()
-        elif not connection.is_busy and not stream.completed:
+        elif not connection.is_busy and not stream.has_pending:
             allowed_seconds = idle_timeout_seconds
             if connection.is_new or stream.has_begun:
                 allowed_seconds = READ_TIMEOUT_SECONDS + stream.message.body_bytes / MIN_BYTES_PER_SECOND * stream.has_begun
@@ -80,7 +80,7 @@
         budget = self._server.budget
         idle = list(budget.idle.items())
         for connection, (since, close) in idle[: max(0, len(idle) - int(budget.limit * MAX_IDLE_RATIO))]:
-            if environment.monotonic() - since > EXCESS_IDLE_SECONDS and is_open_and_idle(connection.sock):
+            if environment.monotonic() - since > EXCESS_IDLE_SECONDS and connection.client_state.is_idle():
                 close()
 
     async def check_loop_and_requests(self) -> None:
@@ -114,8 +114,12 @@
         if now_ms > context.deadline + OVERDUE_MS:
             warn("request overdue", "no answer decided in time: request={}", context.request_id)
             self._server.dispatcher.client_left(context)
-        elif connection.has_client_left():
+            return
+        state = connection.client_state.observe()
+        if state.has_ended:
             self._server.dispatcher.client_left(context)
+        elif state is PeerState.UNREAD and not connection.request_runner.body_stream:
+            connection.reader.read_ahead()
 
 
 def _log_close(connection: ClientConnection, reason: str) -> None:
--- a/sloeferry/network/http1/framing.py
+++ b/sloeferry/network/http1/framing.py
@@ -62,6 +62,7 @@
         self.completed: list[Message] = []
         self.fault: StreamEnd | None = None
         self.has_begun = False
+        self.written_at_ms: float | None = None  # when the bytes being fed were written at the earliest; None: now
 
     # Callbacks of httptools
 
@@ -131,7 +132,8 @@
     def on_message_complete(self) -> None:
         """Complete a message at its last byte."""
         self.has_begun = False
-        self.message.completed_at, self.message.is_complete = environment.monotonic(), True
+        self.message.is_complete = True
+        self.message.written_at_ms = environment.monotonic_ms() if self.written_at_ms is None else self.written_at_ms
         if not 100 <= self.message.status < 200:
             if not self.message.is_streamed:  # a streamed message would be sent twice
                 self.completed.append(self.message)
@@ -144,7 +146,7 @@
 
     # Interface for readers
 
-    def feed(self, buffer: bytearray, length: int) -> StreamEnd | None:
+    def feed(self, buffer: bytearray | bytes, length: int) -> StreamEnd | None:
         """Parse `length` received bytes; 0 means the end of the stream. Return why no more can be read, or None."""
         if not length:
             self._end_of_stream()
--- a/sloeferry/network/http1/message.py
+++ b/sloeferry/network/http1/message.py
@@ -55,7 +55,7 @@
         "expects_continue",
         "is_head_complete",
         "is_complete",
-        "completed_at",
+        "written_at_ms",
         "is_streamed",
         "attributes",
         "retry_after_if_rejected_ms",
@@ -79,7 +79,7 @@
         self.expects_continue = False
         self.is_head_complete = False
         self.is_complete = False
-        self.completed_at = 0.0  # seconds, monotonic
+        self.written_at_ms = 0.0  # when its last byte was written at the earliest; ms, monotonic
         self.is_streamed = False  # the body is streamed: at its end the message is not added to those completed
         self.attributes: RequestAttributes | None = None  # of a client's request; None for one to /ready
         # Retry-After if the request is rejected before acceptance (0.0: none is sent); None if it is not rejected.
--- a/sloeferry/network/http1/stream.py
+++ b/sloeferry/network/http1/stream.py
@@ -6,10 +6,20 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from typing import Protocol
 
+from sloeferry import environment
 from sloeferry.network.buffers import BUFFER_BYTES, SMALL_BUFFER_BYTES, BufferPool
 from sloeferry.network.http1.framing import MAX_BODY_BYTES, MessageFraming, StreamEnd
 from sloeferry.network.http1.message import Message
+from sloeferry.network.read_ahead import MAX_READ_AHEAD_BYTES, ReadAhead
+
+
+class ReadObserver(Protocol):
+    """Learns from the reads of a connection when its peer wrote what they received; times in ms, monotonic."""
+
+    def read_ended(self, began_at_ms: float, received_bytes: int, is_drained: bool) -> float:
+        """Record a read, after which nothing was unread if `is_drained`; return when its bytes were written at the earliest."""
 
 
 class HttpStream(MessageFraming):
@@ -26,6 +36,7 @@
         max_body_bytes: int = MAX_BODY_BYTES,
         reject_unparsed: Callable[[bytearray, int], bool] | None = None,
         reads_large_bodies: bool = False,
+        observer: ReadObserver | None = None,
     ):
         """Create a stream; `reject_unparsed` gets the first bytes of a message and returns True if it has handled them.
 
@@ -37,6 +48,8 @@
         self._buffers = buffers
         self._reject_unparsed = reject_unparsed
         self._reads_large_bodies = reads_large_bodies
+        self._observer = observer
+        self._read_ahead = ReadAhead()
         self._receiving: asyncio.Task | None = None  # a receive that outlasted its timeout
         self.was_reset = False  # the connection ended with an error, not with the end of the stream
 
@@ -73,14 +86,54 @@
 
     async def _receive(self) -> StreamEnd | None:
         is_large = self._reads_large_bodies or self.message.reservation
-        buffer = self._buffers.acquire(BUFFER_BYTES if is_large else SMALL_BUFFER_BYTES)
+        size = BUFFER_BYTES if is_large else SMALL_BUFFER_BYTES
+        if self._read_ahead.held_bytes:
+            data, self.written_at_ms = self._read_ahead.take(size)
+            return self._received(data, len(data))
+        buffer = self._buffers.acquire(size)
         try:
+            began_at_ms = environment.monotonic_ms() if self._observer else 0.0
             length = await self._loop.sock_recv_into(self._sock, buffer)
-            if length and self._reject_unparsed and not self.has_begun and self._reject_unparsed(buffer, length):
-                return StreamEnd.REJECTED_UNPARSED
-            return self.feed(buffer, length)
+            if self._observer:
+                self.written_at_ms = self._observer.read_ended(began_at_ms, length, length < size)
+            return self._received(buffer, length)
         except OSError:
             self.fault, self.was_reset = StreamEnd.CLOSED, True
         finally:
             self._buffers.release(buffer)
         return self.fault
+
+    def _received(self, buffer: bytearray | bytes, length: int) -> StreamEnd | None:
+        if length and self._reject_unparsed and not self.has_begun and self._reject_unparsed(buffer, length):
+            return StreamEnd.REJECTED_UNPARSED
+        return self.feed(buffer, length)
+
+    # Reading ahead
+
+    @property
+    def has_pending(self) -> bool:
+        """Return whether bytes behind the current message have been received."""
+        return bool(self.completed or self._read_ahead.held_bytes)
+
+    @property
+    def held_bytes(self) -> int:
+        """Return how many bytes have been read ahead and not parsed."""
+        return self._read_ahead.held_bytes
+
+    def receive_ahead(self, written_at_ms: float) -> bool:
+        """Receive what has arrived, up to a limit, without parsing it; return whether nothing is left unread.
+
+        `written_at_ms`: when it was written at the earliest.  The end of the stream stays unread, as far as this is concerned.
+        """
+        buffer = self._buffers.acquire(BUFFER_BYTES)
+        try:
+            while self._read_ahead.held_bytes < MAX_READ_AHEAD_BYTES:
+                length = self._sock.recv_into(buffer)
+                if not length:
+                    return True
+                self._read_ahead.append(bytes(memoryview(buffer)[:length]), written_at_ms)
+        except OSError:  # nothing more has arrived, or the connection has failed
+            return True
+        finally:
+            self._buffers.release(buffer)
+        return False
--- a/sloeferry/network/listener.py
+++ b/sloeferry/network/listener.py
@@ -120,7 +120,7 @@
 
     def _set_waiting_time(self, connection: ClientConnection) -> None:
         """Record on the connection how long it may have waited in the backlog."""
-        unread_time = connection.reader.unread_time
+        unread_time = connection.client_state.unread_time
         if not self.stalled_backlog_count:
             unread_time.queued_since_ms = self.backlogged_since_ms
             unread_time.may_have_waited_longer = self._is_backlog_unknown
--- a/sloeferry/network/request_intake.py
+++ b/sloeferry/network/request_intake.py
@@ -139,7 +139,9 @@
         is_retry = message.header(protocol.IS_RETRY) == protocol.TRUE
         return self._dispatcher.retry_after_if_rejected_ms(class_index, tenant_index, is_retry, has_waited)
 
-    def retry_after_if_rejected_unparsed_ms(self, buffer: bytearray, length: int, has_waited: bool = False) -> float | None:
+    def retry_after_if_rejected_unparsed_ms(
+        self, buffer: bytearray | bytes, length: int, has_waited: bool = False
+    ) -> float | None:
         """Return the Retry-After with which unparsed bytes are rejected (0.0: without one); None if they have to be parsed.
 
         Only one complete plain request can be rejected unparsed, and only during load shedding.
@@ -166,9 +168,10 @@
     def accept(self, message: Message, unread_ms: float = 0.0) -> RequestContext:
         """Accept a request for dispatch; `unread_ms` is how long it waited unread while the event loop was stalled."""
         class_index, tenant_index, time_left_ms = message.attributes
-        time_left_ms -= unread_ms
-        if message.is_complete:  # a pipelined request has waited since it was read
-            time_left_ms -= (environment.monotonic() - message.completed_at) * 1000
+        waited_ms = unread_ms
+        if message.is_complete:  # a pipelined request has waited since it was read, and maybe before
+            waited_ms = max(unread_ms, environment.monotonic_ms() - message.written_at_ms)
+        time_left_ms -= waited_ms
         key = None
         if self._has_affinity_keys:
             key = _AFFINITY_KEY.search(message.header(protocol.REQUEST_INFO) or b"")
--- a/sloeferry/network/request_reader.py
+++ b/sloeferry/network/request_reader.py
@@ -5,12 +5,19 @@
 from typing import TYPE_CHECKING
 
 from sloeferry import environment
+from sloeferry.network.buffers import BUFFER_BYTES
 from sloeferry.network.http1 import writer
 from sloeferry.network.http1.framing import StreamEnd
 from sloeferry.network.http1.message import Message
 from sloeferry.network.http1.stream import HttpStream
-from sloeferry.network.memory_budget import LARGE_HEAD_BYTES, MAX_WAIT_SECONDS, SMALL_MESSAGE_BYTES, buffered_request_bytes
-from sloeferry.network.unread_time import UnreadTime
+from sloeferry.network.memory_budget import (
+    LARGE_HEAD_BYTES,
+    MAX_WAIT_SECONDS,
+    SMALL_MESSAGE_BYTES,
+    Reservation,
+    buffered_request_bytes,
+)
+from sloeferry.network.read_ahead import MAX_READ_AHEAD_BYTES
 from sloeferry.network.upload_reader import ANSWER_BEFORE_DUE_MS
 
 if TYPE_CHECKING:
@@ -40,11 +47,14 @@
             is_response=False,
             accepts_head=server.intake.accepts_head,
             reject_unparsed=self.reject_unparsed,
+            observer=connection.client_state,
         )
+        self._client_state = connection.client_state
+        self._read_ahead_reservation: Reservation | None = None
         self.is_reading = False
         self._is_overdue = False
         self.retry_after_if_rejected_ms = 0.0  # of the last request that was rejected unparsed
-        self.unread_time = UnreadTime(connection.sock)
+        self.unread_time = connection.client_state.unread_time
         self.receiving_body_since: float | None = None  # seconds; the sweeper checks the read timeout against it
 
     async def read(self) -> ReadOutcome:
@@ -59,7 +69,8 @@
             had_begun = stream.has_begun
             silent_since = self.unread_time.silent_since(is_partial=had_begun)
             server.budget.mark_waiting(connection, connection.evict, connection.is_new, had_begun, silent_since)
-            if not had_begun and server.dispatcher.overload.is_shedding() and not server.lifecycle.is_stopping:
+            may_park = not had_begun and not stream.has_pending and not server.lifecycle.is_stopping
+            if may_park and server.dispatcher.overload.is_shedding():
                 await server.admission_queue.park(connection)
                 if stream.completed or stream.fault or stream.has_begun:  # the admission queue has read from it
                     server.budget.mark_active(connection)
@@ -78,6 +89,23 @@
             await self._send_continue()
         return ReadOutcome.REQUEST
 
+    def read_ahead(self) -> bool:
+        """Receive what has arrived behind a complete request, if there is memory; return whether that seems to be all.
+
+        It is parsed once it is its turn.  A client of which much is held may have more to send as soon as there is room.
+        """
+        if self._client_state.is_idle():
+            return self.stream.held_bytes <= MAX_READ_AHEAD_BYTES / 2
+        if not self._reserve_read_ahead():
+            return False
+        has_read_all = self.stream.receive_ahead(self._client_state.present_at_ms())
+        return has_read_all and self.stream.held_bytes <= MAX_READ_AHEAD_BYTES / 2
+
+    def _reserve_read_ahead(self) -> bool:
+        if self._read_ahead_reservation is None:
+            self._read_ahead_reservation = self._server.memory.reserve_now_for_request(MAX_READ_AHEAD_BYTES + BUFFER_BYTES)
+        return self._read_ahead_reservation is not None
+
     async def _reserve_memory(self) -> bool:
         """Reserve memory for the rest of an incomplete request that may be large; return False if there is none in time."""
         message = self.stream.message
@@ -144,6 +172,8 @@
 
     def take_message(self) -> Message | None:
         """Return the request that was read; None if the input was invalid."""
+        if not self.stream.held_bytes:
+            self._read_ahead_reservation = None
         if self.stream.completed:
             return self.stream.completed.pop(0)
         return self.stream.oversized_message()
@@ -151,9 +181,18 @@
     def take_unread_ms(self, message: Message) -> float:
         """Return how long the request waited unread, either during a stall or in the listen backlog."""
         time_left_ms = message.attributes.time_left_ms if message.attributes else 0.0
-        return self.unread_time.take_ms(time_left_ms, self._server.stalls.note_loop_iteration())
-
-    def reject_unparsed(self, buffer: bytearray, length: int, has_waited: bool = False) -> bool:
+        unread_ms = self.unread_time.take_ms(time_left_ms, self._server.stalls.note_loop_iteration())
+        if unread_ms:
+            self._mark_as_unread(unread_ms)
+        return unread_ms
+
+    def _mark_as_unread(self, unread_ms: float) -> None:
+        """Record that the requests behind the current one may have been unread for as long."""
+        written_at_ms = environment.monotonic_ms() - unread_ms
+        for message in self.stream.completed:
+            message.written_at_ms = min(message.written_at_ms, written_at_ms)
+
+    def reject_unparsed(self, buffer: bytearray | bytes, length: int, has_waited: bool = False) -> bool:
         """Return whether unparsed bytes are a plain request that is rejected during load shedding.
 
         A plain request that has waited too long (`has_waited`) is always rejected.
--- a/sloeferry/network/request_runner.py
+++ b/sloeferry/network/request_runner.py
@@ -14,6 +14,7 @@
 import functools
 from typing import TYPE_CHECKING
 
+from sloeferry import environment
 from sloeferry.dispatch.request_context import RequestContext
 from sloeferry.network import client_replies, protocol
 from sloeferry.network.attempt import OutgoingRequest
@@ -22,6 +23,7 @@
 from sloeferry.network.http1 import writer
 from sloeferry.network.http1.message import HOP_BY_HOP_HEADERS, Message
 from sloeferry.network.limited_log import warn
+from sloeferry.network.upload_reader import UploadReader
 from sloeferry.policy.interface import CancelAttempt, Complete, Reject, SendAttempt
 
 if TYPE_CHECKING:
@@ -59,7 +61,7 @@
             context = self.context = self._server.intake.accept(message, unread_ms)
         except Exception as error:
             return self._fail(error)
-        context.has_client_left = self._connection.has_client_left
+        context.has_client_left = self._connection.may_client_have_left
         return await self.run(self._outgoing_request(context, message), message)
 
     def _outgoing_request(self, context: RequestContext, message: Message) -> OutgoingRequest:
@@ -68,9 +70,21 @@
         head = writer.request_head(message.method, message.url, headers, length)
         self.body_stream = None
         if not message.is_complete:
-            self.body_stream = RequestBodyStream(self._connection, message, self._server.dispatcher, context)
+            upload = self._upload_reader(context, message)
+            self.body_stream = RequestBodyStream(self._connection, message, upload, self._server.dispatcher, context)
         return OutgoingRequest(context, self._request_id, head, self.body_stream or message.body())
 
+    def _upload_reader(self, context: RequestContext, message: Message) -> UploadReader:
+        connection = self._connection
+        return UploadReader(
+            connection.stream,
+            connection.client_state,
+            self._server.memory,
+            connection.reader.receive_body,
+            message,
+            context.deadline - environment.monotonic_ms(),
+        )
+
     async def run(self, request: OutgoingRequest, message: Message) -> Reply | None:
         """Execute the commands for the request; return its reply, or None if another task has taken it over."""
         reply = None
--- a/sloeferry/network/stall_accounting.py
+++ b/sloeferry/network/stall_accounting.py
@@ -10,7 +10,6 @@
 
 from sloeferry import environment
 from sloeferry.network.listener import BACKLOG
-from sloeferry.network.sockets import is_open_and_idle
 
 if TYPE_CHECKING:
     from sloeferry.network.client_server import ClientServer
@@ -48,15 +47,15 @@
         """Charge the stall to connections with unread bytes: the time left of a request runs from when it was sent."""
         server, listener = self._server, self._server.listener
         for connection in server.connections:
-            has_nothing_unread = connection.is_busy or is_open_and_idle(connection.sock)
-            connection.reader.unread_time.stalled_ms = 0.0 if has_nothing_unread else stalled_ms
+            has_nothing_unread = connection.is_busy or connection.client_state.is_idle()
+            connection.client_state.unread_time.stalled_ms = 0.0 if has_nothing_unread else stalled_ms
         if server.lifecycle.is_stopping:
             return
         connections_before = dict(server.connections)  # not just their number: accepting a connection may evict an idle one
         listener.accept(BACKLOG)  # connections that arrived during the stall
         for connection in server.connections:
             if connection not in connections_before:
-                connection.reader.unread_time.stalled_ms = stalled_ms
+                connection.client_state.unread_time.stalled_ms = stalled_ms
         if listener.backlogged_since_ms is not None:  # some are left in the backlog: they have waited for the stall as well
             listener.backlogged_since_ms -= stalled_ms
             listener.stalled_backlog_count = BACKLOG
--- a/sloeferry/network/upload_reader.py
+++ b/sloeferry/network/upload_reader.py
@@ -5,16 +5,14 @@
 """
 
 import asyncio
-from typing import TYPE_CHECKING
+from collections.abc import Awaitable, Callable
 
 from sloeferry import environment
 from sloeferry.network.buffers import BUFFER_BYTES
+from sloeferry.network.client_state import ClientState
 from sloeferry.network.http1.message import Message
-from sloeferry.network.last_byte_bound import LastByteBound
-from sloeferry.network.sockets import is_open_and_idle
-
-if TYPE_CHECKING:
-    from sloeferry.network.client_connection import ClientConnection
+from sloeferry.network.http1.stream import HttpStream
+from sloeferry.network.memory_budget import MemoryBudget
 
 PART_BYTES = BUFFER_BYTES  # of a body, per write
 # What a client that writes 64 kB a second, the slowest that the platform names, writes in a second.
@@ -26,12 +24,27 @@
 class UploadReader:
     """The reading side of one streamed request body; times in ms, monotonic."""
 
-    def __init__(self, connection: "ClientConnection", message: Message, time_left_ms: float):
-        """Begin after the buffered part; the client waits for `time_left_ms` from the last byte on."""
-        self._connection = connection
+    def __init__(
+        self,
+        stream: HttpStream,
+        client_state: ClientState,
+        memory: MemoryBudget,
+        receive: Callable[[], Awaitable[None]],
+        message: Message,
+        time_left_ms: float,
+    ):
+        """Begin after the buffered part; the client waits for `time_left_ms` from the last byte on.
+
+        `receive` receives once from `stream`.
+        """
+        self._stream = stream
+        self._client_state = client_state
+        self._memory = memory
+        self._receive = receive
+        self._is_receiving = False
         self._message = message
         self._time_left_ms = time_left_ms
-        self._last_byte = LastByteBound(environment.monotonic_ms(), message.content_length)
+        self._last_byte = client_state.begin_body(message.content_length)
         self._has_read = asyncio.Event()
         self._has_room = asyncio.Event()
         self._may_read_ahead = False  # memory is reserved for it
@@ -40,29 +53,28 @@
 
     async def read(self) -> None:
         """Read to the end of the body, or until the client's connection fails."""
-        message, stream = self._message, self._connection.stream
+        message, stream = self._message, self._stream
         try:
             while not message.is_complete and not stream.fault:
                 if message.held_bytes >= self._limit_bytes():
                     self._has_room.clear()
                     await self._has_room.wait()
                     continue
-                await self._receive()
+                await self._read_once()
                 self._has_read.set()
         finally:
             self._has_ended = True
             self._has_read.set()
 
-    async def _receive(self) -> None:
-        unread_bytes = self._unread_bytes()
-        ms_since_arrival = 0.0 if unread_bytes else environment.ms_since_arrival(self._connection.sock) or 0.0
+    async def _read_once(self) -> None:
+        unread_bytes = self._client_state.unread_bytes()
+        ms_since_arrival = 0.0 if unread_bytes else self._client_state.ms_since_arrival()
         self._last_byte.read_begins(environment.monotonic_ms(), self._message.body_bytes, unread_bytes, ms_since_arrival)
-        await self._connection.reader.receive_body()
-
-    def _unread_bytes(self) -> int:
-        """Return how many bytes have arrived and were not read; 1 if there are some and the system does not tell."""
-        sock = self._connection.sock
-        return 0 if is_open_and_idle(sock) else environment.unread_bytes(sock) or 1
+        self._is_receiving = True
+        try:
+            await self._receive()
+        finally:
+            self._is_receiving = False
 
     async def next_part(self) -> bytes:
         """Return a part of the body; b"" once nothing more is read."""
@@ -76,19 +88,21 @@
 
     def due_ms(self) -> float:
         """Return when the final answer is due, as far as is known."""
-        return min(self._last_byte.earliest_ms + self._time_left_ms, self._connection.server.intake.answer_by_ms)
+        return self._last_byte.earliest_ms + self._time_left_ms
+
+    def is_overdue(self, now_ms: float, answer_by_ms: float) -> bool:
+        """Return whether the final answer is about to be due, at `answer_by_ms` at the latest; to be called every few ms."""
+        if not self._message.is_complete:
+            self._check_client(now_ms)
+        return now_ms >= min(self.due_ms(), answer_by_ms) - ANSWER_BEFORE_DUE_MS
 
-    def is_overdue(self, now_ms: float) -> bool:
-        """Return whether the final answer is about to be due; to be called every few ms."""
-        if self._message.is_complete:
-            return now_ms >= self.due_ms() - ANSWER_BEFORE_DUE_MS
-        if self._connection.reader.receiving_body_since is not None:
+    def _check_client(self, now_ms: float) -> None:
+        if self._is_receiving:
             self._last_byte.read_waits(self._last_check_ms)  # what had arrived by then has been read by now
         self._last_check_ms = now_ms
         if now_ms >= self._read_ahead_at_ms():
-            self._last_byte.bytes_arrived(now_ms, self._message.body_bytes + self._unread_bytes())
+            self._last_byte.bytes_arrived(now_ms, self._message.body_bytes + self._client_state.unread_bytes())
             self._has_room.set()  # the limit may be higher now
-        return now_ms >= self.due_ms() - ANSWER_BEFORE_DUE_MS
 
     def _read_ahead_at_ms(self) -> float:
         return self._last_byte.earliest_ms + READ_AHEAD_AFTER * self._time_left_ms
@@ -103,7 +117,7 @@
         return MAX_READ_AHEAD_BYTES if self._may_read_ahead else 1
 
     def _reserve_read_ahead(self) -> bool:
-        reservation = self._connection.server.memory.reserve_now_for_request(MAX_READ_AHEAD_BYTES + BUFFER_BYTES)
+        reservation = self._memory.reserve_now_for_request(MAX_READ_AHEAD_BYTES + BUFFER_BYTES)
         if reservation is None or self._message.reservation is None:
             return False
         self._message.reservation.merge(reservation)
--- a/sloeferry/rehearsal/simulated_socket.py
+++ b/sloeferry/rehearsal/simulated_socket.py
@@ -8,6 +8,7 @@
 from collections import deque
 from typing import TYPE_CHECKING, Any
 
+from sloeferry.environment import PeerState
 from sloeferry.rehearsal.socket_waiters import SocketWaiters
 
 if TYPE_CHECKING:
@@ -206,9 +207,13 @@
         else:
             self.close()
 
-    def has_peer_ended(self) -> bool:
-        """Return whether the peer has shut down its sending side or the connection; see `environment.has_peer_ended`."""
-        return self.is_closed or self._has_received_end or bool(self.error_number)
+    def peer_state(self) -> PeerState:
+        """Return the state of the peer; see `environment.peer_state`."""
+        if self.is_closed or self.error_number:
+            return PeerState.GONE
+        if self._has_received_end:
+            return PeerState.SENDING_ENDED
+        return PeerState.UNREAD if self.inbox else PeerState.IDLE
 
     def ms_since_arrival(self) -> float:
         """Return how long ago the last bytes arrived; see `environment.ms_since_arrival`."""
--- a/sloeferry/rehearsal/simulation.py
+++ b/sloeferry/rehearsal/simulation.py
@@ -180,7 +180,7 @@
         unix_time=scheduler.unix_time,
         tcp_socket=network.socket,
         epoll=lambda: SimulatedEpoll(network),
-        has_peer_ended=SimulatedSocket.has_peer_ended,
+        peer_state=SimulatedSocket.peer_state,
         send_now=SimulatedSocket.send_now,
         ms_since_arrival=SimulatedSocket.ms_since_arrival,
         unacknowledged_bytes=SimulatedSocket.unacknowledged_bytes,
--- a/tests/network/test_body_stream.py
+++ b/tests/network/test_body_stream.py
@@ -27,7 +27,7 @@
 
 def test_one_attempt_at_a_time_writes_the_body():
     """The end of a second attempt, which was refused the body, does not release the claim of the first."""
-    stream = RequestBodyStream(None, Message(), None, types.SimpleNamespace(deadline=0.0))
+    stream = RequestBodyStream(None, Message(), None, None, types.SimpleNamespace())
     assert (stream.claim(0), stream.claim(1)) == (True, False)
     stream.release(1)
     assert not stream.claim(2)
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -1,6 +1,7 @@
 """Rehearsals: the simulated network, scenario files, repeatable records, and the detection of planted faults on the wire."""
 
 import asyncio
+import contextlib
 import errno
 import json
 import os
@@ -18,9 +19,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from sloeferry.environment import PeerState
 from sloeferry.lifecycle.state import Lifecycle
 from sloeferry.network import protocol
 from sloeferry.network.client_connection import ClientConnection
+from sloeferry.network.client_state import ClientState
 from sloeferry.network.connection_sweeper import ConnectionSweeper
 from sloeferry.network.http1 import writer
 from sloeferry.network.http1.framing import MessageFraming
@@ -56,6 +59,16 @@
     return scenarios.parse_scenario(text, "mixed_faults")
 
 
+@contextlib.contextmanager
+def clients_taken_for_present():
+    """Return a context manager in which the proxy takes no client for one that has left, whatever the kernel tells."""
+    with (
+        mock.patch.object(ClientState, "observe", lambda client: PeerState.IDLE),
+        mock.patch.object(ClientState, "was_present_lately", lambda client, unread_ms=0.0: True),
+    ):
+        yield
+
+
 class TwoHosts(golden.LineRecorder):
     """Two processes on two hosts of a simulated network; records what their sockets observe."""
 
@@ -524,13 +537,13 @@
         self.assertEqual(self.violations(scenario), ({}, []))
         with mock.patch.object(SimulatedSocket, "ms_since_arrival", lambda sock: None):  # a system that does not tell
             self.assertEqual(self.violations(scenario), ({}, []))
-        # These clients disconnect at their expiry, and `has_client_left`, which is checked before each first byte, also holds
+        # These clients disconnect at their expiry, and `ClientState`, which is asked before each first byte, also holds
         # the requests back, as does the kernel's word of when they arrived.  Both are disabled too, so that the test depends on
         # `stalled_backlog_count` alone.
         with (
             mock.patch.object(Listener, "accept", accept_as_new),
             mock.patch.object(SimulatedSocket, "ms_since_arrival", lambda sock: None),
-            mock.patch.object(ClientConnection, "has_client_left", lambda connection: connection.is_closed),
+            clients_taken_for_present(),
         ):
             rules, texts = self.violations(scenario)
         self.assertIn("1", rules, texts)
@@ -539,7 +552,7 @@
     def test_no_request_is_sent_long_after_its_client_disconnected(self):
         """No request is sent to a backend later than 0.3 s after its client has disconnected, many of them during a pause.
 
-        Without `has_client_left` some are.
+        Without `ClientState` some are.
         """
         scenario, original_method = scenarios.read_scenario(HERE / "leaving_clients.toml"), judge.Judge.attempt_received
 
@@ -559,7 +572,7 @@
         attempt_count, late = count_attempts_after_leaving()
         self.assertGreater(attempt_count, 100)
         self.assertEqual(late, 0)
-        with mock.patch.object(ClientConnection, "has_client_left", lambda connection: connection.is_closed):
+        with clients_taken_for_present():
             self.assertGreater(count_attempts_after_leaving()[1], 0)
 
     def test_overload_before_notification_of_the_start_is_exempt(self):
