A client that writes steadily is known to be there, whatever it has written

Change: reads that each had to wait, and brought less than a client with unsent bytes delivers while bytes are in transit, show that it was there when they began, as LastByteBound has it. A body that is read as it comes, without a wait for memory or in the backlog, is not held back.

--- a/sloeferry/network/client_connection.py
+++ b/sloeferry/network/client_connection.py
@@ -152,6 +152,8 @@
         """
         if self.client_state.was_present_lately(MAX_UNNOTICED_AT_INTAKE_MS - unread_ms):
             return True
+        if not message.is_complete and unread_ms <= MAX_UNNOTICED_AT_INTAKE_MS:
+            return True  # its body is read as it comes
         if message.is_complete and not self.reader.read_ahead():
             return False
         state = self.client_state.observe()
--- a/sloeferry/network/client_state.py
+++ b/sloeferry/network/client_state.py
@@ -9,7 +9,7 @@
 
 from sloeferry import environment
 from sloeferry.environment import PeerState
-from sloeferry.network.last_byte_bound import MAX_TRANSIT_MS, LastByteBound
+from sloeferry.network.last_byte_bound import MAX_TRANSIT_MS, MIN_TRANSIT_BYTES, LastByteBound
 from sloeferry.network.sockets import is_open_and_idle
 from sloeferry.network.unread_time import UnreadTime
 
@@ -28,8 +28,9 @@
 class ClientState:
     """The state of one client; times in ms, monotonic.
 
-    Two facts show that a client had not ended at some time: nothing had arrived for longer than bytes are in transit; or all it
-    had sent was read, and was so little that the receive window was never closed.
+    Three facts show that a client had not ended at some time: nothing had arrived for longer than bytes are in transit; or each
+    read had to wait, and brought less than a client with unsent bytes delivers meanwhile; or all it had sent was read, and was so
+    little that the receive window was never closed.
     """
 
     def __init__(self, sock: socket.socket):
@@ -39,6 +40,9 @@
         self._present_at_ms = environment.monotonic_ms()  # the last time at which the client is known not to have ended
         self._empty_since_ms: float | None = None  # nothing has been unread since then; None: not known
         self._unproved_bytes = 0  # received since nothing had arrived for longer than bytes are in transit
+        # Since when each read has had to wait, and what these have brought; None: the last one had not.
+        self._waiting_since_ms: float | None = None
+        self._waited_bytes = 0
 
     # What the kernel tells now
 
@@ -105,10 +109,21 @@
         if has_waited:
             self._note_empty(began_at_ms)
             self._note_empty(now_ms)
+        self._note_pace(now_ms, received_bytes, has_waited)
         seen_at_ms = self._present_at_ms
         self.received_ahead(received_bytes, is_drained)
         return now_ms if has_waited and not self.may_hold_end_back() else seen_at_ms
 
+    def _note_pace(self, now_ms: float, received_bytes: int, has_waited: bool) -> None:
+        """Record a read of a client that may write steadily, which reads that had to wait show."""
+        since_ms = self._waiting_since_ms
+        self._waited_bytes += received_bytes
+        if since_ms is not None and has_waited and self._waited_bytes < MIN_TRANSIT_BYTES:
+            if now_ms - since_ms < MAX_TRANSIT_MS:
+                return
+            self._present_at_ms, self._unproved_bytes = max(self._present_at_ms, since_ms), self._waited_bytes
+        self._waiting_since_ms, self._waited_bytes = now_ms if has_waited else None, 0
+
     def received_ahead(self, received_bytes: int, is_drained: bool) -> None:
         """Record that bytes were received without waiting for them."""
         self._unproved_bytes += received_bytes
--- a/tests/network/test_client_state.py
+++ b/tests/network/test_client_state.py
@@ -147,3 +147,15 @@
     read_ahead.append(b"fg", 2.0)
     assert [read_ahead.take(3) for _ in range(3)] == [(b"abc", 1.0), (b"de", 1.0), (b"fg", 2.0)]
     assert read_ahead.held_bytes == 0
+
+
+@pytest.mark.parametrize(("read_bytes", "is_steady"), [(4000, True), (16384, False)], ids=["steady", "as quick as can be"])
+def test_client_that_writes_steadily_is_there(kernel: Kernel, read_bytes: int, is_steady: bool):
+    """One with unsent bytes would deliver more in the time in which bytes are in transit."""
+    client = new_client()
+    for _ in range(int(LONG_MS)):
+        began_at_ms = kernel.now_ms
+        kernel.wait(1.0)
+        client.read_ended(began_at_ms, read_bytes, is_drained=True)
+    kernel.peer = PeerState.UNREAD
+    assert client.may_have_ended() != is_steady
--- a/tests/network/test_upload_deadline.py
+++ b/tests/network/test_upload_deadline.py
@@ -186,10 +186,11 @@
     [
         (Pace(bytes_per_second=400_000), 40_000),
         (Pace(bytes_per_second=400_000), 2_000),
+        (Pace(bytes_per_second=1_000_000), 1_000),
         (Pace(pause_after_bytes=400_000, pause_seconds=2.0), 16_384),
         (Pace(pause_after_bytes=20_000, pause_seconds=2.0), 4_096),
     ],
-    ids=["steady", "small parts", "pause", "early pause"],
+    ids=["steady", "small parts", "quick small parts", "pause", "early pause"],
 )
 def test_upload_that_its_client_writes_slowly_is_served(pace: Pace, part_bytes: int, is_chunked: bool):
     """The time of a request whose client is still writing has not begun, however long it takes."""
