--- a/tests/network/test_pipelining_client_ends.py
+++ b/tests/network/test_pipelining_client_ends.py
@@ -157,7 +157,7 @@
         await asyncio.sleep(LEAVING_SECONDS + MARGIN_SECONDS)
         harness.clients.listener.open()
         await harness.request("safe")  # accepted after the one that has left
-        await wait_until(lambda: len(harness.clients.connections) == 1)
+        await wait_until(lambda: not harness.clients.connections)
         assert len(backends.heads) == 1
 
     run_scenario(scenario, InstrumentedHarness(backends))
