Messages, replies and the memory account no longer import what stands above them

Cause: 24 files of network imported each other in one circle (types counted), since a message named the classes of its memory and of its streamed body, which stand above it.

Change: Reservation has a file of its own and knows its account by a protocol; the body of a response that is forwarded is a protocol below messages (http1/streamed_body.py). A reply's body is bytes or such a body. What is done is the same.

--- a/sloeferry/network/client_replies.py
+++ b/sloeferry/network/client_replies.py
@@ -4,10 +4,10 @@
 from typing import NamedTuple
 
 from sloeferry.network import protocol
-from sloeferry.network.body_stream import ResponseBodyStream
 from sloeferry.network.http1.framing import StreamEnd
 from sloeferry.network.http1.message import HOP_BY_HOP_HEADERS, Header, Message
-from sloeferry.network.memory_budget import Reservation
+from sloeferry.network.http1.streamed_body import StreamedBody
+from sloeferry.network.reservation import Reservation
 
 OK, BAD_REQUEST, METHOD_NOT_ALLOWED, REQUEST_TIMEOUT = 200, 400, 405, 408
 CONFLICT, CONTENT_TOO_LARGE, SERVICE_UNAVAILABLE, GATEWAY_TIMEOUT = 409, 413, 503, 504
@@ -26,7 +26,7 @@
     """A reply to a client."""
 
     status: int
-    body: bytes | ResponseBodyStream = b""
+    body: bytes | StreamedBody = b""
     headers: Sequence[Header] = ()
     reservation: Reservation | None = None  # of the memory for the body, until it is written
 
--- a/sloeferry/network/http1/message.py
+++ b/sloeferry/network/http1/message.py
@@ -1,13 +1,11 @@
 """Received HTTP requests and responses."""
 
 from collections.abc import Sequence, Set
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
 from sloeferry.network.http1.packed_headers import PackedHeaders
-
-if TYPE_CHECKING:
-    from sloeferry.network.body_stream import ResponseBodyStream
-    from sloeferry.network.memory_budget import Reservation
+from sloeferry.network.http1.streamed_body import StreamedBody
+from sloeferry.network.reservation import Reservation
 
 Header = tuple[bytes, bytes]  # name in lower case, value
 
@@ -84,7 +82,7 @@
         self.attributes: RequestAttributes | None = None  # of a client's request; None for one to /ready
         # Retry-After if the request is rejected before acceptance (0.0: none is sent); None if it is not rejected.
         self.retry_after_if_rejected_ms: float | None = None
-        self.body_stream: ResponseBodyStream | None = None  # of a response whose body is incomplete
+        self.body_stream: StreamedBody | None = None  # of a response whose body is incomplete
         self.reservation: Reservation | None = None  # of memory, for a large head or body
 
     def append_header(self, name: bytes, value: bytes) -> None:
--- a/sloeferry/network/memory_budget.py
+++ b/sloeferry/network/memory_budget.py
@@ -10,6 +10,7 @@
 
 from sloeferry.network.buffers import BUFFER_BYTES
 from sloeferry.network.http1.framing import MAX_BUFFERED_BODY_BYTES, MAX_HEAD_BYTES
+from sloeferry.network.reservation import Reservation
 
 BYTES_PER_KIB = 1024
 STARTUP_GROWTH_BYTES = 2 * BYTES_PER_KIB**2  # code and tables that are used first by requests
@@ -49,30 +50,6 @@
     return MAX_BUFFERED_BODY_BYTES if content_length is None else min(content_length, MAX_BUFFERED_BODY_BYTES)
 
 
-class Reservation:
-    """Memory reserved for one message; released when it is freed."""
-
-    __slots__ = ("_budget", "size")
-
-    def __init__(self, budget: "MemoryBudget", size: int):
-        self._budget = budget
-        self.size = size
-
-    def shrink(self, size: int) -> None:
-        """Release all but `size` bytes."""
-        if size < self.size:
-            surplus, self.size = self.size - size, size
-            self._budget.release(surplus)
-
-    def merge(self, other: "Reservation") -> None:
-        """Take over the memory of another reservation."""
-        self.size += other.size
-        other.size = 0
-
-    def __del__(self) -> None:
-        self._budget.reservation_ended(self.size)
-
-
 class _Waiter(NamedTuple):
     """A reservation that waits for memory."""
 
--- a/sloeferry/network/reply_writer.py
+++ b/sloeferry/network/reply_writer.py
@@ -5,10 +5,11 @@
 from typing import TYPE_CHECKING
 
 from sloeferry.network import client_replies, protocol
-from sloeferry.network.body_stream import BodyInterruptedError, ResponseBodyStream
+from sloeferry.network.body_stream import BodyInterruptedError
 from sloeferry.network.client_replies import Reply
 from sloeferry.network.http1 import writer
 from sloeferry.network.http1.message import Message
+from sloeferry.network.http1.streamed_body import StreamedBody
 from sloeferry.network.limited_log import warn
 from sloeferry.network.sockets import reset_on_close
 
@@ -27,23 +28,23 @@
     def __init__(self, connection: "ClientConnection"):
         self._connection = connection
         self._server = connection.server
-        self.response_body: ResponseBodyStream | None = None  # of a response being forwarded
+        self.response_body: StreamedBody | None = None  # of a response being forwarded
         self._has_used_lingering_close = False
 
     async def reply(self, message: Message, reply: Reply, keep_alive: bool) -> bool:
         """Write the reply to a request; return whether another request may follow."""
         if 400 <= reply.status < 500:  # a client that sends one bad request tends to send more: close the connection
             return await self.refuse(reply.status)
-        if isinstance(reply.body, ResponseBodyStream):
-            keep_alive = await self._forward(message, reply, reply.body, keep_alive)
-        else:
+        if isinstance(reply.body, bytes):
             await self._connection.send(writer.response(reply.status, reply.body, reply.headers, keep_alive))
+        else:
+            keep_alive = await self._forward(message, reply, reply.body, keep_alive)
         if not message.is_complete:
             await self.lingering_close()  # answered before all of the request's body arrived
         self._connection.mark_idle()
         return keep_alive
 
-    async def _forward(self, message: Message, reply: Reply, body: ResponseBodyStream, keep_alive: bool) -> bool:
+    async def _forward(self, message: Message, reply: Reply, body: StreamedBody, keep_alive: bool) -> bool:
         """Forward a response while it is received; return whether another request may follow.
 
         If the backend connection breaks, the client can detect the truncation: the connection ends before the announced length
--- a/sloeferry/network/request_reader.py
+++ b/sloeferry/network/request_reader.py
@@ -14,10 +14,10 @@
     LARGE_HEAD_BYTES,
     MAX_WAIT_SECONDS,
     SMALL_MESSAGE_BYTES,
-    Reservation,
     buffered_request_bytes,
 )
 from sloeferry.network.read_ahead import MAX_READ_AHEAD_BYTES
+from sloeferry.network.reservation import Reservation
 from sloeferry.network.upload_reader import ANSWER_BEFORE_DUE_MS
 
 if TYPE_CHECKING:
--- a/tests/network/test_pipelining_client_ends.py
+++ b/tests/network/test_pipelining_client_ends.py
@@ -13,7 +13,7 @@
 import pytest
 
 from sloeferry import environment
-from sloeferry.network.memory_budget import Reservation
+from sloeferry.network.reservation import Reservation
 from sloeferry.stand_ins.small_buffers import with_small_buffers
 from tests.support.fake_backends import FakeBackends, Script, response
 from tests.support.instrumented_harness import InstrumentedHarness, RawClient, wait_until
