Connections without bytes read ahead hold nothing for them

Cause: each connection, also to a backend, had an empty ReadAhead with its deque, some 700 bytes.

Change: it is made when bytes are held, and dropped with the last.

--- a/sloeferry/network/http1/stream.py
+++ b/sloeferry/network/http1/stream.py
@@ -52,7 +52,7 @@
         self._reject_unparsed = reject_unparsed
         self._reads_large_bodies = reads_large_bodies
         self._observer = observer
-        self._read_ahead = ReadAhead()
+        self._read_ahead: ReadAhead | None = None  # while bytes are held
         self._receiving: asyncio.Task | None = None  # a receive that outlasted its timeout
         self.was_reset = False  # the connection ended with an error, not with the end of the stream
 
@@ -90,9 +90,8 @@
     async def _receive(self) -> StreamEnd | None:
         is_large = self._reads_large_bodies or self.message.reservation
         size = BUFFER_BYTES if is_large else SMALL_BUFFER_BYTES
-        if self._read_ahead.held_bytes:
-            data, self.written_at_ms = self._read_ahead.take(size)
-            return self._received(data, len(data))
+        if self._read_ahead:
+            return self._take_read_ahead(self._read_ahead, size)
         buffer = self._buffers.acquire(size)
         try:
             began_at_ms = environment.monotonic_ms() if self._observer else 0.0
@@ -106,6 +105,12 @@
             self._buffers.release(buffer)
         return self.fault
 
+    def _take_read_ahead(self, read_ahead: ReadAhead, max_bytes: int) -> StreamEnd | None:
+        data, self.written_at_ms = read_ahead.take(max_bytes)
+        if not read_ahead.held_bytes:
+            self._read_ahead = None
+        return self._received(data, len(data))
+
     def _received(self, buffer: bytearray | bytes, length: int) -> StreamEnd | None:
         if length and self._reject_unparsed and not self.has_begun and self._reject_unparsed(buffer, length):
             return StreamEnd.REJECTED_UNPARSED
@@ -116,32 +121,34 @@
     @property
     def has_pending(self) -> bool:
         """Return whether bytes behind the current message have been received."""
-        return bool(self.completed or self._read_ahead.held_bytes)
+        return bool(self.completed or self._read_ahead)
 
     @property
     def held_bytes(self) -> int:
         """Return how many bytes have been read ahead and not parsed."""
-        return self._read_ahead.held_bytes
+        return self._read_ahead.held_bytes if self._read_ahead else 0
 
     def receive_ahead(self, written_at_ms: float) -> bool:
         """Receive what has arrived, up to a limit, without parsing it; return whether nothing is left unread.
 
         `written_at_ms`: when it was written at the earliest.  The end of the stream stays unread, as far as this is concerned.
         """
-        held_bytes = self._read_ahead.held_bytes
-        is_drained = self._fill_read_ahead(written_at_ms)
+        held_bytes = self.held_bytes
+        read_ahead = self._read_ahead or ReadAhead()
+        is_drained = self._fill(read_ahead, written_at_ms)
+        self._read_ahead = read_ahead if read_ahead.held_bytes else None
         if self._observer:
-            self._observer.received_ahead(self._read_ahead.held_bytes - held_bytes, is_drained)
+            self._observer.received_ahead(self.held_bytes - held_bytes, is_drained)
         return is_drained
 
-    def _fill_read_ahead(self, written_at_ms: float) -> bool:
+    def _fill(self, read_ahead: ReadAhead, written_at_ms: float) -> bool:
         buffer = self._buffers.acquire(BUFFER_BYTES)
         try:
-            while self._read_ahead.held_bytes < MAX_READ_AHEAD_BYTES:
+            while read_ahead.held_bytes < MAX_READ_AHEAD_BYTES:
                 length = self._sock.recv_into(buffer)
                 if not length:
                     return True
-                self._read_ahead.append(bytes(memoryview(buffer)[:length]), written_at_ms)
+                read_ahead.append(bytes(memoryview(buffer)[:length]), written_at_ms)
         except OSError:  # nothing more has arrived, or the connection has failed
             return True
         finally:
